--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions and state machines of the router, free of sockets, clocks and threads.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router daemon.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Interfaces to the platform: log service, host list and targets.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small fakes of the platform for tests and examples.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Frames between daemons and their codec.
