--- /dev/null
+++ b/crates/core/src/contract.rs
@@ -0,0 +1,66 @@
+//! Contracts: which process may command a target.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{number::Epoch, process::Process, time::Span, times::Times};
+
+/// Right of one process to command a target.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Contract {
+    /// Offset of the claim; the fencing token.
+    pub epoch: Epoch,
+    /// The process that may command the target.
+    pub holder: Process,
+    /// Processes that may take over after a short wait.
+    pub standbys: Vec<Process>,
+    /// How long the holder waits after the claim before it acts.
+    pub wait: Wait,
+    /// True once the holder has written a record after its wait.
+    pub confirmed: bool,
+    /// Requests that ran at the target when its holder gave the contract up, if it did.
+    pub released: Option<u32>,
+}
+
+/// How long a new holder waits before it acts.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Wait {
+    /// The earlier holder gave the contract up, or there was none.
+    None,
+    /// The claimer was a standby, so the earlier holder's lease ends within a lease.
+    Short,
+    /// The earlier holder may act on its standbys' promises for as long as an outsider waits.
+    Long,
+}
+
+impl Wait {
+    /// Returns the wait as a span on the waiting process's clock.
+    pub fn span(self, times: &Times) -> Span {
+        match self {
+            Self::None => Span::ZERO,
+            Self::Short => times.short_wait(),
+            Self::Long => times.outsider_wait,
+        }
+    }
+}
+
+/// Computes the wait of a claim that replaces `previous`.
+///
+/// A contract that its holder never confirmed passes its own wait on: the holder before it may
+/// still act.
+pub fn wait(previous: Option<&Contract>, claimer: &Process, holder_lost: bool) -> Wait {
+    let Some(previous) = previous else {
+        return Wait::None;
+    };
+    let class = if previous.released.is_some() {
+        Wait::None
+    } else if holder_lost || previous.standbys.contains(claimer) {
+        Wait::Short
+    } else {
+        Wait::Long
+    };
+    let inherited = match previous.confirmed {
+        true => Wait::None,
+        false => previous.wait,
+    };
+    class.max(inherited)
+}
--- /dev/null
+++ b/crates/core/src/ledger.rs
@@ -0,0 +1,492 @@
+//! The state that all daemons share: a deterministic fold of the log's records.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    contract::{self, Contract},
+    key, name,
+    number::{Epoch, Offset, Version},
+    placement,
+    process::Process,
+    record::{self, Entry, Record, Share, State},
+    request,
+    table::{Service, Table},
+};
+
+/// The shared state after all records up to an offset.
+#[serde_as]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ledger {
+    offset: Offset,
+    hash: u64,
+    version: Version,
+    table: Table,
+    table_entry: record::Id,
+    table_offset: Offset,
+    data_centres_out: BTreeSet<name::DataCentre>,
+    hosts_out: BTreeSet<name::Host>,
+    targets_out: BTreeSet<name::Target>,
+    processes: BTreeMap<name::Host, Peer>,
+    lost: BTreeSet<Process>,
+    contracts: BTreeMap<name::Target, Contract>,
+    assignments: BTreeMap<name::Service, Assignment>,
+    #[serde_as(as = "Vec<(_, _)>")]
+    requests: BTreeMap<request::Id, Intent>,
+    quarantine: BTreeMap<request::Fingerprint, Offset>,
+}
+
+/// The latest process of a host.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Peer {
+    /// The process.
+    pub process: Process,
+    /// Address that it accepts links on.
+    pub address: std::net::SocketAddr,
+    /// Data centre that it runs in.
+    pub data_centre: name::DataCentre,
+}
+
+/// Owners of a service's keys.
+#[serde_as]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Assignment {
+    /// Owner of each slice.
+    pub slices: Vec<name::Target>,
+    /// Owners of keys that are placed apart from their slice.
+    #[serde_as(as = "Vec<(_, _)>")]
+    pub keys: BTreeMap<key::Digest, name::Target>,
+}
+
+/// Permission for a non-idempotent request to run once.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Intent {
+    /// Offset of the record.
+    pub offset: Offset,
+    /// Epoch that may run the request.
+    pub epoch: Epoch,
+    /// HTTP status of the answer, once known.
+    pub status: Option<u16>,
+}
+
+/// What a record changed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Effect {
+    /// The record took effect, at least for one of its parts.
+    Applied,
+    /// The record had taken effect before; this is a repeated copy.
+    Duplicate,
+    /// The record names a version or epoch that is no longer current.
+    Conflict,
+    /// The record asks for something that does not exist or isn't allowed.
+    Invalid,
+}
+
+impl Effect {
+    fn from_parts(changed: bool) -> Self {
+        if changed {
+            Self::Applied
+        } else {
+            Self::Conflict
+        }
+    }
+}
+
+impl Ledger {
+    /// Applies the record at the next offset. Offsets that were applied before have no effect.
+    pub fn apply(&mut self, offset: Offset, entry: &Entry) -> Effect {
+        if offset <= self.offset {
+            return Effect::Duplicate;
+        }
+        self.offset = offset;
+        let effect = self.change(offset, entry);
+        let seed = xxh3_64_with_seed(&offset.0.to_le_bytes(), self.hash);
+        let seed = xxh3_64_with_seed(&entry.id.0.to_le_bytes(), seed);
+        self.hash = xxh3_64_with_seed(&[effect as u8], seed);
+        effect
+    }
+
+    fn change(&mut self, offset: Offset, entry: &Entry) -> Effect {
+        match &entry.record {
+            Record::Table { base, table } => self.replace_table(offset, entry.id, *base, table),
+            Record::DataCentre { name, state } => {
+                if !self.table.data_centres.contains_key(name) {
+                    return Effect::Invalid;
+                }
+                set(&mut self.data_centres_out, name, *state)
+            }
+            Record::Host { name, state } => set(&mut self.hosts_out, name, *state),
+            Record::Target { name, state } => {
+                if self.table.target(name).is_none() {
+                    return Effect::Invalid;
+                }
+                set(&mut self.targets_out, name, *state)
+            }
+            Record::Started {
+                process,
+                address,
+                data_centre,
+            } => self.start(Peer {
+                process: process.clone(),
+                address: *address,
+                data_centre: data_centre.clone(),
+            }),
+            Record::Lost { process } => match self.lost.insert(process.clone()) {
+                true => Effect::Applied,
+                false => Effect::Duplicate,
+            },
+            Record::Claim {
+                holder,
+                targets,
+                standbys,
+            } => self.claim(offset, holder, targets, standbys),
+            Record::Standbys { targets, standbys } => self.name_standbys(targets, standbys),
+            Record::Release { targets } => self.release(targets),
+            Record::Move {
+                service,
+                from,
+                epoch,
+                shares,
+            } => self.move_shares(service, from, *epoch, shares),
+            Record::Intent {
+                target,
+                epoch,
+                requests,
+            } => self.permit(offset, target, *epoch, requests),
+            Record::Outcome { requests } => self.note_outcomes(requests),
+            Record::Quarantine {
+                fingerprint,
+                barred,
+            } => self.bar(offset, *fingerprint, *barred),
+            Record::Forget { before } => {
+                self.requests.retain(|_, intent| intent.offset >= *before);
+                Effect::Applied
+            }
+            Record::Snapshot { .. } => Effect::Applied,
+        }
+    }
+
+    fn replace_table(
+        &mut self,
+        offset: Offset,
+        id: record::Id,
+        base: Version,
+        table: &Table,
+    ) -> Effect {
+        if id == self.table_entry {
+            return Effect::Duplicate;
+        }
+        if base != self.version {
+            return Effect::Conflict;
+        }
+        let changes_slices = |(name, row): (&name::Service, &Service)| {
+            let current = self.assignments.get(name);
+            current.is_some_and(|a| a.slices.len() != row.slices as usize)
+        };
+        if table.services.iter().any(changes_slices) {
+            return Effect::Invalid;
+        }
+        self.version.0 += 1;
+        self.table = table.clone();
+        self.table_entry = id;
+        self.table_offset = offset;
+        for (name, row) in &table.services {
+            self.assignments.entry(name.clone()).or_insert_with(|| {
+                let weights = row.targets.iter().map(|(t, r)| (t.clone(), r.weight));
+                Assignment {
+                    slices: placement::distribute(row.slices, &weights.collect()),
+                    keys: BTreeMap::new(),
+                }
+            });
+        }
+        Effect::Applied
+    }
+
+    fn start(&mut self, peer: Peer) -> Effect {
+        let host = peer.process.host.clone();
+        if self.lost.contains(&peer.process) {
+            return Effect::Conflict;
+        }
+        let Some(earlier) = self.processes.insert(host, peer.clone()) else {
+            return Effect::Applied;
+        };
+        if earlier.process == peer.process {
+            return Effect::Duplicate;
+        }
+        if earlier.address == peer.address {
+            self.lost.insert(earlier.process);
+        }
+        Effect::Applied
+    }
+
+    fn claim(
+        &mut self,
+        offset: Offset,
+        holder: &Process,
+        targets: &[(name::Target, Option<Epoch>)],
+        standbys: &[Process],
+    ) -> Effect {
+        let mut changed = false;
+        for (target, previous) in targets {
+            let current = self.contracts.get(target);
+            if current.map(|c| c.epoch) != *previous {
+                continue;
+            }
+            let lost = current.is_some_and(|c| self.lost.contains(&c.holder));
+            let contract = Contract {
+                epoch: Epoch(offset.0),
+                holder: holder.clone(),
+                standbys: standbys.to_vec(),
+                wait: contract::wait(current, holder, lost),
+                confirmed: false,
+                released: None,
+            };
+            self.contracts.insert(target.clone(), contract);
+            changed = true;
+        }
+        Effect::from_parts(changed)
+    }
+
+    fn name_standbys(&mut self, targets: &[(name::Target, Epoch)], standbys: &[Process]) -> Effect {
+        let mut changed = false;
+        for (target, epoch) in targets {
+            if let Some(contract) = self.contracts.get_mut(target)
+                && contract.epoch == *epoch
+                && contract.released.is_none()
+            {
+                contract.standbys = standbys.to_vec();
+                contract.confirmed = true;
+                changed = true;
+            }
+        }
+        Effect::from_parts(changed)
+    }
+
+    fn release(&mut self, targets: &[(name::Target, Epoch, u32)]) -> Effect {
+        let mut changed = false;
+        for (target, epoch, running) in targets {
+            if let Some(contract) = self.contracts.get_mut(target)
+                && contract.epoch == *epoch
+                && contract.released.is_none()
+            {
+                contract.released = Some(*running);
+                changed = true;
+            }
+        }
+        Effect::from_parts(changed)
+    }
+
+    fn move_shares(
+        &mut self,
+        service: &name::Service,
+        from: &name::Target,
+        epoch: Epoch,
+        shares: &[(Share, name::Target)],
+    ) -> Effect {
+        if !self.is_current(from, epoch) {
+            return Effect::Conflict;
+        }
+        let Some(row) = self.table.services.get(service) else {
+            return Effect::Invalid;
+        };
+        let Some(assignment) = self.assignments.get_mut(service) else {
+            return Effect::Invalid;
+        };
+        let mut changed = false;
+        for (share, to) in shares {
+            let known = row.targets.contains_key(to);
+            changed |= known && assignment.move_share(*share, from, to);
+        }
+        Effect::from_parts(changed)
+    }
+
+    fn permit(
+        &mut self,
+        offset: Offset,
+        target: &name::Target,
+        epoch: Epoch,
+        requests: &[request::Id],
+    ) -> Effect {
+        if !self.is_current(target, epoch) {
+            return Effect::Conflict;
+        }
+        let mut changed = false;
+        for request in requests {
+            self.requests.entry(*request).or_insert_with(|| {
+                changed = true;
+                Intent {
+                    offset,
+                    epoch,
+                    status: None,
+                }
+            });
+        }
+        Effect::from_parts(changed)
+    }
+
+    fn note_outcomes(&mut self, requests: &[(request::Id, u16)]) -> Effect {
+        let mut changed = false;
+        for (request, status) in requests {
+            if let Some(intent) = self.requests.get_mut(request)
+                && intent.status.is_none()
+            {
+                intent.status = Some(*status);
+                changed = true;
+            }
+        }
+        Effect::from_parts(changed)
+    }
+
+    fn bar(&mut self, offset: Offset, fingerprint: request::Fingerprint, barred: bool) -> Effect {
+        let changed = match barred {
+            true => self.quarantine.insert(fingerprint, offset).is_none(),
+            false => self.quarantine.remove(&fingerprint).is_some(),
+        };
+        if changed {
+            Effect::Applied
+        } else {
+            Effect::Duplicate
+        }
+    }
+
+    /// Tells whether a target's contract has this epoch and was not given up.
+    pub fn is_current(&self, target: &name::Target, epoch: Epoch) -> bool {
+        let contract = self.contracts.get(target);
+        contract.is_some_and(|c| c.epoch == epoch && c.released.is_none())
+    }
+
+    /// Returns the owner of a key.
+    pub fn owner(&self, service: &name::Service, key: key::Digest) -> Option<&name::Target> {
+        self.assignments.get(service)?.owner(key)
+    }
+
+    /// Tells whether operators let a target have new work.
+    pub fn has_work(&self, target: &name::Target) -> bool {
+        let row = self.table.target(target);
+        row.is_some_and(|(_, _, row)| {
+            !self.targets_out.contains(target) && !self.data_centres_out.contains(&row.data_centre)
+        })
+    }
+
+    /// Returns the offset of the last applied record.
+    pub fn offset(&self) -> Offset {
+        self.offset
+    }
+
+    /// Returns the hash of all applied records and their effects.
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Returns the version of the table.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Returns the table.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Returns the identifier of the entry that wrote the current table.
+    pub fn table_entry(&self) -> record::Id {
+        self.table_entry
+    }
+
+    /// Returns all contracts by target.
+    pub fn contracts(&self) -> &BTreeMap<name::Target, Contract> {
+        &self.contracts
+    }
+
+    /// Returns the owners of all services' keys.
+    pub fn assignments(&self) -> &BTreeMap<name::Service, Assignment> {
+        &self.assignments
+    }
+
+    /// Returns the latest process of each host.
+    pub fn processes(&self) -> &BTreeMap<name::Host, Peer> {
+        &self.processes
+    }
+
+    /// Returns the processes known to have ended.
+    pub fn lost(&self) -> &BTreeSet<Process> {
+        &self.lost
+    }
+
+    /// Returns the state of a host.
+    pub fn host(&self, host: &name::Host) -> State {
+        state(self.hosts_out.contains(host))
+    }
+
+    /// Returns the state of a data centre.
+    pub fn data_centre(&self, name: &name::DataCentre) -> State {
+        state(self.data_centres_out.contains(name))
+    }
+
+    /// Returns the intent of a request.
+    pub fn intent(&self, request: &request::Id) -> Option<&Intent> {
+        self.requests.get(request)
+    }
+
+    /// Returns the barred fingerprints with the offset of the record that barred each.
+    pub fn quarantine(&self) -> &BTreeMap<request::Fingerprint, Offset> {
+        &self.quarantine
+    }
+}
+
+impl Assignment {
+    /// Returns the owner of a key.
+    pub fn owner(&self, key: key::Digest) -> Option<&name::Target> {
+        if let Some(owner) = self.keys.get(&key) {
+            return Some(owner);
+        }
+        let slice = key.slice(self.slices.len() as u32);
+        self.slices.get(slice.0 as usize)
+    }
+
+    fn move_share(&mut self, share: Share, from: &name::Target, to: &name::Target) -> bool {
+        match share {
+            Share::Key(key) => {
+                let owned = self.owner(key) == Some(from);
+                if owned {
+                    self.keys.insert(key, to.clone());
+                }
+                owned
+            }
+            Share::Merge(key) => {
+                let slice = key.slice(self.slices.len() as u32);
+                let home = self.slices.get(slice.0 as usize) == Some(to);
+                let owned = home && self.keys.get(&key) == Some(from);
+                if owned {
+                    self.keys.remove(&key);
+                }
+                owned
+            }
+            Share::Slice(slice) => {
+                let owner = self.slices.get_mut(slice.0 as usize);
+                let owned = owner.filter(|owner| *owner == from);
+                owned.map(|owner| *owner = to.clone()).is_some()
+            }
+        }
+    }
+}
+
+fn state(out: bool) -> State {
+    if out { State::Out } else { State::In }
+}
+
+fn set<T: Clone + Ord>(out: &mut BTreeSet<T>, name: &T, state: State) -> Effect {
+    let changed = match state {
+        State::In => out.remove(name),
+        State::Out => out.insert(name.clone()),
+    };
+    if changed {
+        Effect::Applied
+    } else {
+        Effect::Duplicate
+    }
+}
