--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -2,15 +2,20 @@
 
 use std::collections::BTreeMap;
 
-use crate::{process::Process, time::Instant, times::Times};
+use crate::{
+    number::Epoch,
+    process::Process,
+    time::{Instant, Span},
+    times::Times,
+};
 
 /// What a process knows of its own freshness.
 #[derive(Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Lease {
     /// Send time of the latest read that showed no record newer than those applied.
     proof: Option<Instant>,
-    /// Send time of the latest heartbeat that each peer answered with a promise.
-    promises: BTreeMap<Process, Instant>,
+    /// Send time of the latest heartbeat that each peer answered with a promise, by epoch.
+    promises: BTreeMap<(Epoch, Process), Instant>,
 }
 
 impl Lease {
@@ -19,15 +24,15 @@
         self.proof = self.proof.max(Some(sent));
     }
 
-    /// Notes a promise in answer to a heartbeat sent at `sent`.
-    pub fn promise(&mut self, peer: &Process, sent: Instant) {
-        let latest = self.promises.entry(peer.clone()).or_default();
+    /// Notes a promise for an epoch in answer to a heartbeat sent at `sent`.
+    pub fn promise(&mut self, peer: &Process, epoch: Epoch, sent: Instant) {
+        let latest = self.promises.entry((epoch, peer.clone())).or_default();
         *latest = sent.max(*latest);
     }
 
-    /// Drops the promises of a peer.
-    pub fn withdraw(&mut self, peer: &Process) {
-        self.promises.remove(peer);
+    /// Drops the promises for epochs that are no longer held.
+    pub fn retain(&mut self, held: impl Fn(Epoch) -> bool) {
+        self.promises.retain(|(epoch, _), _| held(*epoch));
     }
 
     /// Returns the send time of the latest log proof.
@@ -35,17 +40,19 @@
         self.proof
     }
 
-    /// Returns the end of the lease of a contract with these standbys, or `None` without a proof.
+    /// Tells whether the log answered within a span before `now`.
+    pub fn is_recent(&self, now: Instant, span: Span) -> bool {
+        self.proof.is_some_and(|proof| now < proof + span)
+    }
+
+    /// Returns the end of a contract's lease, or `None` if the process never had a log proof.
     ///
     /// Promises count only if every standby gave one. Without standbys only a log proof counts.
-    pub fn end(&self, standbys: &[Process], times: &Times) -> Option<Instant> {
+    pub fn end(&self, epoch: Epoch, standbys: &[&Process], times: &Times) -> Option<Instant> {
         let proof = self.proof?;
         let by_log = proof + times.lease;
-        let oldest = standbys
-            .iter()
-            .map(|peer| self.promises.get(peer).copied())
-            .min()
-            .flatten();
+        let given = |peer: &&Process| self.promises.get(&(epoch, (*peer).clone())).copied();
+        let oldest = standbys.iter().map(given).min().flatten();
         let by_promise = oldest
             .map(|sent| (sent + times.lease).min(proof + times.longest_extension()))
             .unwrap_or(by_log);
--- /dev/null
+++ b/crates/core/src/ownership.rs
@@ -0,0 +1,259 @@
+//! Claims, waits, promises, standbys and releases of one process.
+//!
+//! Safety rests on three rules. A holder acts only while its lease lasts. A standby that has
+//! submitted a claim gives no promise for the epoch that the claim replaces. A claimer waits, from
+//! the moment it learns that its claim took effect, until the earlier holder's lease has ended.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    contract::Contract,
+    lease::Lease,
+    ledger::Ledger,
+    name,
+    number::{Epoch, Offset},
+    process::Process,
+    record::{self, Entry, Record},
+    time::Instant,
+    times::Times,
+};
+
+/// What one process holds, has submitted and may do.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Ownership {
+    process: Process,
+    lease: Lease,
+    held: BTreeMap<name::Target, Held>,
+    claims: BTreeMap<record::Id, BTreeMap<name::Target, Option<Epoch>>>,
+    standbys: BTreeMap<record::Id, Renaming>,
+}
+
+/// A contract that this process holds.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Held {
+    /// The contract's epoch.
+    pub epoch: Epoch,
+    /// When the wait after the claim ends.
+    pub from: Instant,
+    /// True once this process has stopped sending work in order to give the contract up.
+    pub stopped: bool,
+    contract: Contract,
+}
+
+/// A submitted change of standbys whose effect is not known yet.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+struct Renaming {
+    epochs: BTreeSet<Epoch>,
+    standbys: Vec<Process>,
+}
+
+impl Ownership {
+    /// Creates the state of a process that holds nothing.
+    pub fn new(process: Process) -> Self {
+        Self {
+            process,
+            lease: Lease::default(),
+            held: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            standbys: BTreeMap::new(),
+        }
+    }
+
+    /// Notes that a read of the log sent at `sent` showed no record newer than those applied.
+    pub fn prove(&mut self, sent: Instant) {
+        self.lease.prove(sent);
+    }
+
+    /// Notes a standby's answer to the heartbeat sent at `sent`.
+    ///
+    /// `asked` are the epochs that the heartbeat named, `withheld` those without a promise.
+    pub fn note_promise(
+        &mut self,
+        peer: &Process,
+        sent: Instant,
+        asked: &[Epoch],
+        withheld: &[Epoch],
+    ) {
+        for epoch in asked.iter().filter(|epoch| !withheld.contains(epoch)) {
+            self.lease.promise(peer, *epoch, sent);
+        }
+    }
+
+    /// Returns those of the asked epochs that this process can't give a promise for, because it
+    /// has submitted a claim that would replace them.
+    pub fn withheld(&self, asked: &[Epoch]) -> Vec<Epoch> {
+        let claimed = |epoch: &Epoch| {
+            let mut claims = self.claims.values().flat_map(BTreeMap::values);
+            claims.any(|previous| *previous == Some(*epoch))
+        };
+        asked.iter().copied().filter(claimed).collect()
+    }
+
+    /// Returns the record of a claim and notes that it is submitted.
+    pub fn claim(
+        &mut self,
+        id: record::Id,
+        targets: Vec<(name::Target, Option<Epoch>)>,
+        standbys: Vec<Process>,
+    ) -> Record {
+        self.claims.insert(id, targets.iter().cloned().collect());
+        Record::Claim {
+            holder: self.process.clone(),
+            targets,
+            standbys,
+        }
+    }
+
+    /// Returns the record that names standbys for contracts and notes that it is submitted.
+    pub fn rename(
+        &mut self,
+        id: record::Id,
+        targets: Vec<(name::Target, Epoch)>,
+        standbys: Vec<Process>,
+    ) -> Record {
+        let renaming = Renaming {
+            epochs: targets.iter().map(|(_, epoch)| *epoch).collect(),
+            standbys: standbys.clone(),
+        };
+        self.standbys.insert(id, renaming);
+        Record::Standbys { targets, standbys }
+    }
+
+    /// Stops sending work to a target in order to give its contract up.
+    pub fn stop(&mut self, target: &name::Target) {
+        if let Some(held) = self.held.get_mut(target) {
+            held.stopped = true;
+        }
+    }
+
+    /// Follows a record that the ledger has applied. `now` is when this process learned of it.
+    pub fn follow(
+        &mut self,
+        now: Instant,
+        offset: Offset,
+        entry: &Entry,
+        ledger: &Ledger,
+        times: &Times,
+    ) {
+        self.claims.remove(&entry.id);
+        self.standbys.remove(&entry.id);
+        match &entry.record {
+            Record::Claim { targets, .. } => {
+                for (target, _) in targets {
+                    self.follow_claim(now, offset, target, ledger, times);
+                }
+            }
+            Record::Standbys { targets, .. } => {
+                for (target, _) in targets {
+                    self.refresh(target, ledger);
+                }
+            }
+            Record::Release { targets } => {
+                for (target, _, _) in targets {
+                    self.refresh(target, ledger);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn follow_claim(
+        &mut self,
+        now: Instant,
+        offset: Offset,
+        target: &name::Target,
+        ledger: &Ledger,
+        times: &Times,
+    ) {
+        let Some(contract) = ledger.contracts().get(target) else {
+            return;
+        };
+        if contract.epoch.0 == offset.0 && contract.holder == self.process {
+            let held = Held {
+                epoch: contract.epoch,
+                from: now + contract.wait.span(times),
+                stopped: false,
+                contract: contract.clone(),
+            };
+            self.held.insert(target.clone(), held);
+        }
+        self.refresh(target, ledger);
+    }
+
+    fn refresh(&mut self, target: &name::Target, ledger: &Ledger) {
+        let contract = ledger.contracts().get(target);
+        let current = contract.filter(|c| c.holder == self.process && c.released.is_none());
+        let held = self.held.get_mut(target);
+        match held.zip(current) {
+            Some((held, current)) if held.epoch == current.epoch => {
+                held.contract = current.clone();
+            }
+            _ => {
+                self.held.remove(target);
+            }
+        }
+        let held = &self.held;
+        self.lease
+            .retain(|epoch| held.values().any(|h| h.epoch == epoch));
+    }
+
+    /// Returns the end of this process's lease on a target that it holds.
+    pub fn lease_end(&self, target: &name::Target, times: &Times) -> Option<Instant> {
+        let held = self.held.get(target)?;
+        let pending = self.standbys.values();
+        let pending = pending.filter(|renaming| renaming.epochs.contains(&held.epoch));
+        let standbys = held.contract.standbys.iter();
+        let standbys: Vec<&Process> = standbys
+            .chain(pending.flat_map(|renaming| renaming.standbys.iter()))
+            .collect();
+        self.lease.end(held.epoch, &standbys, times)
+    }
+
+    /// Returns the epoch under which this process may command a target now, if it may.
+    pub fn epoch(&self, target: &name::Target, now: Instant, times: &Times) -> Option<Epoch> {
+        let held = self.held.get(target)?;
+        let waited = held.from <= now && !held.stopped;
+        let fresh = self.lease_end(target, times).is_some_and(|end| now < end);
+        (waited && fresh).then_some(held.epoch)
+    }
+
+    /// Returns the contracts that this process holds.
+    pub fn held(&self) -> &BTreeMap<name::Target, Held> {
+        &self.held
+    }
+
+    /// Tells whether a claim on a target is submitted and not yet decided.
+    pub fn is_claiming(&self, target: &name::Target) -> bool {
+        self.claims
+            .values()
+            .any(|targets| targets.contains_key(target))
+    }
+
+    /// Tells whether a change of an epoch's standbys is submitted and not yet decided.
+    pub fn is_renaming(&self, epoch: Epoch) -> bool {
+        let mut pending = self.standbys.values();
+        pending.any(|renaming| renaming.epochs.contains(&epoch))
+    }
+
+    /// Returns what this process knows of its own freshness.
+    pub fn lease(&self) -> &Lease {
+        &self.lease
+    }
+
+    /// Returns this process.
+    pub fn process(&self) -> &Process {
+        &self.process
+    }
+}
+
+impl Held {
+    /// Returns the standbys that the log names.
+    pub fn standbys(&self) -> &[Process] {
+        &self.contract.standbys
+    }
+
+    /// Tells whether the log has a record that this process wrote after its wait.
+    pub fn is_confirmed(&self) -> bool {
+        self.contract.confirmed
+    }
+}
