--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -24,6 +24,11 @@
         self.heard.entry(process.clone()).or_insert(now);
     }
 
+    /// Restarts the suspicion timeouts of all processes.
+    pub fn restart(&mut self, now: Instant) {
+        self.heard.values_mut().for_each(|heard| *heard = now);
+    }
+
     /// Drops processes that are no longer of interest.
     pub fn retain(&mut self, keep: impl Fn(&Process) -> bool) {
         self.heard.retain(|process, _| keep(process));
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,297 @@
+//! All decisions of one daemon behind one function.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    action::Action,
+    desk::Desk,
+    event::{Arrival, Event, Finish, Message, Peer, Read, Ticket},
+    ledger::{Effect, Ledger},
+    member::View,
+    name,
+    number::Offset,
+    ownership::Ownership,
+    process::Process,
+    record::{self, Entry, Record},
+    request,
+    time::Instant,
+    times::Times,
+};
+
+/// Identity and limits of a node.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The process.
+    pub process: Process,
+    /// Address on which it accepts links.
+    pub address: std::net::SocketAddr,
+    /// Data centre that it runs in.
+    pub data_centre: name::DataCentre,
+    /// Time limits of the protocol.
+    pub times: Times,
+}
+
+/// The decisions of one daemon.
+#[derive(Clone, Debug)]
+pub struct Node {
+    pub(crate) config: Config,
+    pub(crate) ledger: Ledger,
+    pub(crate) ownership: Ownership,
+    pub(crate) view: View,
+    pub(crate) desks: BTreeMap<name::Target, Desk>,
+    pub(crate) tickets: BTreeMap<Ticket, Held>,
+    pub(crate) running: BTreeMap<request::Id, Ticket>,
+    pub(crate) claimable: BTreeMap<name::Target, Instant>,
+    pub(crate) peers_lost: BTreeMap<Process, BTreeSet<name::Target>>,
+    pub(crate) entries: u64,
+    pub(crate) started: bool,
+    pub(crate) stopping: Option<Instant>,
+    pub(crate) next_heartbeat: Instant,
+    pub(crate) ticked: Instant,
+}
+
+/// A request that this node has not finished.
+#[derive(Clone, Debug)]
+pub(crate) struct Held {
+    pub(crate) arrival: Arrival,
+    pub(crate) phase: Phase,
+}
+
+/// Where a request stands.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Phase {
+    /// Waits until it can be routed.
+    Waiting,
+    /// Waits for a slot of a target.
+    Queued(name::Target),
+    /// Waits for its intent's record.
+    Registering(name::Target, record::Id),
+    /// Runs at a target.
+    Running(name::Target),
+    /// Was forwarded to the daemon that holds its target.
+    Forwarded(Process),
+}
+
+impl Node {
+    /// Creates a node that knows nothing yet.
+    pub fn new(config: Config) -> Self {
+        Self {
+            ownership: Ownership::new(config.process.clone()),
+            config,
+            ledger: Ledger::default(),
+            view: View::default(),
+            desks: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            running: BTreeMap::new(),
+            claimable: BTreeMap::new(),
+            peers_lost: BTreeMap::new(),
+            entries: 0,
+            started: false,
+            stopping: None,
+            next_heartbeat: Instant::default(),
+            ticked: Instant::default(),
+        }
+    }
+
+    /// Reacts to an event at a moment of this process's clock.
+    pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Tick => self.tick(now, actions),
+            Event::Read(read) => self.read(now, read, actions),
+            Event::Heard { from, message } => self.hear(now, from, message, actions),
+            Event::Arrive(arrival) => self.arrive(now, arrival, actions),
+            Event::Finish { ticket, result } => self.finish(now, ticket, result, actions),
+            Event::Gone(ticket) => self.leave(now, ticket, actions),
+            Event::Probed { target, answer } => self.probed(now, &target, answer),
+            Event::Granted {
+                target,
+                epoch,
+                accepted,
+            } => self.granted(now, &target, epoch, accepted, actions),
+            Event::Stop => self.stop(now, actions),
+        }
+    }
+
+    fn read(&mut self, now: Instant, read: Read, actions: &mut Vec<Action>) {
+        let before = self.ledger.offset();
+        for (offset, entry) in &read.rows {
+            if *offset != self.ledger.offset().next() {
+                continue;
+            }
+            let effect = self.ledger.apply(*offset, entry);
+            self.follow(now, *offset, entry, effect, actions);
+        }
+        if self.ledger.offset() >= read.end {
+            self.ownership.prove(read.sent);
+        }
+        if !self.started && self.ownership.lease().proof().is_some() {
+            self.announce(actions);
+        }
+        if self.ledger.offset() != before {
+            self.reconcile(now);
+            self.route_waiting(now, actions);
+        }
+    }
+
+    fn announce(&mut self, actions: &mut Vec<Action>) {
+        self.started = true;
+        let record = Record::Started {
+            process: self.config.process.clone(),
+            address: self.config.address,
+            data_centre: self.config.data_centre.clone(),
+        };
+        self.append("process started", record, actions);
+    }
+
+    fn follow(
+        &mut self,
+        now: Instant,
+        offset: Offset,
+        entry: &Entry,
+        effect: Effect,
+        actions: &mut Vec<Action>,
+    ) {
+        self.ownership
+            .follow(now, offset, entry, &self.ledger, &self.config.times);
+        match &entry.record {
+            Record::Started { process, .. } => self.view.expect(process, now),
+            Record::Intent { requests, .. } => {
+                for request in requests {
+                    self.registered(now, entry.id, *request, offset, actions);
+                }
+            }
+            Record::Move { from, .. } => self.moved(from, entry.id, effect),
+            _ => {}
+        }
+    }
+
+    /// Creates an entry for the log with the next identifier of this process.
+    pub(crate) fn append(&mut self, reason: &str, record: Record, actions: &mut Vec<Action>) {
+        let id = self.next_entry();
+        self.append_as(id, reason, record, actions);
+    }
+
+    /// Returns an identifier for an entry. It is unique, since the incarnation is in it.
+    pub(crate) fn next_entry(&mut self) -> record::Id {
+        self.entries += 1;
+        let incarnation = u128::from(self.config.process.incarnation);
+        record::Id(incarnation << 64 | u128::from(self.entries))
+    }
+
+    pub(crate) fn append_as(
+        &mut self,
+        id: record::Id,
+        reason: &str,
+        record: Record,
+        actions: &mut Vec<Action>,
+    ) {
+        actions.push(Action::Append(Entry {
+            id,
+            actor: self.config.process.to_string(),
+            reason: reason.to_owned(),
+            written_ms: 0,
+            record,
+        }));
+    }
+
+    fn hear(&mut self, now: Instant, from: Process, message: Message, actions: &mut Vec<Action>) {
+        self.view.hear(&from, now);
+        match message {
+            Message::Heartbeat {
+                sent, epochs, lost, ..
+            } => {
+                self.peers_lost
+                    .insert(from.clone(), lost.into_iter().collect());
+                let withheld = self.ownership.withheld(&epochs);
+                let message = Message::Promise {
+                    sent,
+                    asked: epochs,
+                    withheld,
+                    offset: self.ledger.offset(),
+                };
+                self.tell(&from, message, actions);
+            }
+            Message::Promise {
+                sent,
+                asked,
+                withheld,
+                offset,
+            } => {
+                self.ownership.note_promise(&from, sent, &asked, &withheld);
+                if offset > self.ledger.offset() && !self.is_reading(now) {
+                    let message = Message::Fetch {
+                        sent: now,
+                        offset: self.ledger.offset(),
+                    };
+                    self.tell(&from, message, actions);
+                }
+            }
+            Message::Fetch { .. } => {}
+        }
+    }
+
+    /// Tells whether the log answered lately.
+    pub(crate) fn is_reading(&self, now: Instant) -> bool {
+        let times = &self.config.times;
+        let span = times.log_wait + times.log_wait + times.log_wait;
+        self.ownership.lease().is_recent(now, span)
+    }
+
+    pub(crate) fn tell(&self, to: &Process, message: Message, actions: &mut Vec<Action>) {
+        if let Some(to) = self.peer(to) {
+            actions.push(Action::Tell { to, message });
+        }
+    }
+
+    /// Returns the address of a process, if it is the latest of its host.
+    pub(crate) fn peer(&self, process: &Process) -> Option<Peer> {
+        let peer = self.ledger.processes().get(&process.host)?;
+        (peer.process == *process).then(|| Peer {
+            process: process.clone(),
+            address: peer.address,
+        })
+    }
+
+    /// Returns the shared state.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Returns what this process holds.
+    pub fn ownership(&self) -> &Ownership {
+        &self.ownership
+    }
+
+    /// Returns the identity and limits of this node.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Tells whether this process was heard lately by this node.
+    pub fn hears(&self, process: &Process, now: Instant) -> bool {
+        self.view
+            .is_heard(process, now, self.config.times.suspicion)
+    }
+
+    /// Tells how many requests are not finished.
+    pub fn load(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Notes the end of a request.
+    pub(crate) fn close(&mut self, ticket: Ticket) -> Option<Held> {
+        let held = self.tickets.remove(&ticket)?;
+        let request = held.arrival.head.request;
+        if self.running.get(&request) == Some(&ticket) {
+            self.running.remove(&request);
+        }
+        Some(held)
+    }
+}
+
+impl Finish {
+    /// Tells whether the request may be tried again without running twice.
+    pub(crate) fn is_unsent(&self) -> bool {
+        matches!(self, Self::Unsent { .. })
+    }
+}
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -98,6 +98,9 @@
     /// The slice is on its way to another target.
     #[error("the key is being moved to another target; retry")]
     Moving,
+    /// A request with the same id is running.
+    #[error("a request with this id is running; look it up by its id")]
+    Running,
     /// The target could not be reached before anything was sent.
     #[error("the target can't be reached; retry")]
     Unreachable,
@@ -110,7 +113,7 @@
     /// Tells whether a request refused for this reason has run.
     pub fn run(self) -> Run {
         match self {
-            Self::Broken | Self::Duplicate => Run::Unknown,
+            Self::Broken | Self::Duplicate | Self::Running => Run::Unknown,
             _ => Run::NotRun,
         }
     }
