Add the clients of the log service, host list and targets

Daemons and the CLI need typed clients of the platform's HTTP interfaces. Each exchange is bounded in time and answer size, and each error tells whether the request may have taken effect. Not yet tested.

--- /dev/null
+++ b/crates/platform/src/hosts.rs
@@ -0,0 +1,66 @@
+//! The platform's list of entry hosts: `GET /v1/hosts`. The list lags.
+
+use std::{fmt, net::SocketAddr};
+
+use ntex::http::{Method, StatusCode};
+use ragwortrill_core::{name, time::Span};
+use serde::{Deserialize, Serialize};
+
+use crate::http::Http;
+
+pub use crate::error::Error;
+
+/// Path of the list.
+pub const PATH: &str = "/v1/hosts";
+
+/// Largest accepted list, in bytes. 16,000 hosts of 150 bytes each fill 2.4 MB.
+pub const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// An entry host as the platform lists it.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Host {
+    /// The host.
+    pub host: name::Host,
+    /// Address that its daemon accepts links on.
+    pub address: SocketAddr,
+    /// Data centre that it is in.
+    pub data_centre: name::DataCentre,
+    /// Whether the platform is about to take it away.
+    pub state: State,
+}
+
+/// Whether the platform is about to take a host away.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// The host is to be taken away.
+    Leaving,
+    /// The host is in use.
+    Live,
+}
+
+/// Client of the host list.
+#[derive(Clone)]
+pub struct Client(Http);
+
+impl Client {
+    /// Creates a client. It must be used on the ntex thread that created it.
+    pub async fn new(address: SocketAddr, timeout: Span) -> Self {
+        Self(Http::new(address, timeout, MAX_ANSWER_BYTES).await)
+    }
+
+    /// Reads the list.
+    pub async fn list(&self) -> Result<Vec<Host>, Error> {
+        let answer = self.0.exchange(Method::GET, PATH, None, Span::ZERO).await?;
+        if answer.status != StatusCode::OK {
+            return Err(self.0.unexpected(&answer));
+        }
+        serde_json::from_slice(&answer.body).map_err(|error| self.0.malformed(error))
+    }
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Client").field(&self.0.address()).finish()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/log/client.rs
@@ -0,0 +1,94 @@
+use std::{fmt, net::SocketAddr};
+
+use ntex::http::{Method, StatusCode};
+use ragwortrill_core::{number::Offset, time::Span};
+
+use super::{
+    Batch, Bounds, Error, MAX_ANSWER_BYTES, MAX_BATCH_BYTES, MEDIA_TYPE, PATH, Page, Query, Receipt,
+};
+use crate::http::{Answer, Content, Http};
+
+/// Client of the log service.
+#[derive(Clone)]
+pub struct Client(Http);
+
+impl Client {
+    /// Creates a client. It must be used on the ntex thread that created it.
+    ///
+    /// `timeout` bounds each request, not counting the time for which a read asks to wait.
+    pub async fn new(address: SocketAddr, timeout: Span) -> Self {
+        Self(Http::new(address, timeout, MAX_ANSWER_BYTES).await)
+    }
+
+    /// Appends a batch, all of it or nothing.
+    pub async fn append(&self, batch: &Batch) -> Result<Receipt, Error> {
+        let content = Content {
+            media_type: MEDIA_TYPE,
+            bytes: batch.to_cbor(),
+        };
+        let answer = self
+            .0
+            .exchange(Method::POST, PATH, Some(content), Span::ZERO)
+            .await?;
+        match answer.status {
+            StatusCode::OK => {
+                let receipt = Receipt::from_cbor(&answer.body)?;
+                receipt.check(batch.len())?;
+                Ok(receipt)
+            }
+            StatusCode::PAYLOAD_TOO_LARGE => Err(Error::TooLarge {
+                what: "the batch",
+                size: format!("{} entries", batch.len()),
+                limit: MAX_BATCH_BYTES,
+            }),
+            _ => Err(self.declined(&answer)),
+        }
+    }
+
+    /// Reads records. Waits for up to `query.wait_ms` if there are none from `query.from` on.
+    pub async fn read(&self, query: Query) -> Result<Page, Error> {
+        let Query { from, max, wait_ms } = query;
+        let path = format!("{PATH}?from={from}&max={max}&wait_ms={wait_ms}");
+        let wait = Span::from_millis(wait_ms);
+        let answer = self.0.exchange(Method::GET, &path, None, wait).await?;
+        match answer.status {
+            StatusCode::OK => {
+                let page = Page::from_cbor(&answer.body)?;
+                page.check(from)?;
+                Ok(page)
+            }
+            StatusCode::GONE => Err(Error::Expired {
+                from,
+                first: Bounds::from_cbor(&answer.body)?.first,
+            }),
+            _ => Err(self.declined(&answer)),
+        }
+    }
+
+    /// Reads which offsets the service retains.
+    pub async fn bounds(&self) -> Result<Bounds, Error> {
+        let query = Query {
+            from: Offset(0),
+            max: 0,
+            wait_ms: 0,
+        };
+        let Page { first, end, .. } = self.read(query).await?;
+        Ok(Bounds { first, end })
+    }
+
+    /// A request that the service declares invalid has no effect.
+    fn declined(&self, answer: &Answer) -> Error {
+        match self.0.unexpected(answer) {
+            crate::error::Error::Malformed { reason, .. } if answer.status.is_client_error() => {
+                Error::Refused(reason)
+            }
+            error => error.into(),
+        }
+    }
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Client").field(&self.0.address()).finish()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/target.rs
@@ -0,0 +1,48 @@
+//! Control side of a target: grants, health, load and cancellation.
+//!
+//! `PUT /control/grant`, `GET /control/health`, `GET /control/load` and
+//! `POST /control/cancel/{request}`.
+
+mod client;
+mod message;
+
+pub use client::Client;
+pub use message::{Cancelled, Grant, Load, Stale};
+
+/// Path of grants.
+pub const GRANT_PATH: &str = "/control/grant";
+/// Path of the health check.
+pub const HEALTH_PATH: &str = "/control/health";
+/// Path of the load report.
+pub const LOAD_PATH: &str = "/control/load";
+/// Path of cancellations, followed by the request's identifier.
+pub const CANCEL_PATH: &str = "/control/cancel/";
+
+/// Header with the epoch of the contract under which a request is sent.
+pub const EPOCH_HEADER: &str = "Ragwortrill-Epoch";
+/// Header with the time that is left for a request, in milliseconds.
+pub const DEADLINE_HEADER: &str = crate::headers::DEADLINE_MS;
+/// Header with the identifier of a request.
+pub const REQUEST_HEADER: &str = crate::headers::REQUEST;
+
+/// Largest accepted answer of the control side, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 64 << 10;
+
+/// Reason why a target did not do what it was told.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// The target has seen a higher epoch, so another process holds its contract.
+    #[error(
+        "the target has seen epoch {highest}, above the granted {granted}; \
+         stop sending to it and read the log"
+    )]
+    Stale {
+        /// Epoch of the grant.
+        granted: ragwortrill_core::number::Epoch,
+        /// Highest epoch that the target has seen.
+        highest: ragwortrill_core::number::Epoch,
+    },
+    /// The target gave no usable answer.
+    #[error(transparent)]
+    Unanswered(#[from] crate::error::Error),
+}
--- /dev/null
+++ b/crates/platform/src/target/client.rs
@@ -0,0 +1,89 @@
+use std::{fmt, net::SocketAddr};
+
+use ntex::http::{Method, StatusCode};
+use ragwortrill_core::{request, time::Span};
+
+use super::{
+    CANCEL_PATH, Cancelled, Error, GRANT_PATH, Grant, HEALTH_PATH, LOAD_PATH, Load,
+    MAX_ANSWER_BYTES, Stale,
+};
+use crate::http::{Answer, Content, Http};
+
+/// Client of a target's control side.
+#[derive(Clone)]
+pub struct Client(Http);
+
+impl Client {
+    /// Creates a client. It must be used on the ntex thread that created it.
+    pub async fn new(address: SocketAddr, timeout: Span) -> Self {
+        Self(Http::new(address, timeout, MAX_ANSWER_BYTES).await)
+    }
+
+    /// Grants the target the right to serve.
+    pub async fn grant(&self, grant: Grant) -> Result<(), Error> {
+        let content = Content {
+            media_type: "application/json",
+            bytes: serde_json::to_vec(&grant).expect("a grant is two numbers"),
+        };
+        let answer = self.ask(Method::PUT, GRANT_PATH, Some(content)).await?;
+        match answer.status {
+            status if status.is_success() => Ok(()),
+            StatusCode::CONFLICT => {
+                let stale: Stale = self.parse(&answer)?;
+                Err(Error::Stale {
+                    granted: grant.epoch,
+                    highest: stale.highest,
+                })
+            }
+            _ => Err(self.0.unexpected(&answer).into()),
+        }
+    }
+
+    /// Asks whether the target is able to work. One that isn't answers 503, which is a refusal.
+    pub async fn health(&self) -> Result<(), Error> {
+        let answer = self.ask(Method::GET, HEALTH_PATH, None).await?;
+        match answer.status.is_success() {
+            true => Ok(()),
+            false => Err(self.0.unexpected(&answer).into()),
+        }
+    }
+
+    /// Reads the load report.
+    pub async fn load(&self) -> Result<Load, Error> {
+        let answer = self.ask(Method::GET, LOAD_PATH, None).await?;
+        match answer.status {
+            StatusCode::OK => self.parse(&answer),
+            _ => Err(self.0.unexpected(&answer).into()),
+        }
+    }
+
+    /// Cancels a request.
+    pub async fn cancel(&self, request: request::Id) -> Result<Cancelled, Error> {
+        let path = format!("{CANCEL_PATH}{request}");
+        let answer = self.ask(Method::POST, &path, None).await?;
+        match answer.status {
+            StatusCode::NOT_FOUND => Ok(Cancelled::Unknown),
+            status if status.is_success() => Ok(Cancelled::Found),
+            _ => Err(self.0.unexpected(&answer).into()),
+        }
+    }
+
+    async fn ask(
+        &self,
+        method: Method,
+        path: &str,
+        content: Option<Content>,
+    ) -> Result<Answer, Error> {
+        Ok(self.0.exchange(method, path, content, Span::ZERO).await?)
+    }
+
+    fn parse<T: serde::de::DeserializeOwned>(&self, answer: &Answer) -> Result<T, Error> {
+        serde_json::from_slice(&answer.body).map_err(|error| self.0.malformed(error).into())
+    }
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Client").field(&self.0.address()).finish()
+    }
+}
