Add wire frames and the daemon's threads

Cause: the core's decisions need a process around them. Change: frames in CBOR; threads for decisions, log, links, callers, probes and operators; bodies streamed with credit.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -110,8 +110,10 @@
 pub enum Finish {
     /// The target answered with this status, and the answer was passed on.
     Answered(u16),
-    /// The connection broke after the request was sent.
+    /// The connection broke after the request was sent and before an answer came.
     Broken,
+    /// The answer with this status broke off, or the caller left while it was passed on.
+    Cut(u16),
     /// Nothing was sent: the lease had ended, or the connection could not be opened.
     Unsent {
         /// True if the lease had ended.
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -344,7 +344,7 @@
         self.stop_running(now, ticket, target, actions);
         let head = self.tickets[&ticket].arrival.head.clone();
         match result {
-            Finish::Answered(status) => {
+            Finish::Answered(status) | Finish::Cut(status) => {
                 self.close(ticket);
                 if !head.idempotent {
                     let requests = vec![(head.request, status)];
@@ -368,7 +368,7 @@
         actions: &mut Vec<Action>,
     ) {
         match result {
-            Finish::Answered(_) => {
+            Finish::Answered(_) | Finish::Cut(_) => {
                 self.close(ticket);
             }
             Finish::Refused { refusal, offset } if refusal.may_reroute() => {
--- /dev/null
+++ b/crates/daemon/src/callers.rs
@@ -0,0 +1,243 @@
+//! Requests of callers over HTTP.
+
+use futures_util::StreamExt;
+use ntex::{
+    http::{
+        Payload, StatusCode,
+        body::{Body, SizedStream},
+    },
+    util::dyn_rc_error,
+    web::{self, HttpRequest, HttpResponse, HttpResponseBuilder},
+};
+use ragwortrill_core::{
+    event::Head,
+    key::Digest,
+    name,
+    number::Offset,
+    request::{Fingerprint, Id},
+    time::Span,
+};
+use ragwortrill_platform::headers;
+use ragwortrill_wire::Header;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    drive::{self, Decision, Origin},
+    exchange::{Answer, Error, Request, read_prefix},
+    problem::{self, Problem},
+    shell::Shell,
+    target::is_end_to_end,
+};
+
+/// First part of the path of requests.
+pub(crate) const PREFIX: &str = "/s/";
+
+/// Longest deadline that a caller may ask for.
+const MAX_DEADLINE: Span = Span::from_secs(3_600);
+
+/// Longest key or idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 1_024;
+
+/// Answers a request of a caller.
+pub(crate) async fn handle(
+    shell: web::types::State<Shell>,
+    request: HttpRequest,
+    web::types::Payload(payload): web::types::Payload,
+) -> HttpResponse {
+    let shell: Shell = (*shell).clone();
+    let arrived = shell.clock.now();
+    let response = match parse(&shell, &request, payload).await {
+        Ok((request, deadline)) => {
+            let origin = Origin {
+                deadline,
+                forwarded: false,
+                known: Offset::default(),
+            };
+            answer(&shell, request, origin).await
+        }
+        Err(problem) => {
+            shell.metrics.refused("malformed");
+            problem.response()
+        }
+    };
+    let elapsed = shell.clock.now().since(arrived);
+    shell.metrics.answered(response.status().as_u16(), elapsed);
+    response
+}
+
+/// Decides a request. A non-idempotent one runs to its end even if its caller goes away.
+async fn answer(shell: &Shell, mut request: Request, origin: Origin) -> HttpResponse {
+    let id = request.head.request;
+    let decision = if request.head.idempotent {
+        drive::run(shell, &mut request, origin, async || ()).await
+    } else {
+        let shell = shell.clone();
+        let run = async move { drive::run(&shell, &mut request, origin, async || ()).await };
+        match ntex::rt::spawn(run).await {
+            Ok(decision) => decision,
+            Err(_) => return HttpResponse::InternalServerError().finish(),
+        }
+    };
+    match decision {
+        Decision::Answered(answer) => respond(id, answer),
+        Decision::Refused {
+            refusal,
+            retry_after,
+            ..
+        } => {
+            shell.metrics.refused(problem::kind(refusal));
+            Problem::refused(refusal, retry_after, id).response()
+        }
+        Decision::Recalled { status, kept } => {
+            let kept = kept.and_then(|kept| Some((kept.headers, kept.body?)));
+            let Some((headers, body)) = kept else {
+                return Problem::ran(id, status).response();
+            };
+            builder(id, status, &headers).body(body)
+        }
+    }
+}
+
+fn respond(id: Id, answer: Answer) -> HttpResponse {
+    let mut response = builder(id, answer.status, &answer.headers);
+    match answer.length {
+        Some(length) => {
+            let parts = answer.body.map(|part| part.map_err(dyn_rc_error::<Error>));
+            response.body(Body::from_message(SizedStream::new(length, parts)))
+        }
+        None => response.streaming(answer.body),
+    }
+}
+
+fn builder(id: Id, status: u16, headers: &[Header]) -> HttpResponseBuilder {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponseBuilder::new(status);
+    for header in headers.iter().filter(|h| is_end_to_end(&h.name)) {
+        response.header(header.name.as_str(), header.value.as_slice());
+    }
+    response.header(headers::REQUEST, id.to_string());
+    response
+}
+
+async fn parse(
+    shell: &Shell,
+    request: &HttpRequest,
+    mut payload: Payload,
+) -> Result<(Request, ragwortrill_core::time::Instant), Problem> {
+    let (service, path) = split(request)?;
+    let key = header(request, headers::KEY)?;
+    let idempotency_key = header(request, headers::IDEMPOTENCY_KEY)?;
+    let method = request.method().as_str().to_owned();
+    let key_digest = key.map(|key| Digest::new(&service, key.as_bytes()));
+    let own = format!("{}-{}", shell.process, shell.sequence());
+    let name = idempotency_key.unwrap_or(&own);
+    let routed = key_digest.unwrap_or_else(|| Digest::new(&service, name.as_bytes()));
+    let row = row(shell, &service, &method);
+    if row.as_ref().is_some_and(|row| row.keyed) && key.is_none() {
+        return Err(Problem::malformed(
+            "missing-key",
+            StatusCode::BAD_REQUEST,
+            format!(
+                "service {service} is divided by key; send the header {}",
+                headers::KEY
+            ),
+        ));
+    }
+    let (longest, idempotent) =
+        row.map_or((MAX_DEADLINE, true), |row| (row.deadline, row.idempotent));
+    let deadline = shell.clock.now() + deadline(request)?.unwrap_or(longest).min(longest);
+    let (prefix, more) = read_prefix(&mut payload).await.map_err(|error| {
+        Problem::malformed("broken-body", StatusCode::BAD_REQUEST, error.to_string())
+    })?;
+    let rest = payload.map(|part| part.map_err(|_| Error::Broken));
+    let caller = header(request, headers::CALLER)?;
+    let head = Head {
+        request: Id::new(&service, routed, name),
+        fingerprint: Fingerprint::new(&method, &path, routed, idempotency_key),
+        service,
+        key: key_digest,
+        idempotent,
+        caller: caller.map_or(0, |caller| xxh3_64(caller.as_bytes())),
+    };
+    let request = Request {
+        head,
+        method,
+        path,
+        headers: passed_on(request),
+        prefix,
+        rest: more.then(|| Box::pin(rest) as crate::exchange::Parts),
+        more,
+    };
+    Ok((request, deadline))
+}
+
+/// What the table says of a request.
+struct Row {
+    keyed: bool,
+    deadline: Span,
+    idempotent: bool,
+}
+
+fn row(shell: &Shell, service: &name::Service, method: &str) -> Option<Row> {
+    let table = shell.table();
+    let row = table.services.get(service)?;
+    Some(Row {
+        keyed: row.divided_by_key,
+        deadline: row.deadline,
+        idempotent: row.idempotent_methods.contains(method),
+    })
+}
+
+fn passed_on(request: &HttpRequest) -> Vec<Header> {
+    let headers = request.headers().iter();
+    let headers = headers.filter(|(name, _)| is_end_to_end(name.as_str()));
+    headers
+        .map(|(name, value)| Header {
+            name: name.as_str().to_owned(),
+            value: value.as_bytes().to_vec(),
+        })
+        .collect()
+}
+
+/// Splits a path into the service and the path towards its target.
+fn split(request: &HttpRequest) -> Result<(name::Service, String), Problem> {
+    let not_found = |detail: String| Problem::malformed("path", StatusCode::NOT_FOUND, detail);
+    let path = request.path().strip_prefix(PREFIX);
+    let path = path.ok_or_else(|| not_found(format!("use a path {PREFIX}SERVICE/PATH")))?;
+    let (service, rest) = path.split_once('/').unwrap_or((path, ""));
+    let service = service
+        .parse()
+        .map_err(|error: name::Error| not_found(error.to_string()))?;
+    let query = request.query_string();
+    let separator = if query.is_empty() { "" } else { "?" };
+    Ok((service, format!("/{rest}{separator}{query}")))
+}
+
+fn header<'a>(request: &'a HttpRequest, name: &str) -> Result<Option<&'a str>, Problem> {
+    let Some(value) = request.headers().get(name) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .ok()
+        .filter(|text| text.len() <= MAX_KEY_BYTES);
+    text.map(Some).ok_or_else(|| {
+        let detail = format!("header {name} is not text of at most {MAX_KEY_BYTES} bytes");
+        Problem::malformed("header", StatusCode::BAD_REQUEST, detail)
+    })
+}
+
+fn deadline(request: &HttpRequest) -> Result<Option<Span>, Problem> {
+    let Some(text) = header(request, headers::DEADLINE_MS)? else {
+        return Ok(None);
+    };
+    let millis = text.parse::<u64>().ok().filter(|millis| *millis > 0);
+    let span = millis.map(|millis| Span::from_millis(millis.min(MAX_DEADLINE.as_millis())));
+    span.map(Some).ok_or_else(|| {
+        let detail = format!(
+            "header {} is not a number of milliseconds above 0",
+            headers::DEADLINE_MS
+        );
+        Problem::malformed("header", StatusCode::BAD_REQUEST, detail)
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,291 @@
+//! A running daemon: its threads and their rings.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+};
+
+use anyhow::{Context, Result};
+use crossbeam_channel::{Receiver, Sender};
+use ntex::{
+    rt::{DefaultRuntime, System},
+    web::{self, App, HttpServer},
+};
+use ragwortrill_core::{
+    event::Event,
+    node::{Config, Node},
+    process::Process,
+};
+use tokio::sync::mpsc;
+
+use crate::{
+    callers,
+    clock::Clock,
+    decide::{self, Outlet, Outlets},
+    log_service,
+    metrics::Metrics,
+    operators::{self, Ready},
+    peers::Peers,
+    probe,
+    recent::Recent,
+    settings::Settings,
+    shell::{INBOX, Inbound, Shell},
+};
+
+/// Capacity of the rings from the deciding thread.
+const RING: usize = 4_096;
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    addresses: Addresses,
+    process: Process,
+    inbox: Sender<Inbound>,
+    exit: Receiver<()>,
+    servers: Vec<web_server::Handle>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// Addresses that a daemon listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+mod web_server {
+    /// Handle of a running HTTP server.
+    pub(super) struct Handle(pub(super) ntex::server::Server);
+
+    impl Handle {
+        /// Stops the server without waiting for its connections.
+        pub(super) fn stop(self) {
+            drop(self.0.stop(false));
+        }
+    }
+
+    impl std::fmt::Debug for Handle {
+        fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+            f.write_str("Handle")
+        }
+    }
+}
+
+impl Daemon {
+    /// Starts a daemon. Port 0 in the settings takes any free port.
+    pub fn start(settings: Settings) -> Result<Self> {
+        let callers = bind(settings.callers, "callers")?;
+        let peers = bind(settings.peers, "peers")?;
+        let operators = bind(settings.operators, "operators")?;
+        let addresses = Addresses {
+            callers: callers.local_addr()?,
+            peers: peers.local_addr()?,
+            operators: operators.local_addr()?,
+        };
+        let process = Process {
+            host: settings.host.clone(),
+            incarnation: incarnation(),
+        };
+        let (inbox, events) = crossbeam_channel::bounded(INBOX);
+        let shell = Shell {
+            clock: Clock::start(),
+            inbox: inbox.clone(),
+            registry: Arc::default(),
+            links: Arc::default(),
+            answers: Arc::default(),
+            metrics: Arc::new(Metrics::new()?),
+            process: process.clone(),
+            published: Arc::default(),
+        };
+        let node = Node::new(Config {
+            process: process.clone(),
+            address: addresses.peers,
+            data_centre: settings.data_centre.clone(),
+            times: settings.times.clone(),
+        });
+        let ready: Ready = Arc::new(AtomicBool::new(true));
+        let (exit_sender, exit) = crossbeam_channel::bounded(1);
+        let (log_sender, log_receiver) = mpsc::channel(RING);
+        let (peer_sender, peer_receiver) = mpsc::channel(RING);
+        let (probe_sender, probe_receiver) = mpsc::channel(RING);
+        let unready = ready.clone();
+        let outlets = Outlets {
+            log: Outlet::new(log_sender),
+            peers: Outlet::new(peer_sender),
+            probes: Outlet::new(probe_sender),
+            unready: Box::new(move || unready.store(false, Ordering::Relaxed)),
+            exit: Box::new(move || {
+                let _ = exit_sender.try_send(());
+            }),
+        };
+        let recent = Recent::default();
+        let mut threads = Vec::new();
+        let decider = shell.clone();
+        threads.push(spawn("decide", move || {
+            decide::run(node, events, outlets, &decider);
+        })?);
+        let (reader, rows) = (shell.clone(), recent.clone());
+        let (log, wait) = (settings.log, settings.times.log_wait);
+        threads.push(spawn_local("log", async move || {
+            log_service::run(log, wait, log_receiver, rows, reader).await;
+        })?);
+        let linker = Peers {
+            shell: shell.clone(),
+            data_centre: settings.data_centre.clone(),
+            recent,
+        };
+        threads.push(spawn_local("peers", async move || {
+            tokio::select! {
+                () = accept(linker.clone(), peers) => {}
+                () = linker.clone().run(peer_receiver) => {}
+            }
+        })?);
+        let prober = shell.clone();
+        threads.push(spawn_local("probe", async move || {
+            probe::run(probe_receiver, prober).await;
+        })?);
+        let servers = vec![
+            serve_callers(callers, settings.workers, shell.clone())?,
+            serve_operators(operators, shell, ready)?,
+        ];
+        Ok(Self {
+            addresses,
+            process,
+            inbox,
+            exit,
+            servers,
+            threads,
+        })
+    }
+
+    /// Returns the addresses that the daemon listens on.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Returns the daemon's process.
+    pub fn process(&self) -> &Process {
+        &self.process
+    }
+
+    /// Starts a graceful shutdown.
+    pub fn stop(&self) {
+        let _ = self.inbox.send(Inbound::Event(Event::Stop));
+    }
+
+    /// Waits until a graceful shutdown has ended, or a limit has passed. Returns true if all
+    /// requests had ended.
+    pub fn wait(&self, limit: std::time::Duration) -> bool {
+        self.exit.recv_timeout(limit).is_ok()
+    }
+
+    /// Ends all threads. Requests that still run are cut, so call it after a graceful shutdown,
+    /// or to act out a loss of the process.
+    pub fn close(self) {
+        let _ = self.inbox.send(Inbound::Close);
+        for server in self.servers {
+            server.stop();
+        }
+        for thread in self.threads {
+            if thread.join().is_err() {
+                log::error!("a thread of the daemon has panicked");
+            }
+        }
+    }
+}
+
+fn bind(address: SocketAddr, purpose: &str) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .with_context(|| format!("address {address} for {purpose} can't be bound; free the port"))
+}
+
+fn incarnation() -> u64 {
+    rand::random()
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>> {
+    Ok(thread::Builder::new().name(name.to_owned()).spawn(run)?)
+}
+
+/// Starts a thread with an event loop of its own.
+fn spawn_local<F>(name: &'static str, run: F) -> Result<JoinHandle<()>>
+where
+    F: AsyncFnOnce() + Send + 'static,
+{
+    spawn(name, move || {
+        System::new(name, DefaultRuntime).block_on(async move { run().await });
+    })
+}
+
+async fn accept(peers: Peers, listener: TcpListener) {
+    let listener = listener
+        .set_nonblocking(true)
+        .and_then(|()| tokio::net::TcpListener::from_std(listener));
+    match listener {
+        Ok(listener) => peers.accept(listener).await,
+        Err(error) => log::error!("links can't be accepted: {error}; restart the daemon"),
+    }
+}
+
+fn serve_callers(
+    listener: TcpListener,
+    workers: usize,
+    shell: Shell,
+) -> Result<web_server::Handle> {
+    start_server("callers", move || {
+        let server = HttpServer::new(async move || {
+            App::new()
+                .state(shell.clone())
+                .default_service(web::to(callers::handle))
+        });
+        Ok(server
+            .workers(workers)
+            .disable_signals()
+            .listen(listener)?
+            .run())
+    })
+}
+
+fn serve_operators(
+    listener: TcpListener,
+    shell: Shell,
+    ready: Ready,
+) -> Result<web_server::Handle> {
+    start_server("operators", move || {
+        let server = HttpServer::new(async move || {
+            App::new()
+                .state(shell.clone())
+                .state(ready.clone())
+                .configure(operators::routes)
+        });
+        Ok(server.workers(1).disable_signals().listen(listener)?.run())
+    })
+}
+
+/// Starts an HTTP server on a thread of its own.
+fn start_server(
+    name: &'static str,
+    run: impl FnOnce() -> Result<ntex::server::Server> + Send + 'static,
+) -> Result<web_server::Handle> {
+    let (sender, receiver) = crossbeam_channel::bounded(1);
+    spawn_local(name, async move || match run() {
+        Ok(server) => {
+            let _ = sender.send(Ok(server.clone()));
+            if let Err(error) = server.await {
+                log::error!(server = name; "HTTP server ended: {error}");
+            }
+        }
+        Err(error) => {
+            let _ = sender.send(Err(error));
+        }
+    })?;
+    Ok(web_server::Handle(receiver.recv()??))
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,29 @@
 //! The router daemon.
+
+mod answers;
+mod callers;
+mod clock;
+mod daemon;
+mod decide;
+mod drive;
+mod exchange;
+mod forward;
+mod link;
+mod log_service;
+mod metrics;
+mod operators;
+mod peers;
+mod probe;
+mod problem;
+mod recent;
+mod registry;
+mod run;
+mod serve;
+mod settings;
+mod shell;
+mod target;
+
+pub use clock::Clock;
+pub use daemon::{Addresses, Daemon};
+pub use run::run;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/daemon/src/link.rs
@@ -0,0 +1,94 @@
+//! One side of a link between two daemons.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use ragwortrill_wire::{Frame, Stream};
+use tokio::sync::mpsc;
+
+/// Frames that may wait to be written to a link.
+pub(crate) const QUEUE: usize = 4_096;
+
+/// Frames of one request that may wait. Credit bounds the bytes in them.
+const STREAM_QUEUE: usize = 64;
+
+/// Handle to a link. The link ends when its queue is closed.
+#[derive(Clone, Debug)]
+pub(crate) struct Link {
+    sender: mpsc::Sender<Frame>,
+    streams: Arc<Streams>,
+}
+
+/// Requests that use a link.
+#[derive(Debug, Default)]
+pub(crate) struct Streams {
+    next: AtomicU64,
+    open: Mutex<BTreeMap<Stream, mpsc::Sender<Frame>>>,
+}
+
+impl Link {
+    pub(crate) fn new(sender: mpsc::Sender<Frame>) -> Self {
+        Self {
+            sender,
+            streams: Arc::default(),
+        }
+    }
+
+    pub(crate) fn streams(&self) -> &Arc<Streams> {
+        &self.streams
+    }
+
+    /// Starts a request that this side sends.
+    pub(crate) fn start(&self) -> (Stream, mpsc::Receiver<Frame>) {
+        let stream = Stream(self.streams.next.fetch_add(1, Ordering::Relaxed));
+        (stream, self.streams.open(stream))
+    }
+
+    /// Queues a frame. Returns false if the link has ended.
+    pub(crate) async fn send(&self, frame: Frame) -> bool {
+        self.sender.send(frame).await.is_ok()
+    }
+
+    /// Queues a frame unless the link has ended or its queue is full.
+    pub(crate) fn try_send(&self, frame: Frame) -> bool {
+        self.sender.try_send(frame).is_ok()
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+impl Streams {
+    /// Registers a request and returns its frames.
+    pub(crate) fn open(&self, stream: Stream) -> mpsc::Receiver<Frame> {
+        let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
+        self.lock(|open| open.insert(stream, sender));
+        receiver
+    }
+
+    pub(crate) fn close(&self, stream: Stream) {
+        self.lock(|open| open.remove(&stream));
+    }
+
+    /// Ends all requests, because the link has ended.
+    pub(crate) fn close_all(&self) {
+        self.lock(BTreeMap::clear);
+    }
+
+    /// Passes a frame to its request. Returns false if the request is not open, or if the peer
+    /// sends more than it has credit for.
+    pub(crate) fn deliver(&self, stream: Stream, frame: Frame) -> bool {
+        let sender = self.lock(|open| open.get(&stream).cloned());
+        sender.is_some_and(|sender| sender.try_send(frame).is_ok())
+    }
+
+    fn lock<T>(&self, act: impl FnOnce(&mut BTreeMap<Stream, mpsc::Sender<Frame>>) -> T) -> T {
+        act(&mut self.open.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,5 @@
-//! Placeholder entry point.
+//! Entry point of the daemon.
 
-fn main() {}
+fn main() {
+    std::process::exit(ragwortrill_daemon::run());
+}
--- /dev/null
+++ b/crates/daemon/src/recent.rs
@@ -0,0 +1,62 @@
+//! Records read lately, kept for peers that can't read the log.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use ragwortrill_core::{
+    number::Offset,
+    record::Entry,
+    time::{Instant, Span},
+};
+
+/// Number of records kept.
+const MAX_ROWS: usize = 20_000;
+
+/// Number of records in one answer to a peer.
+const PAGE: usize = 64;
+
+/// Records read lately.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Recent(Arc<Mutex<Inner>>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    rows: VecDeque<(Offset, Entry)>,
+    end: Offset,
+    proof: Option<Instant>,
+}
+
+/// Records for a peer.
+#[derive(Debug)]
+pub(crate) struct Page {
+    pub(crate) rows: Vec<(Offset, Entry)>,
+    pub(crate) end: Offset,
+    pub(crate) age: Option<Span>,
+}
+
+impl Recent {
+    pub(crate) fn push(&self, rows: &[(Offset, Entry)], sent: Instant, end: Offset) {
+        let mut inner = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.rows.extend(rows.iter().cloned());
+        let excess = inner.rows.len().saturating_sub(MAX_ROWS);
+        inner.rows.drain(..excess);
+        inner.end = end;
+        let last = inner.rows.back().map_or(Offset(0), |(offset, _)| *offset);
+        if last >= end {
+            inner.proof = Some(sent);
+        }
+    }
+
+    /// Returns records after an offset, with the age of the proof that `end` is the log's end.
+    pub(crate) fn after(&self, offset: Offset, now: Instant) -> Page {
+        let inner = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let rows = inner.rows.iter().filter(|(o, _)| *o > offset);
+        Page {
+            rows: rows.take(PAGE).cloned().collect(),
+            end: inner.end,
+            age: inner.proof.map(|proof| now.since(proof)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/registry.rs
@@ -0,0 +1,83 @@
+//! Requests in this process, and the orders that decisions give for them.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use ragwortrill_core::{
+    action::Start,
+    event::{Peer, Ticket},
+    number::Offset,
+    request,
+    time::{Instant, Span},
+};
+use tokio::sync::mpsc;
+
+/// Locks that the requests are spread over, so that threads rarely wait for each other.
+const SHARDS: usize = 16;
+
+/// Orders that a request may have waiting: one decision, and a cancellation.
+const ORDERS: usize = 4;
+
+/// What is to be done with a request.
+#[derive(Debug)]
+pub(crate) enum Order {
+    Start(Start),
+    Forward {
+        to: Peer,
+        deadline: Instant,
+    },
+    Refuse {
+        refusal: request::Refusal,
+        retry_after: Option<Span>,
+        offset: Offset,
+    },
+    Recall {
+        request: request::Id,
+        status: u16,
+    },
+    Cancel,
+}
+
+/// All requests of this process that wait for orders.
+#[derive(Debug, Default)]
+pub(crate) struct Registry {
+    next: AtomicU64,
+    shards: [Mutex<BTreeMap<Ticket, mpsc::Sender<Order>>>; SHARDS],
+}
+
+impl Registry {
+    /// Opens a request and returns its number and its orders.
+    pub(crate) fn open(&self) -> (Ticket, mpsc::Receiver<Order>) {
+        let ticket = Ticket(self.next.fetch_add(1, Ordering::Relaxed));
+        let (sender, receiver) = mpsc::channel(ORDERS);
+        self.shard(ticket, |shard| shard.insert(ticket, sender));
+        (ticket, receiver)
+    }
+
+    /// Gives an order. An order for a request that has ended is dropped.
+    pub(crate) fn order(&self, ticket: Ticket, order: Order) {
+        let sender = self.shard(ticket, |shard| shard.get(&ticket).cloned());
+        if let Some(Err(error)) = sender.map(|sender| sender.try_send(order)) {
+            log::debug!(ticket = ticket.0; "request no longer takes orders: {error}");
+        }
+    }
+
+    /// Forgets a request.
+    pub(crate) fn close(&self, ticket: Ticket) {
+        self.shard(ticket, |shard| shard.remove(&ticket));
+    }
+
+    fn shard<T>(
+        &self,
+        ticket: Ticket,
+        act: impl FnOnce(&mut BTreeMap<Ticket, mpsc::Sender<Order>>) -> T,
+    ) -> T {
+        let shard = &self.shards[ticket.0 as usize % SHARDS];
+        act(&mut shard.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,130 @@
+//! The daemon's command line.
+
+use std::{fs, io::Write, path::PathBuf, thread, time::Duration};
+
+use anyhow::{Context, Result};
+use pico_args::Arguments;
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+
+use crate::{Daemon, Settings};
+
+const HELP: &str = "\
+Routes requests from callers to targets that own their keys exclusively.
+
+Usage: ragwortrilld --settings FILE [--check]
+
+Options:
+  --settings FILE  Settings in JSON
+  --check          Check the settings and exit
+  -h, --help       Show this help
+  -V, --version    Show the version
+
+Example:
+  ragwortrilld --settings examples/murrin/daemon-northam.json
+";
+
+/// Exit code of a wrong command line.
+const WRONG_USAGE: i32 = 2;
+
+/// Runs the daemon and returns its exit code.
+pub fn run() -> i32 {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return 0;
+    }
+    if arguments.contains(["-V", "--version"]) {
+        println!("ragwortrilld {}", env!("CARGO_PKG_VERSION"));
+        return 0;
+    }
+    let check = arguments.contains("--check");
+    let path: PathBuf = match arguments.value_from_str("--settings") {
+        Ok(path) => path,
+        Err(error) => return usage(&error.to_string()),
+    };
+    let rest = arguments.finish();
+    if let Some(argument) = rest.first() {
+        return usage(&format!("unknown argument {argument:?}"));
+    }
+    match serve(&path, check) {
+        Ok(()) => 0,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            1
+        }
+    }
+}
+
+fn usage(error: &str) -> i32 {
+    eprintln!("error: {error}\n\n{HELP}");
+    WRONG_USAGE
+}
+
+fn serve(path: &PathBuf, check: bool) -> Result<()> {
+    let text = fs::read_to_string(path)
+        .with_context(|| format!("settings {} can't be read", path.display()))?;
+    let settings: Settings = serde_json::from_str(&text)
+        .with_context(|| format!("settings {} are wrong", path.display()))?;
+    if check {
+        println!("settings are valid");
+        return Ok(());
+    }
+    log_json();
+    let limit = settings.drain_limit;
+    let daemon = Daemon::start(settings)?;
+    let addresses = daemon.addresses();
+    log::info!(
+        process = daemon.process().to_string(),
+        callers = addresses.callers.to_string(),
+        peers = addresses.peers.to_string(),
+        operators = addresses.operators.to_string();
+        "daemon started"
+    );
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    signals.forever().next();
+    log::info!("graceful shutdown started");
+    daemon.stop();
+    match daemon.wait(limit.as_duration()) {
+        true => log::info!("graceful shutdown ended; no request was cut"),
+        false => log::warn!("requests still run after {limit}; they are cut"),
+    }
+    // Answers that were passed on whole may still be in the sockets' buffers.
+    thread::sleep(Duration::from_millis(100));
+    Ok(())
+}
+
+/// Writes logs as JSON lines to standard error.
+fn log_json() {
+    let environment = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(environment)
+        .format(|out, record| {
+            let mut line = serde_json::Map::new();
+            line.insert("time_ms".to_owned(), crate::clock::wall_ms().into());
+            line.insert("level".to_owned(), record.level().as_str().into());
+            line.insert("module".to_owned(), record.target().into());
+            line.insert("message".to_owned(), record.args().to_string().into());
+            let _ = record.key_values().visit(&mut Fields(&mut line));
+            writeln!(out, "{}", serde_json::Value::Object(line))
+        })
+        .init();
+}
+
+struct Fields<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
+
+impl<'kvs> log::kv::VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(
+        &mut self,
+        key: log::kv::Key<'kvs>,
+        value: log::kv::Value<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        let value = match value.to_u64() {
+            Some(number) => number.into(),
+            None => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/target.rs
@@ -0,0 +1,136 @@
+//! Requests sent to targets.
+
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr};
+
+use futures_util::{StreamExt, stream};
+use ntex::{
+    SharedCfg,
+    client::{Client, ClientResponse, Connector, error::ClientError},
+    http::Method,
+    io::IoConfig,
+    time::Millis,
+    util::Bytes,
+};
+use ragwortrill_core::{action::Start, event::Finish};
+use ragwortrill_platform::{headers, target};
+use ragwortrill_wire::Header;
+
+use crate::{
+    exchange::{Answer, Error, Parts, Request, remaining_ms},
+    shell::Shell,
+};
+
+/// Time allowed to open a connection. It is shorter than the margin of a lease, so that a request
+/// is not sent long after the check of the lease.
+const CONNECT_TIMEOUT: Millis = Millis(40);
+
+thread_local! {
+    /// Clients of this thread. An ntex client belongs to its thread.
+    static CLIENTS: RefCell<BTreeMap<SocketAddr, Client>> = const { RefCell::new(BTreeMap::new()) };
+}
+
+async fn client(address: SocketAddr) -> Result<Client, Finish> {
+    if let Some(client) = CLIENTS.with_borrow(|clients| clients.get(&address).cloned()) {
+        return Ok(client);
+    }
+    let io = IoConfig::new().set_connect_timeout(CONNECT_TIMEOUT);
+    let client = Client::builder()
+        .disable_redirects()
+        .disable_timeout()
+        .no_default_headers()
+        .connector::<Connector>(Connector::new().limit(0))
+        .build(SharedCfg::new("targets").add(io))
+        .await
+        .map_err(|_| Finish::Unsent { lapsed: false })?;
+    CLIENTS.with_borrow_mut(|clients| clients.insert(address, client.clone()));
+    Ok(client)
+}
+
+/// Sends a request to its target and returns the head of the answer.
+pub(crate) async fn send(
+    shell: &Shell,
+    start: &Start,
+    request: &mut Request,
+) -> Result<Answer, Finish> {
+    let client = client(start.address).await?;
+    let method = Method::from_bytes(request.method.as_bytes());
+    let method = method.map_err(|_| Finish::Unsent { lapsed: false })?;
+    let url = format!("http://{}{}", start.address, request.path);
+    let now = shell.clock.now();
+    let mut call = client
+        .request(method, url)
+        .address(start.address)
+        .no_decompress()
+        .set_header(target::EPOCH_HEADER, start.epoch.to_string())
+        .set_header(
+            target::DEADLINE_HEADER,
+            remaining_ms(now, start.deadline).to_string(),
+        )
+        .set_header(target::REQUEST_HEADER, request.head.request.to_string());
+    for header in &request.headers {
+        call = call.header(header.name.as_str(), header.value.as_slice());
+    }
+    // The last check before the send: the lease may have ended since the decision.
+    if shell.clock.now() >= start.until {
+        return Err(Finish::Unsent { lapsed: true });
+    }
+    let sent = if request.more {
+        let rest = request.rest.take().ok_or(Finish::Broken)?;
+        let prefix = stream::iter([Ok::<Bytes, Error>(request.prefix.clone())]);
+        call.send_stream(Box::pin(prefix.chain(rest))).await
+    } else if request.prefix.is_empty() {
+        call.send().await
+    } else {
+        call.send_body(request.prefix.clone()).await
+    };
+    sent.map(answer).map_err(|error| failure(&error))
+}
+
+fn failure(error: &ClientError) -> Finish {
+    match error {
+        ClientError::Connect(_) | ClientError::Url(_) => Finish::Unsent { lapsed: false },
+        _ => Finish::Broken,
+    }
+}
+
+fn answer(response: ClientResponse) -> Answer {
+    let headers: Vec<Header> = response
+        .headers()
+        .iter()
+        .filter(|(name, _)| is_end_to_end(name.as_str()))
+        .map(|(name, value)| Header {
+            name: name.as_str().to_owned(),
+            value: value.as_bytes().to_vec(),
+        })
+        .collect();
+    let length = response.headers().get("content-length");
+    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    let body: Parts = Box::pin(
+        response
+            .take_payload()
+            .map(|part| part.map_err(|_| Error::Broken)),
+    );
+    Answer {
+        status: response.status().as_u16(),
+        headers,
+        length,
+        body,
+    }
+}
+
+/// Tells whether a header is passed on. The others concern a single connection or are set anew.
+pub(crate) fn is_end_to_end(name: &str) -> bool {
+    const HOP_BY_HOP: [&str; 9] = [
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ];
+    let own = name.starts_with("ragwortrill-") && !name.eq_ignore_ascii_case(headers::KEY);
+    !own && !HOP_BY_HOP.iter().any(|hop| hop.eq_ignore_ascii_case(name))
+}
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,45 @@
+//! Encoding of frames.
+
+use crate::frame::Frame;
+
+/// Version of the frames that this build sends and accepts.
+pub const VERSION: u16 = 1;
+
+/// Largest encoded frame, in bytes.
+pub const MAX_FRAME_BYTES: usize = 64 * 1024;
+
+/// Reason why a frame can't be sent or read.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// The frame is too large.
+    #[error("a frame has {0} bytes; send at most {MAX_FRAME_BYTES}")]
+    Large(usize),
+    /// The bytes are no frame.
+    #[error("a frame is malformed ({0}); run daemons of compatible versions")]
+    Malformed(String),
+    /// The peer speaks another version.
+    #[error("the peer speaks frame version {0}, this daemon {VERSION}; upgrade the older one")]
+    Version(u16),
+}
+
+/// Encodes a frame as CBOR.
+pub fn encode(frame: &Frame) -> Result<Vec<u8>, Error> {
+    let mut bytes = Vec::with_capacity(256);
+    ciborium::into_writer(frame, &mut bytes).map_err(|e| Error::Malformed(e.to_string()))?;
+    match bytes.len() {
+        length if length > MAX_FRAME_BYTES => Err(Error::Large(length)),
+        _ => Ok(bytes),
+    }
+}
+
+/// Decodes a frame. A frame of another version is refused when its `Hello` is read.
+pub fn decode(bytes: &[u8]) -> Result<Frame, Error> {
+    if bytes.len() > MAX_FRAME_BYTES {
+        return Err(Error::Large(bytes.len()));
+    }
+    let frame: Frame = ciborium::from_reader(bytes).map_err(|e| Error::Malformed(e.to_string()))?;
+    match &frame {
+        Frame::Hello(hello) if hello.version != VERSION => Err(Error::Version(hello.version)),
+        _ => Ok(frame),
+    }
+}
