Add HTTP fakes of the log service, host list and targets

Tests and examples of the other packages need stand-ins at the platform's interfaces with faults that are set at run time. Not yet tested.

--- a/crates/platform/src/target.rs
+++ b/crates/platform/src/target.rs
@@ -5,9 +5,11 @@
 
 mod client;
 mod message;
+mod refused;
 
 pub use client::Client;
 pub use message::{Cancelled, Grant, Load, Stale};
+pub use refused::Refused;
 
 /// Path of grants.
 pub const GRANT_PATH: &str = "/control/grant";
@@ -25,6 +27,10 @@
 /// Header with the identifier of a request.
 pub const REQUEST_HEADER: &str = crate::headers::REQUEST;
 
+/// Header by which a target states that it did not run a request and will not. Its value is the
+/// text of a [`Refused`].
+pub const REFUSED_HEADER: &str = "Ragwortrill-Refused";
+
 /// Largest accepted answer of the control side, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 64 << 10;
 
--- /dev/null
+++ b/crates/platform/src/target/refused.rs
@@ -0,0 +1,61 @@
+use std::{fmt, str::FromStr};
+
+/// Reason why a target did not run a request.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Refused {
+    /// The request was cancelled before it ran.
+    Cancelled,
+    /// The target takes no new work, because it is about to stop.
+    Draining,
+    /// All slots are busy and the target sheds load.
+    Full,
+    /// The deadline passed before a slot was free.
+    Late,
+    /// The target has no current grant for the request's epoch.
+    NoGrant,
+    /// The target has seen a higher epoch.
+    Stale,
+}
+
+/// Text that names no reason for a refusal.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("{0:?} is no refusal of a target; treat the request as one that may have run")]
+pub struct UnknownRefusal(String);
+
+impl Refused {
+    /// All reasons with their texts.
+    pub const ALL: [(Self, &str); 6] = [
+        (Self::Cancelled, "cancelled"),
+        (Self::Draining, "draining"),
+        (Self::Full, "full"),
+        (Self::Late, "late"),
+        (Self::NoGrant, "no-grant"),
+        (Self::Stale, "stale"),
+    ];
+
+    /// Returns the HTTP status of an answer with this refusal.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::Cancelled | Self::NoGrant | Self::Stale => 409,
+            Self::Draining | Self::Full => 503,
+            Self::Late => 504,
+        }
+    }
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let row = Self::ALL.iter().find(|row| row.0 == *self);
+        f.write_str(row.map_or("", |row| row.1))
+    }
+}
+
+impl FromStr for Refused {
+    type Err = UnknownRefusal;
+
+    fn from_str(text: &str) -> Result<Self, UnknownRefusal> {
+        let row = Self::ALL.iter().find(|row| row.1 == text);
+        row.map(|row| row.0)
+            .ok_or_else(|| UnknownRefusal(text.to_owned()))
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,8 @@
 //! Small fakes of the platform for tests and examples.
+
+pub mod hosts;
+pub mod log;
+pub(crate) mod reply;
+pub(crate) mod server;
+pub mod target;
+pub(crate) mod watched;
--- /dev/null
+++ b/crates/standin/src/log/store.rs
@@ -0,0 +1,111 @@
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::{Duration, Instant},
+};
+
+use ragwortrill_core::{number::Offset, record};
+use ragwortrill_platform::log::{
+    Batch, Bounds, MAX_ANSWER_BYTES, Page, Query, ROW_OVERHEAD_BYTES, Receipt, Row,
+};
+
+use super::Faults;
+
+/// Allowance for the encoding around the records of a page, in bytes.
+const PAGE_OVERHEAD_BYTES: usize = 256;
+
+/// Records and faults.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    pub(crate) faults: Faults,
+    end: u64,
+    rows: VecDeque<Row>,
+    ids: BTreeSet<record::Id>,
+    window: Option<(Instant, u32)>,
+}
+
+/// What an append did.
+pub(crate) struct Appended {
+    pub(crate) receipt: Receipt,
+    pub(crate) duplicate: bool,
+}
+
+impl Store {
+    pub(crate) fn bounds(&self) -> Bounds {
+        let first = self.rows.front().map_or(self.end + 1, |row| row.offset.0);
+        Bounds {
+            first: Offset(first),
+            end: Offset(self.end),
+        }
+    }
+
+    pub(crate) fn append(&mut self, batch: &Batch) -> Appended {
+        let first = Offset(self.end + 1);
+        let mut duplicate = false;
+        for (id, bytes) in batch.iter() {
+            self.end += 1;
+            duplicate |= !self.ids.insert(id);
+            self.rows.push_back(Row {
+                offset: Offset(self.end),
+                id,
+                bytes: bytes.to_vec(),
+            });
+        }
+        self.expire();
+        let last = Offset(self.end);
+        let offsets = (first.0..=last.0).map(Offset).collect();
+        let receipt = Receipt {
+            first,
+            last,
+            offsets,
+        };
+        Appended { receipt, duplicate }
+    }
+
+    /// Drops the records above the limit of retained ones.
+    pub(crate) fn expire(&mut self) {
+        let kept = self.faults.retained.unwrap_or(usize::MAX);
+        let surplus = self.rows.len().saturating_sub(kept);
+        self.rows.drain(..surplus);
+    }
+
+    /// Tells whether a read has something to answer without waiting.
+    pub(crate) fn is_due(&self, query: Query) -> bool {
+        query.from.0 <= self.end && query.max > 0
+    }
+
+    /// Reads records, as many as fit into an answer. An expired offset gives the bounds.
+    pub(crate) fn page(&self, query: Query) -> Result<Page, Bounds> {
+        let bounds = self.bounds();
+        let Bounds { first, end } = bounds;
+        if query.from.0 > 0 && query.from < first {
+            return Err(bounds);
+        }
+        let skipped = query.from.0.saturating_sub(first.0) as usize;
+        let mut room = MAX_ANSWER_BYTES - PAGE_OVERHEAD_BYTES;
+        let rows = self.rows.iter().skip(skipped).take(query.max as usize);
+        let fitting = rows.take_while(|row| {
+            let size = row.bytes.len() + ROW_OVERHEAD_BYTES;
+            let fits = size <= room;
+            room = room.saturating_sub(size);
+            fits
+        });
+        Ok(Page {
+            first,
+            end,
+            records: fitting.cloned().collect(),
+        })
+    }
+
+    /// Counts an append against the limit of appends per second. False refuses it.
+    pub(crate) fn take(&mut self, now: Instant) -> bool {
+        let Some(limit) = self.faults.appends_per_second else {
+            return true;
+        };
+        let current = self
+            .window
+            .filter(|window| now.duration_since(window.0) < Duration::from_secs(1));
+        let (start, used) = current.unwrap_or((now, 0));
+        self.window = Some((start, used.saturating_add(1)));
+        used < limit
+    }
+}
--- /dev/null
+++ b/crates/standin/src/target/control.rs
@@ -0,0 +1,70 @@
+use std::{sync::Arc, time::Instant};
+
+use ntex::http::{Method, Request, Response, StatusCode};
+use ragwortrill_core::time::Span;
+use ragwortrill_platform::target::{
+    GRANT_PATH, Grant, HEALTH_PATH, LOAD_PATH, MAX_ANSWER_BYTES, Refused, Stale,
+};
+
+use super::{
+    call,
+    site::{Site, cancelled},
+    state::State,
+};
+use crate::reply;
+
+/// Answers a request to the control side.
+pub(crate) async fn answer(site: &Arc<Site>, mut request: Request) -> Response {
+    let time = site.state.read(|state| state.settings.probe_time);
+    if time > Span::ZERO {
+        tokio::time::sleep(time.as_duration()).await;
+        site.thawed().await;
+    }
+    let body = match reply::body(&mut request, MAX_ANSWER_BYTES).await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
+    site.state.change(|state| match request.path() {
+        GRANT_PATH if request.method() == Method::PUT => grant(state, &body),
+        HEALTH_PATH if request.method() == Method::GET => health(state),
+        LOAD_PATH if request.method() == Method::GET => {
+            state.counts.probes += 1;
+            reply::json(StatusCode::OK, &state.report(Instant::now()))
+        }
+        path => match cancelled(path) {
+            Some(id) if request.method() == Method::POST => cancel(state, id),
+            _ => reply::text(StatusCode::NOT_FOUND, "no such method or path"),
+        },
+    })
+}
+
+fn grant(state: &mut State, body: &[u8]) -> Response {
+    let grant: Grant = match serde_json::from_slice(body) {
+        Ok(grant) => grant,
+        Err(error) => return reply::text(StatusCode::BAD_REQUEST, error),
+    };
+    let stale = state.receive_epoch(grant.epoch);
+    state.counts.stale_grants += u64::from(stale);
+    if grant.epoch < state.highest {
+        let highest = state.highest;
+        return reply::json(StatusCode::CONFLICT, &Stale { highest });
+    }
+    let life = Span::from_millis(grant.ttl_ms).as_duration();
+    state.grant(grant.epoch, Instant::now() + life);
+    Response::new(StatusCode::NO_CONTENT)
+}
+
+fn health(state: &mut State) -> Response {
+    state.counts.probes += 1;
+    match state.settings.draining {
+        true => call::refuse(Refused::Draining),
+        false => reply::text(StatusCode::OK, "ok"),
+    }
+}
+
+fn cancel(state: &mut State, request: &str) -> Response {
+    match state.cancel(request) {
+        true => Response::new(StatusCode::NO_CONTENT),
+        false => reply::text(StatusCode::NOT_FOUND, "no such request"),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/watched.rs
@@ -0,0 +1,73 @@
+//! Shared state whose changes can be awaited.
+
+use std::{
+    sync::{Condvar, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use tokio::sync::watch;
+
+/// A value that several threads change and wait for.
+pub(crate) struct Watched<T> {
+    value: Mutex<T>,
+    blocked: Condvar,
+    ticks: watch::Sender<()>,
+}
+
+impl<T> Watched<T> {
+    pub(crate) fn new(value: T) -> Self {
+        Self {
+            value: Mutex::new(value),
+            blocked: Condvar::new(),
+            ticks: watch::Sender::new(()),
+        }
+    }
+
+    pub(crate) fn read<R>(&self, read: impl FnOnce(&T) -> R) -> R {
+        read(&self.lock())
+    }
+
+    pub(crate) fn change<R>(&self, change: impl FnOnce(&mut T) -> R) -> R {
+        let result = change(&mut self.lock());
+        self.tick();
+        result
+    }
+
+    /// Tries after each change until the attempt succeeds.
+    pub(crate) async fn until<R>(&self, mut attempt: impl FnMut(&mut T) -> Option<R>) -> R {
+        let mut ticks = self.ticks.subscribe();
+        loop {
+            let attempted = attempt(&mut self.lock());
+            if let Some(result) = attempted {
+                self.tick();
+                return result;
+            }
+            // The sender lives as long as `self`, so this can't fail.
+            let _ = ticks.changed().await;
+        }
+    }
+
+    /// Blocks the thread until the condition holds. Returns false when `limit` has passed.
+    pub(crate) fn wait(&self, limit: Duration, mut holds: impl FnMut(&T) -> bool) -> bool {
+        let end = Instant::now() + limit;
+        let mut value = self.lock();
+        while !holds(&value) {
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            let woken = self.blocked.wait_timeout(value, left);
+            value = woken.unwrap_or_else(PoisonError::into_inner).0;
+        }
+        true
+    }
+
+    fn tick(&self) {
+        self.ticks.send_replace(());
+        self.blocked.notify_all();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, T> {
+        self.value.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
