Serve the whole path through several daemons

Change: the node remembers ended requests until the log has their outcome; only connect errors with a cause count as not sent.

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -41,6 +41,8 @@
     pub(crate) desks: BTreeMap<name::Target, Desk>,
     pub(crate) tickets: BTreeMap<Ticket, Held>,
     pub(crate) running: BTreeMap<request::Id, Ticket>,
+    /// Status of requests that ended here, until the log has their outcome.
+    pub(crate) ended: BTreeMap<request::Id, u16>,
     pub(crate) claimable: BTreeMap<name::Target, Instant>,
     pub(crate) peers_lost: BTreeMap<Process, BTreeSet<name::Target>>,
     pub(crate) entries: u64,
@@ -83,6 +85,7 @@
             desks: BTreeMap::new(),
             tickets: BTreeMap::new(),
             running: BTreeMap::new(),
+            ended: BTreeMap::new(),
             claimable: BTreeMap::new(),
             peers_lost: BTreeMap::new(),
             entries: 0,
@@ -160,6 +163,11 @@
                     self.registered(now, entry.id, *request, offset, actions);
                 }
             }
+            Record::Outcome { requests } => {
+                for (request, _) in requests {
+                    self.ended.remove(request);
+                }
+            }
             Record::Move { from, .. } => self.moved(from, entry.id, effect),
             _ => {}
         }
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -179,8 +179,9 @@
             .running
             .get(&request)
             .is_some_and(|first| *first != ticket);
+        let ended = self.ended.get(&request).copied();
         let intent = self.ledger.intent(&request);
-        match (intent.map(|intent| intent.status), running) {
+        match (intent.map(|intent| intent.status.or(ended)), running) {
             (Some(Some(status)), _) => {
                 self.close(ticket);
                 actions.push(Action::Recall {
@@ -347,6 +348,7 @@
             Finish::Answered(status) | Finish::Cut(status) => {
                 self.close(ticket);
                 if !head.idempotent {
+                    self.ended.insert(head.request, status);
                     let requests = vec![(head.request, status)];
                     self.append("request ended", Record::Outcome { requests }, actions);
                 }
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -5,7 +5,10 @@
 use futures_util::{StreamExt, stream};
 use ntex::{
     SharedCfg,
-    client::{Client, ClientResponse, Connector, error::ClientError},
+    client::{
+        Client, ClientResponse, Connector,
+        error::{ClientError, ConnectError},
+    },
     http::Method,
     io::IoConfig,
     time::Millis,
@@ -86,8 +89,13 @@
     sent.map(answer).map_err(|error| failure(&error))
 }
 
+/// Tells whether a failed request may have reached its target.
+///
+/// ntex reports a connection that closes after the request was sent as a connect error without
+/// a cause, so only connect errors with a cause count as not sent.
 fn failure(error: &ClientError) -> Finish {
     match error {
+        ClientError::Connect(ConnectError::Disconnected(None)) => Finish::Broken,
         ClientError::Connect(_) | ClientError::Url(_) => Finish::Unsent { lapsed: false },
         _ => Finish::Broken,
     }
--- /dev/null
+++ b/crates/daemon/tests/harness/mod.rs
@@ -0,0 +1,332 @@
+//! A whole system in one process: stand-ins of the platform and daemons as threads.
+#![allow(dead_code)]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use ntex::{client::Client, http::Method, time::Millis, util::Bytes};
+use ragwortrill_core::{
+    name,
+    number::Version,
+    record::{self, Entry, Record},
+    table,
+    time::Span,
+};
+use ragwortrill_daemon::{Daemon, Settings};
+use ragwortrill_platform::log::Batch;
+use ragwortrill_standin::{log, target};
+
+/// Data centres of the system, in the order in which hosts and targets are placed.
+pub const DATA_CENTRES: [&str; 3] = ["east", "north", "west"];
+
+/// Longest time that a condition is awaited. A condition that takes longer is a failure.
+pub const LIMIT: Duration = Duration::from_secs(30);
+
+/// Describes a system before it starts.
+#[derive(Clone, Debug)]
+pub struct Builder {
+    daemons: usize,
+    services: BTreeMap<name::Service, (table::Service, usize)>,
+    target: target::Settings,
+}
+
+/// A running system.
+pub struct System {
+    /// The log service.
+    pub log: log::Server,
+    /// All targets by name.
+    pub targets: BTreeMap<name::Target, target::Server>,
+    /// Daemons; a lost one is `None`.
+    pub daemons: Vec<Option<Daemon>>,
+    /// The table that was applied.
+    pub table: table::Table,
+    entries: u128,
+}
+
+/// An answer with its whole body.
+#[derive(Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers in lower case.
+    pub headers: BTreeMap<String, String>,
+    /// Body, or what arrived of it if it broke off.
+    pub body: Vec<u8>,
+    /// True if the body ended as announced.
+    pub whole: bool,
+}
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub struct Call {
+    method: Method,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Bytes,
+}
+
+/// Parses a name and panics on a wrong one.
+pub fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("names in tests are valid")
+}
+
+/// Creates a table row with the limits of a small target.
+pub fn row(divided_by_key: bool) -> table::Service {
+    table::Service {
+        targets: BTreeMap::new(),
+        slots: 6,
+        connections: 110,
+        queue: 100,
+        deadline: Span::from_secs(10),
+        divided_by_key,
+        slices: 64,
+        idempotent_methods: BTreeSet::from(["GET".to_owned(), "HEAD".to_owned()]),
+        retry_percent: 10,
+        slow_start: Span::from_secs(1),
+        reserved_percent: 0,
+        id_window: Span::from_secs(3_600),
+        moves_per_minute: 600,
+        hot_key_percent: 50,
+    }
+}
+
+impl Builder {
+    /// Describes three daemons without targets.
+    pub fn new() -> Self {
+        Self {
+            daemons: 3,
+            services: BTreeMap::new(),
+            target: target::Settings::default(),
+        }
+    }
+
+    /// Sets the number of daemons.
+    pub fn daemons(mut self, count: usize) -> Self {
+        self.daemons = count;
+        self
+    }
+
+    /// Adds a service with targets spread over the data centres.
+    pub fn service(mut self, service: &str, row: table::Service, targets: usize) -> Self {
+        self.services.insert(name(service), (row, targets));
+        self
+    }
+
+    /// Sets the behaviour of all targets.
+    pub fn target(mut self, settings: target::Settings) -> Self {
+        self.target = settings;
+        self
+    }
+
+    /// Starts the system and applies its table.
+    pub fn start(self) -> System {
+        let log = log::Server::start().expect("the log stand-in starts");
+        let mut targets = BTreeMap::new();
+        let mut table = table::Table::default();
+        for data_centre in DATA_CENTRES {
+            table.data_centres.insert(name(data_centre), name("region"));
+        }
+        for (service, (mut row, count)) in self.services {
+            for number in 0..count {
+                let target: name::Target = name(&format!("{service}-{number}"));
+                let server = target::Server::start(target.clone(), self.target.clone());
+                let server = server.expect("a target stand-in starts");
+                let data_centre = name(DATA_CENTRES[number % DATA_CENTRES.len()]);
+                row.targets.insert(
+                    target.clone(),
+                    table::Target {
+                        address: server.address(),
+                        data_centre,
+                        weight: 1,
+                        checks_epoch: self.target.checks_epoch,
+                    },
+                );
+                targets.insert(target, server);
+            }
+            table.services.insert(service, row);
+        }
+        let mut system = System {
+            log,
+            targets,
+            daemons: Vec::new(),
+            table: table.clone(),
+            entries: 0,
+        };
+        let base = Version(0);
+        system.write(Record::Table { base, table });
+        for number in 0..self.daemons {
+            system.add_daemon(number);
+        }
+        system
+    }
+}
+
+impl System {
+    /// Starts a daemon on a new host.
+    pub fn add_daemon(&mut self, number: usize) {
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let settings = Settings {
+            host: name(&format!("host-{number}")),
+            data_centre: name(DATA_CENTRES[number % DATA_CENTRES.len()]),
+            callers: any,
+            peers: any,
+            operators: any,
+            log: self.log.address(),
+            secret: "a secret for tests".to_owned(),
+            operator_token: "a token for tests".to_owned(),
+            workers: 1,
+            drain_limit: Span::from_secs(10),
+            times: Default::default(),
+        };
+        let daemon = Daemon::start(settings).expect("a daemon starts");
+        self.daemons.push(Some(daemon));
+    }
+
+    /// Writes a record as an operator would.
+    pub fn write(&mut self, record: Record) {
+        self.entries += 1;
+        let entry = Entry {
+            id: record::Id(self.entries),
+            actor: "test".to_owned(),
+            reason: "test".to_owned(),
+            written_ms: 1,
+            record,
+        };
+        let mut batch = Batch::new();
+        batch.push(&entry).expect("the entry fits");
+        self.log.append(&batch);
+    }
+
+    /// Address for callers of a daemon.
+    pub fn address(&self, daemon: usize) -> SocketAddr {
+        let daemon = self.daemons[daemon].as_ref().expect("the daemon runs");
+        daemon.addresses().callers
+    }
+
+    /// Ends a daemon at once, as if its host had failed.
+    pub fn lose(&mut self, daemon: usize) {
+        if let Some(daemon) = self.daemons[daemon].take() {
+            daemon.close();
+        }
+    }
+
+    /// Sends a request through a daemon.
+    pub async fn call(&self, daemon: usize, call: &Call) -> Reply {
+        send(self.address(daemon), call).await
+    }
+
+    /// Repeats an idempotent request until it is answered with 200.
+    pub async fn call_until_served(&self, daemon: usize, call: &Call) -> Reply {
+        let start = Instant::now();
+        loop {
+            let reply = self.call(daemon, call).await;
+            if reply.status == 200 {
+                return reply;
+            }
+            let text = String::from_utf8_lossy(&reply.body).into_owned();
+            assert!(
+                start.elapsed() < LIMIT,
+                "not served: {} {text}",
+                reply.status
+            );
+            ntex::time::sleep(Millis(50)).await;
+        }
+    }
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        for daemon in self.daemons.drain(..).flatten() {
+            daemon.close();
+        }
+    }
+}
+
+impl Call {
+    /// Describes a GET request for a key.
+    pub fn get(service: &str, path: &str, key: &str) -> Self {
+        Self::new(Method::GET, service, path, key)
+    }
+
+    /// Describes a POST request for a key.
+    pub fn post(service: &str, path: &str, key: &str, body: impl Into<Bytes>) -> Self {
+        let mut call = Self::new(Method::POST, service, path, key);
+        call.body = body.into();
+        call
+    }
+
+    fn new(method: Method, service: &str, path: &str, key: &str) -> Self {
+        let key = ("ragwortrill-key".to_owned(), key.to_owned());
+        Self {
+            method,
+            path: format!("/s/{service}{path}"),
+            headers: vec![key],
+            body: Bytes::new(),
+        }
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+}
+
+/// Sends a request to an address and reads the whole answer.
+pub async fn send(address: SocketAddr, call: &Call) -> Reply {
+    let client = Client::builder()
+        .disable_timeout()
+        .response_payload_limit(usize::MAX)
+        .response_payload_timeout(Millis::ZERO)
+        .build(ntex::SharedCfg::new("caller"))
+        .await
+        .expect("a client without TLS can be built");
+    let mut request = client.request(
+        call.method.clone(),
+        format!("http://{address}{}", call.path),
+    );
+    for (name, value) in &call.headers {
+        request = request.header(name.as_str(), value.as_str());
+    }
+    let sent = request.send_body(call.body.clone()).await;
+    let response = match sent {
+        Ok(response) => response,
+        Err(error) => {
+            return Reply {
+                status: 0,
+                headers: BTreeMap::new(),
+                body: error.to_string().into_bytes(),
+                whole: false,
+            };
+        }
+    };
+    let mut payload = response.take_payload();
+    let (mut body, mut whole) = (Vec::new(), true);
+    while let Some(part) = payload.recv().await {
+        match part {
+            Ok(bytes) => body.extend_from_slice(&bytes),
+            Err(_) => {
+                whole = false;
+                break;
+            }
+        }
+    }
+    let headers = response.headers().iter();
+    let text = |value: &ntex::http::header::HeaderValue| {
+        String::from_utf8_lossy(value.as_bytes()).into_owned()
+    };
+    Reply {
+        status: response.status().as_u16(),
+        headers: headers
+            .map(|(name, value)| (name.as_str().to_owned(), text(value)))
+            .collect(),
+        body,
+        whole,
+    }
+}
