--- /dev/null
+++ b/crates/core/src/sheet/reader.rs
@@ -0,0 +1,161 @@
+//! Reading of a table from a parsed file.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use serde_json::Value;
+
+use super::{Fault, Sheet, column, row::Row, rule};
+use crate::{
+    name,
+    number::Version,
+    table::{Service, Table, Target},
+};
+
+/// Reads a file's table. The result is meaningful only if no fault is noted.
+pub(crate) fn sheet(value: &Value, faults: &RefCell<Vec<Fault>>) -> Sheet {
+    let file = Row::new(String::new(), value, faults);
+    let version = version(&file);
+    let data_centres = data_centres(&file);
+    let rows = file.rows("services").unwrap_or_default();
+    let known = data_centres.iter().map(|(name, _)| name.clone()).collect();
+    let mut rule = rule::Rule::new(&known);
+    let services = rows
+        .iter()
+        .filter_map(|row| service(row, &mut rule))
+        .collect();
+    file.finish();
+    let regions = data_centres.into_iter();
+    let table = Table {
+        data_centres: regions
+            .filter_map(|(name, region)| Some((name, region?)))
+            .collect(),
+        services,
+    };
+    Sheet { version, table }
+}
+
+fn version(file: &Row) -> Option<Version> {
+    let value = file.get("version")?;
+    if value.as_u64().is_none() {
+        let remedy = "write the version that the file was edited from, or remove the field";
+        file.reject("version", &value.to_string(), "a whole number", remedy);
+    }
+    value.as_u64().map(Version)
+}
+
+/// A data centre without a region still counts as known, so that its targets cause no more faults.
+fn data_centres(file: &Row) -> Vec<(name::DataCentre, Option<name::Region>)> {
+    let rows = file.rows("data_centres").unwrap_or_default();
+    let read = |row: &Row| {
+        let name = row.name("name");
+        let region = row.name("region");
+        row.finish();
+        Some((name?, region))
+    };
+    rows.iter().filter_map(read).collect()
+}
+
+fn service(row: &Row, rule: &mut rule::Rule) -> Option<(name::Service, Service)> {
+    let name = row.name("name");
+    let slots = row.number(&column::SLOTS);
+    let connections = row.number(&column::CONNECTIONS);
+    rule.connections(row, slots, connections);
+    let queue = row.number(&column::QUEUE);
+    let deadline = row.span(&column::DEADLINE);
+    let divided_by_key = row.flag(&column::DIVIDED_BY_KEY);
+    let slices = row.number(&column::SLICES);
+    let idempotent_methods = methods(row);
+    let retry_percent = row.number(&column::RETRY_PERCENT);
+    let slow_start = row.span(&column::SLOW_START);
+    let reserved_percent = row.number(&column::RESERVED_PERCENT);
+    let id_window = row.span(&column::ID_WINDOW);
+    rule.window(row, deadline, id_window);
+    let moves_per_minute = row.number(&column::MOVES_PER_MINUTE);
+    let hot_key_percent = row.number(&column::HOT_KEY_PERCENT);
+    let targets = targets(row, rule);
+    row.finish();
+    let service = Service {
+        targets,
+        slots: slots.unwrap_or_default(),
+        connections: connections.unwrap_or_default(),
+        queue: queue.unwrap_or_default(),
+        deadline: deadline.unwrap_or_default(),
+        divided_by_key,
+        slices: slices.unwrap_or_default(),
+        idempotent_methods,
+        retry_percent: retry_percent.unwrap_or_default(),
+        slow_start: slow_start.unwrap_or_default(),
+        reserved_percent: reserved_percent.unwrap_or_default(),
+        id_window: id_window.unwrap_or_default(),
+        moves_per_minute: moves_per_minute.unwrap_or_default(),
+        hot_key_percent: hot_key_percent.unwrap_or_default(),
+    };
+    Some((name?, service))
+}
+
+fn methods(row: &Row) -> BTreeSet<String> {
+    const FIELD: &str = "idempotent_methods";
+    let Some(value) = row.get(FIELD) else {
+        return column::SAFE_METHODS.map(str::to_owned).into();
+    };
+    let Some(items) = value.as_array() else {
+        let remedy = "write the methods in brackets: [\"GET\", \"HEAD\"]";
+        row.reject(FIELD, &value.to_string(), "a list of HTTP methods", remedy);
+        return BTreeSet::new();
+    };
+    let mut methods = BTreeSet::new();
+    for (number, item) in items.iter().enumerate() {
+        let method = item.as_str().unwrap_or_default();
+        let field = format!("{FIELD}[{number}]");
+        if method.is_empty() || !method.bytes().all(|b| b.is_ascii_uppercase() || b == b'-') {
+            let remedy = "write a method such as \"GET\"";
+            row.reject(&field, &item.to_string(), "a method in upper case", remedy);
+        } else if !methods.insert(method.to_owned()) {
+            row.reject(
+                &field,
+                &item.to_string(),
+                "each method once",
+                "remove one of the two",
+            );
+        }
+    }
+    methods
+}
+
+fn targets(row: &Row, rule: &mut rule::Rule) -> BTreeMap<name::Target, Target> {
+    let Some(rows) = row.rows("targets") else {
+        return BTreeMap::new();
+    };
+    let (weights, targets): (Vec<_>, Vec<_>) = rows.iter().map(|row| target(row, rule)).unzip();
+    rule.weights(row, &weights);
+    targets.into_iter().flatten().collect()
+}
+
+fn target(row: &Row, rule: &mut rule::Rule) -> (Option<u32>, Option<(name::Target, Target)>) {
+    let name: Option<name::Target> = row.name("name");
+    if let Some(name) = &name {
+        rule.target_name(row, name);
+    }
+    let range = "an IP number and a port such as 127.0.0.1:8080";
+    let address: Option<SocketAddr> = row.text("address", range, "write numbers, not a host name");
+    let address = address.filter(|address| rule.address(row, *address));
+    let data_centre: Option<name::DataCentre> = row.name("data_centre");
+    let data_centre = data_centre.filter(|name| rule.data_centre(row, name));
+    let weight = row.number(&column::WEIGHT);
+    let checks_epoch = row.flag(&column::CHECKS_EPOCH);
+    row.finish();
+    let target = || {
+        let target = Target {
+            address: address?,
+            data_centre: data_centre?,
+            weight: weight?,
+            checks_epoch,
+        };
+        Some((name?, target))
+    };
+    (weight, target())
+}
