Add the operators' command line

Cause: operators need to check, compare, apply and revert the table, drain hosts, targets and data centres, and see who owns what, without a change ever being reported done or not done wrongly. Change: binary ragwortrill with 20 commands; api.rs defines the operators' HTTP interface; a change is repeated with one id only while its outcome is unknown. ntex reports a connection that closes after the send as a connect error, so only connect errors with an operating system cause count as not sent.

--- /dev/null
+++ b/crates/cli/src/command.rs
@@ -0,0 +1,188 @@
+//! The commands, with their arguments, options and examples.
+
+use ragwortrill_core::sheet::suggest;
+
+use crate::{
+    arguments::Arguments, change, context::Context, error::Error, look, option, page::Page, status,
+    table,
+};
+
+/// A command.
+pub(crate) struct Command {
+    pub(crate) name: &'static str,
+    /// Names of the words after the command's name; those in brackets may be left out.
+    pub(crate) words: &'static [&'static str],
+    pub(crate) options: &'static [&'static [&'static str]],
+    pub(crate) summary: &'static str,
+    pub(crate) examples: &'static [&'static str],
+    pub(crate) run: fn(&Context) -> Result<Page, Error>,
+}
+
+const READ: &[&str] = &["--daemon"];
+const CHANGE: &[&str] = &[
+    "--reason",
+    "--actor",
+    "--id",
+    "--daemon",
+    "--token-file",
+    "--timeout",
+];
+
+macro_rules! command {
+    ($name:literal $words:tt $options:tt $run:path, $summary:literal, $examples:expr) => {
+        Command {
+            name: $name,
+            words: &$words,
+            options: &$options,
+            summary: $summary,
+            examples: &$examples,
+            run: $run,
+        }
+    };
+}
+
+/// All commands, in the order in which help shows them.
+#[rustfmt::skip]
+pub(crate) const ALL: [Command; 20] = [
+    command!("table check" ["FILE"] [] table::check,
+        "check a table file; needs no daemon",
+        ["ragwortrill table check table.json"]),
+    command!("table diff" ["FILE", "[FILE]"] [READ] table::diff,
+        "show the differences between two files, or between a daemon's table and a file",
+        ["ragwortrill table diff old.json new.json", "ragwortrill table diff table.json"]),
+    command!("table apply" ["FILE"] [&["--base"], CHANGE] table::apply,
+        "replace the table by a file",
+        ["ragwortrill table apply table.json --base 12 --reason 'add plans-9'"]),
+    command!("table show" ["[VERSION]"] [&["--sheet"], READ] table::show,
+        "show the current table or an earlier version",
+        ["ragwortrill table show", "ragwortrill table show --sheet > table.json"]),
+    command!("table history" [] [READ] table::history,
+        "list the versions of the table",
+        ["ragwortrill table history"]),
+    command!("table revert" ["VERSION"] [&["--base"], CHANGE] table::revert,
+        "make an earlier version the current table again",
+        ["ragwortrill table revert 11 --reason 'plans-9 is not ready'"]),
+    command!("host drain" ["HOST"] [CHANGE] change::drain_host,
+        "let a host's daemon hand over its work",
+        ["ragwortrill host drain entry-3 --reason 'kernel update'"]),
+    command!("host return" ["HOST"] [CHANGE] change::return_host,
+        "let a host's daemon have work again",
+        ["ragwortrill host return entry-3 --reason 'kernel updated'"]),
+    command!("host lost" ["HOST|PROCESS"] [CHANGE] change::lose_host,
+        "assert that a daemon has ended for good, so that its targets are taken over sooner",
+        ["ragwortrill host lost entry-3 --reason 'power supply burnt'",
+         "ragwortrill host lost entry-3/5f21 --reason 'power supply burnt'"]),
+    command!("dc out" ["DATA_CENTRE"] [CHANGE] change::drain_data_centre,
+        "take a data centre out of service",
+        ["ragwortrill dc out northam --reason 'cooling failed'"]),
+    command!("dc return" ["DATA_CENTRE"] [CHANGE] change::return_data_centre,
+        "return a data centre to service",
+        ["ragwortrill dc return northam --reason 'cooling repaired'"]),
+    command!("target drain" ["TARGET"] [CHANGE] change::drain_target,
+        "take a target out of service",
+        ["ragwortrill target drain orders-1 --reason 'disk errors'"]),
+    command!("target return" ["TARGET"] [CHANGE] change::return_target,
+        "return a target to service",
+        ["ragwortrill target return orders-1 --reason 'disk replaced'"]),
+    command!("status" [] [READ] status::status,
+        "show the hosts, targets and warnings that a daemon sees",
+        ["ragwortrill status --daemon 127.0.0.1:9000"]),
+    command!("owners" [] [&["--service", "--key"], READ] look::owners,
+        "show which targets own keys and which processes hold the targets",
+        ["ragwortrill owners --service orders", "ragwortrill owners --service orders --key 1701"]),
+    command!("audit" [] [&["--since", "--service", "--limit"], READ] look::audit,
+        "list the records of the log",
+        ["ragwortrill audit --since 4100 --service orders --limit 50"]),
+    command!("explain" ["KEY"] [&["--service"], READ] look::explain,
+        "explain where a key is served and why",
+        ["ragwortrill explain 1701 --service orders"]),
+    command!("request" ["ID"] [READ] look::request,
+        "show how far a request got",
+        ["ragwortrill request 0123456789abcdef-0123456789abcdef"]),
+    command!("release" ["FINGERPRINT"] [CHANGE] change::release,
+        "release requests from quarantine",
+        ["ragwortrill release 0123456789abcdef --reason 'parser fixed'"]),
+    command!("help" ["[COMMAND]", "[COMMAND]"] [] crate::help::command,
+        "show help for a command",
+        ["ragwortrill help table apply"]),
+];
+
+impl Command {
+    /// Finds the command that words begin with. Returns it with the words after its name.
+    pub(crate) fn find(words: &[String]) -> Result<(&'static Self, &[String]), Error> {
+        if words.is_empty() {
+            let hint = "run 'ragwortrill --help' for the commands";
+            return Err(Error::usage("no command is given", hint));
+        }
+        for count in (1..=words.len().min(2)).rev() {
+            let (name, rest) = words.split_at(count);
+            let name = name.join(" ");
+            if let Some(command) = ALL.iter().find(|command| command.name == name) {
+                return Ok((command, rest));
+            }
+        }
+        Err(unknown(words))
+    }
+
+    /// Checks the number of words and that the command has the given options.
+    pub(crate) fn check(&self, arguments: &Arguments, words: &[String]) -> Result<(), Error> {
+        let usage = || format!("usage: {}", self.usage());
+        if let Some(word) = words.get(self.words.len()) {
+            let message = format!("{word:?} is one word too many for '{}'", self.name);
+            return Err(Error::usage(message, usage()));
+        }
+        let missing = self.words[words.len()..].first();
+        if let Some(word) = missing.filter(|word| !word.starts_with('[')) {
+            let message = format!("{word} is missing after '{}'", self.name);
+            return Err(Error::usage(message, usage()));
+        }
+        let accepted = || self.accepted();
+        let Some(option) = arguments
+            .options
+            .keys()
+            .find(|o| !accepted().any(|a| a == **o))
+        else {
+            return Ok(());
+        };
+        let hint = match suggest(option, accepted()) {
+            Some(near) => format!("did you mean {near}?"),
+            None => format!("run 'ragwortrill help {}'", self.name),
+        };
+        let message = format!("{option} is not an option of '{}'", self.name);
+        Err(Error::usage(message, hint))
+    }
+
+    fn accepted(&self) -> impl Iterator<Item = &'static str> {
+        let own = self.options.iter().copied();
+        own.chain([option::COMMON]).flatten().copied()
+    }
+
+    /// Returns the command line with the names of its words.
+    pub(crate) fn usage(&self) -> String {
+        let words = [&["ragwortrill", self.name], self.words].concat();
+        words.join(" ")
+    }
+}
+
+/// Words are matched one by one, so that `tabel chekc` suggests `table check`.
+fn unknown(words: &[String]) -> Error {
+    let typed = words[..words.len().min(2)].join(" ");
+    let first = || {
+        ALL.iter()
+            .filter_map(|command| command.name.split(' ').next())
+    };
+    let group = suggest(&words[0], first()).unwrap_or(&words[0]);
+    let prefix = format!("{group} ");
+    let members = || ALL.iter().filter_map(|c| c.name.strip_prefix(&prefix));
+    let member = words.get(1).and_then(|word| suggest(word, members()));
+    let hint = match member {
+        Some(member) => format!("did you mean '{group} {member}'?"),
+        None if members().next().is_some() => {
+            let members: Vec<&str> = members().collect();
+            format!("'{group}' has the commands {}", members.join(", "))
+        }
+        None if first().any(|name| name == group) => format!("did you mean '{group}'?"),
+        None => "run 'ragwortrill --help'".to_owned(),
+    };
+    Error::usage(format!("'{typed}' is not a command"), hint)
+}
--- /dev/null
+++ b/crates/cli/src/context.rs
@@ -0,0 +1,147 @@
+//! Settings of one run: words, options and environment.
+
+use std::{
+    env, fs,
+    path::{Path, PathBuf},
+    str::FromStr,
+};
+
+use ragwortrill_core::{name, sheet::Sheet, time::Span};
+
+use crate::{arguments::Arguments, client::Client, error::Error};
+
+/// Default time for which a change is tried again.
+const DEFAULT_TIMEOUT: Span = Span::from_secs(15);
+
+/// Words, options and environment of a command.
+pub(crate) struct Context<'a> {
+    arguments: &'a Arguments,
+    pub(crate) words: &'a [String],
+}
+
+impl<'a> Context<'a> {
+    pub(crate) fn new(arguments: &'a Arguments, words: &'a [String]) -> Self {
+        Self { arguments, words }
+    }
+
+    pub(crate) fn has(&self, option: &str) -> bool {
+        self.arguments.has(option)
+    }
+
+    pub(crate) fn option(&self, name: &str) -> Option<&str> {
+        self.arguments.options.get(name).map(String::as_str)
+    }
+
+    /// Parses an option's value.
+    pub(crate) fn parsed<T: FromStr<Err: ToString>>(&self, name: &str) -> Result<Option<T>, Error> {
+        let parse = |text: &str| {
+            let value = text.parse();
+            value.map_err(|error: T::Err| {
+                let message = format!("{name}: {}", describe(text, &error.to_string()));
+                Error::usage(message, "run 'ragwortrill --help'")
+            })
+        };
+        self.option(name).map(parse).transpose()
+    }
+
+    /// Parses a word.
+    pub(crate) fn word<T: FromStr<Err: ToString>>(&self, index: usize) -> Result<T, Error> {
+        let text = &self.words[index];
+        text.parse().map_err(|error: T::Err| {
+            Error::usage(
+                describe(text, &error.to_string()),
+                "run 'ragwortrill --help'",
+            )
+        })
+    }
+
+    pub(crate) fn service(&self) -> Result<Option<name::Service>, Error> {
+        self.parsed("--service")
+    }
+
+    pub(crate) fn timeout(&self) -> Result<Span, Error> {
+        Ok(self.parsed("--timeout")?.unwrap_or(DEFAULT_TIMEOUT))
+    }
+
+    /// Returns the client of the chosen daemon.
+    pub(crate) fn client(&self) -> Result<Client, Error> {
+        let variable = variable("RAGWORTRILL_DAEMON");
+        let text = self.option("--daemon").map(str::to_owned).or(variable);
+        let text = text.ok_or_else(|| {
+            let hint = "give --daemon IP:PORT or set RAGWORTRILL_DAEMON";
+            Error::usage("no daemon is named", hint)
+        })?;
+        let daemon = text.parse().map_err(|_| {
+            let hint = "write an IP number and the operators' port, such as 127.0.0.1:9000";
+            Error::usage(format!("{text:?} is not a daemon's address"), hint)
+        })?;
+        Ok(Client { daemon })
+    }
+
+    /// Returns the token that permits changes.
+    pub(crate) fn token(&self) -> Result<String, Error> {
+        let token = match self.option("--token-file") {
+            Some(path) => Some(read(Path::new(path))?),
+            None => variable("RAGWORTRILL_TOKEN"),
+        };
+        let token = token.map(|token| token.trim().to_owned());
+        match token {
+            Some(token) if !token.is_empty() && token.bytes().all(|b| b.is_ascii_graphic()) => {
+                Ok(token)
+            }
+            Some(_) => Err(Error::usage(
+                "the token is empty or has characters other than visible ASCII",
+                "check --token-file or RAGWORTRILL_TOKEN",
+            )),
+            None => Err(Error::usage(
+                "a change needs a token",
+                "give --token-file FILE or set RAGWORTRILL_TOKEN",
+            )),
+        }
+    }
+
+    pub(crate) fn actor(&self) -> Result<String, Error> {
+        let actor = self.option("--actor").map(str::to_owned);
+        actor.or_else(|| variable("USER")).ok_or_else(|| {
+            Error::usage("a change needs to state who makes it", "give --actor NAME")
+        })
+    }
+
+    pub(crate) fn reason(&self) -> Result<String, Error> {
+        let reason = self.option("--reason").map(str::trim).unwrap_or_default();
+        match reason.is_empty() {
+            true => Err(Error::usage(
+                "a change needs a reason",
+                "give --reason TEXT",
+            )),
+            false => Ok(reason.to_owned()),
+        }
+    }
+
+    /// Reads and parses the table file that a word names.
+    pub(crate) fn sheet(&self, index: usize) -> Result<Sheet, Error> {
+        let path = PathBuf::from(&self.words[index]);
+        let text = read(&path)?;
+        Sheet::parse(&text).map_err(|faults| Error::Faults { path, faults })
+    }
+}
+
+/// Adds the text to an error that doesn't quote it.
+fn describe(text: &str, error: &str) -> String {
+    let quoted = format!("{text:?}");
+    match error.contains(&quoted) {
+        true => error.to_owned(),
+        false => format!("{quoted}: {error}"),
+    }
+}
+
+fn variable(name: &str) -> Option<String> {
+    env::var(name).ok().filter(|value| !value.is_empty())
+}
+
+fn read(path: &Path) -> Result<String, Error> {
+    fs::read_to_string(path).map_err(|cause| Error::File {
+        path: path.to_owned(),
+        cause,
+    })
+}
--- /dev/null
+++ b/crates/cli/src/look.rs
@@ -0,0 +1,130 @@
+//! Commands that show owners, records and requests.
+
+use ragwortrill_core::{
+    report::{Audit, Explanation, Owner, Request},
+    request,
+};
+
+use crate::{
+    api,
+    context::Context,
+    error::Error,
+    grid::{self, cell, join},
+    page::Page,
+    status::contract,
+};
+
+/// Shows which targets own keys.
+pub(crate) fn owners(context: &Context) -> Result<Page, Error> {
+    let service = context.service()?.map(|name| name.to_string());
+    let key = context.option("--key");
+    if key.is_some() && service.is_none() {
+        return Err(Error::usage("--key needs a service", "give --service NAME"));
+    }
+    let query = [("service", service.as_deref()), ("key", key)];
+    let owners: Vec<Owner> = context.client()?.get(api::OWNERS, &given(&query))?;
+    let row = |owner: &Owner| {
+        let (epoch, holder) = contract(owner.contract.as_ref());
+        let standbys = owner.contract.iter().flat_map(|c| &c.standbys);
+        [
+            owner.service.to_string(),
+            owner.target.to_string(),
+            owner.data_centre.to_string(),
+            owner.slices.to_string(),
+            owner.keys.to_string(),
+            epoch,
+            holder,
+            join(standbys),
+        ]
+    };
+    let rows: Vec<_> = owners.iter().map(row).collect();
+    let heading = [
+        "service",
+        "target",
+        "data centre",
+        "slices",
+        "hot keys",
+        "epoch",
+        "holder",
+        "standbys",
+    ];
+    Ok(Page::new(grid::render(heading, &rows), owners))
+}
+
+/// Lists records of the log.
+pub(crate) fn audit(context: &Context) -> Result<Page, Error> {
+    let since = context.parsed::<u64>("--since")?.map(|n| n.to_string());
+    let limit = context.parsed::<u32>("--limit")?.map(|n| n.to_string());
+    let service = context.service()?.map(|name| name.to_string());
+    let query = [
+        ("since", since.as_deref()),
+        ("service", service.as_deref()),
+        ("limit", limit.as_deref()),
+    ];
+    let records: Vec<Audit> = context.client()?.get(api::AUDIT, &given(&query))?;
+    let row = |record: &Audit| {
+        [
+            record.offset.to_string(),
+            grid::time(record.written_ms),
+            record.actor.clone(),
+            format!("{:?}", record.effect).to_lowercase(),
+            record.text.clone(),
+            record.reason.clone(),
+            record.id.to_string(),
+        ]
+    };
+    let rows: Vec<_> = records.iter().map(row).collect();
+    let heading = [
+        "offset", "written", "actor", "effect", "record", "reason", "id",
+    ];
+    Ok(Page::new(grid::render(heading, &rows), records))
+}
+
+/// Explains where a key is served.
+pub(crate) fn explain(context: &Context) -> Result<Page, Error> {
+    let Some(service) = context.service()? else {
+        return Err(Error::usage(
+            "a key belongs to a service",
+            "give --service NAME",
+        ));
+    };
+    let query = [("service", service.as_str()), ("key", &context.words[0])];
+    let explanation: Explanation = context.client()?.get(api::EXPLAIN, &query)?;
+    let why = explanation.why.iter().map(|reason| format!("  {reason}\n"));
+    let text = format!(
+        "key      {} of {}\nhash     {}\nslice    {}\ntarget   {}\nholder   {}\nepoch    {}\nwhy\n{}",
+        context.words[0],
+        explanation.service,
+        explanation.hash,
+        explanation.slice,
+        explanation.target,
+        cell(explanation.holder.as_ref()),
+        cell(explanation.epoch),
+        String::from_iter(why),
+    );
+    Ok(Page::new(text, explanation))
+}
+
+/// Shows how far a request got.
+pub(crate) fn request(context: &Context) -> Result<Page, Error> {
+    let id: request::Id = context.word(0)?;
+    let request: Request = context
+        .client()?
+        .get(&format!("{}/{id}", api::REQUESTS), &[])?;
+    let text = format!(
+        "request   {}\nprogress  {}\nstatus    {}\ntarget    {}\nepoch     {}\n",
+        request.id,
+        format!("{:?}", request.progress).to_lowercase(),
+        cell(request.status),
+        cell(request.target.as_ref()),
+        cell(request.epoch),
+    );
+    Ok(Page::new(text, request))
+}
+
+fn given<'a>(query: &[(&'a str, Option<&'a str>)]) -> Vec<(&'a str, &'a str)> {
+    let given = query
+        .iter()
+        .filter_map(|(name, value)| Some((*name, (*value)?)));
+    given.collect()
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,7 @@
-//! Placeholder entry point.
+//! The operators' command line.
 
-fn main() {}
+use std::{env, process::ExitCode};
+
+fn main() -> ExitCode {
+    ragwortrill_cli::run(env::args_os().skip(1).collect())
+}
--- /dev/null
+++ b/crates/cli/src/table.rs
@@ -0,0 +1,214 @@
+//! Commands of the table.
+
+use ntex::http::StatusCode;
+use ragwortrill_core::{
+    number::Version,
+    record::Record,
+    report::{Conflict, Edition, Revision},
+    sheet::{self, Sheet},
+    table::{Service, Table},
+};
+use serde_json::json;
+
+use crate::{
+    api, change,
+    client::{Broken, Client},
+    context::Context,
+    dispute::Dispute,
+    error::Error,
+    grid,
+    page::Page,
+    submit::submit,
+};
+
+/// Checks a file.
+pub(crate) fn check(context: &Context) -> Result<Page, Error> {
+    let sheet = context.sheet(0)?;
+    let services = sheet.table.services.len();
+    let targets: usize = sheet
+        .table
+        .services
+        .values()
+        .map(|row| row.targets.len())
+        .sum();
+    let text = format!(
+        "{}: {}, {}, no faults",
+        context.words[0],
+        grid::count(services, "service"),
+        grid::count(targets, "target"),
+    );
+    let value = json!({"file": context.words[0], "services": services, "targets": targets});
+    Ok(Page::new(text, value))
+}
+
+/// Compares two files, or a daemon's table with a file.
+pub(crate) fn diff(context: &Context) -> Result<Page, Error> {
+    let first = context.sheet(0)?.table;
+    let changes = match context.words.len() {
+        1 => sheet::diff(&current(context.client()?)?.table, &first),
+        _ => sheet::diff(&first, &context.sheet(1)?.table),
+    };
+    let text = match changes.is_empty() {
+        true => "no differences\n".to_owned(),
+        false => lines(&changes),
+    };
+    Ok(Page::new(text, changes))
+}
+
+/// Replaces the table by a file.
+pub(crate) fn apply(context: &Context) -> Result<Page, Error> {
+    let sheet = context.sheet(0)?;
+    let base = base(context, sheet.version)?;
+    replace(context, base, sheet.table, |current| {
+        format!(
+            "To rebase, run 'ragwortrill table show {current} --sheet > rebased.json', enter your \
+             changes there, and apply that file; it states its base."
+        )
+    })
+}
+
+fn base(context: &Context, stated: Option<Version>) -> Result<Version, Error> {
+    match (context.parsed("--base")?, stated) {
+        (Some(base), Some(stated)) if base != stated => Err(Error::usage(
+            format!("--base is {base} but the file states version {stated}"),
+            "correct the one that the file was not edited from",
+        )),
+        (Some(version), _) | (None, Some(version)) => Ok(version),
+        (None, None) => Err(Error::usage(
+            "the version that the file was edited from is missing",
+            "give --base VERSION, or a top-level \"version\" in the file",
+        )),
+    }
+}
+
+/// Makes an earlier version current again.
+pub(crate) fn revert(context: &Context) -> Result<Page, Error> {
+    let client = context.client()?;
+    let table = version(client, context.word(0)?)?;
+    let base = match context.parsed("--base")? {
+        Some(base) => base,
+        None => current(client)?.version,
+    };
+    replace(context, base, table, |current| {
+        format!("To give up these changes and revert all the same, add --base {current}.")
+    })
+}
+
+fn replace(
+    context: &Context,
+    base: Version,
+    table: Table,
+    remedy: impl FnOnce(Version) -> String,
+) -> Result<Page, Error> {
+    let record = Record::Table {
+        base,
+        table: table.clone(),
+    };
+    match submit(context, record) {
+        Ok(outcome) => Ok(change::describe("table", &outcome)),
+        Err(Error::NotDone(Broken::Status(refusal))) if refusal.status == StatusCode::CONFLICT => {
+            let client = context.client()?;
+            let conflict: Conflict = client.decode(&refusal.body)?;
+            let before = version(client, base).ok();
+            let remedy = remedy(conflict.version);
+            let dispute = Dispute::new(base, before.as_ref(), &table, &conflict, remedy);
+            Err(Error::Conflict(Box::new(dispute)))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// Shows the current table or an earlier version.
+pub(crate) fn show(context: &Context) -> Result<Page, Error> {
+    let client = context.client()?;
+    let edition = match context.words.is_empty() {
+        true => current(client)?,
+        false => {
+            let number = context.word(0)?;
+            let table = version(client, number)?;
+            Edition {
+                version: number,
+                table,
+            }
+        }
+    };
+    if context.has("--sheet") {
+        let sheet = Sheet {
+            version: Some(edition.version),
+            table: edition.table.clone(),
+        };
+        return Ok(Page::new(sheet.render(), edition));
+    }
+    let text = format!("version {}\n\n{}", edition.version, spread(&edition.table));
+    Ok(Page::new(text, edition))
+}
+
+/// Lists the versions of the table.
+pub(crate) fn history(context: &Context) -> Result<Page, Error> {
+    let revisions: Vec<Revision> = context.client()?.get(api::HISTORY, &[])?;
+    let heading = ["version", "offset", "written", "actor", "reason"];
+    let row = |revision: &Revision| {
+        [
+            revision.version.to_string(),
+            revision.offset.to_string(),
+            grid::time(revision.written_ms),
+            revision.actor.clone(),
+            revision.reason.clone(),
+        ]
+    };
+    let rows: Vec<_> = revisions.iter().map(row).collect();
+    Ok(Page::new(grid::render(heading, &rows), revisions))
+}
+
+fn current(client: Client) -> Result<Edition, Broken> {
+    client.get(api::TABLE, &[])
+}
+
+fn version(client: Client, version: Version) -> Result<Table, Broken> {
+    client.get(&format!("{}/{version}", api::HISTORY), &[])
+}
+
+fn spread(table: &Table) -> String {
+    let heading = [
+        "service",
+        "targets",
+        "slots",
+        "connections",
+        "queue",
+        "deadline",
+        "by key",
+        "slices",
+        "idempotent",
+        "retry %",
+        "slow start",
+        "reserved %",
+        "id window",
+        "moves/min",
+        "hot key %",
+    ];
+    let row = |(name, row): (&ragwortrill_core::name::Service, &Service)| {
+        [
+            name.to_string(),
+            row.targets.len().to_string(),
+            row.slots.to_string(),
+            row.connections.to_string(),
+            row.queue.to_string(),
+            row.deadline.to_string(),
+            if row.divided_by_key { "yes" } else { "no" }.to_owned(),
+            row.slices.to_string(),
+            grid::join(&row.idempotent_methods),
+            row.retry_percent.to_string(),
+            row.slow_start.to_string(),
+            row.reserved_percent.to_string(),
+            row.id_window.to_string(),
+            row.moves_per_minute.to_string(),
+            row.hot_key_percent.to_string(),
+        ]
+    };
+    let rows: Vec<_> = table.services.iter().map(row).collect();
+    grid::render(heading, &rows)
+}
+
+fn lines(changes: &[sheet::Change]) -> String {
+    changes.iter().map(|change| format!("{change}\n")).collect()
+}
