Add admission, health, balance and quarantine to the core

The core had the shared state but no decisions under load. Add them as plain structs without clock, thread or log: admission::Queue, retry::Budget, health::Health with ramp::Ramp, hint::Hint and latency::Histogram, choice::Choice and choice::Hedge, sketch::Sketch, balance::Plan, quarantine::Quarantine.

--- /dev/null
+++ b/crates/core/src/balance.rs
@@ -0,0 +1,336 @@
+//! Plans which slices and hot keys move between a service's targets.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    key::Digest,
+    ledger::Assignment,
+    name,
+    pace::Pace,
+    record::Share,
+    table,
+    tally::Tally,
+    time::{Instant, Span},
+};
+
+/// Limits of a service's moves.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Load per weight from which a target gives slices away, in per cent of the mean.
+    pub bound_percent: u64,
+    /// Load per weight down to which it gives them away, in per cent of the mean.
+    pub aim_percent: u64,
+    /// Time for which the bound must be exceeded before slices move.
+    pub lasting: Span,
+    /// Time for which a moved slice stays, unless its target leaves.
+    pub stay: Span,
+    /// Least improvement that justifies a move, in per mille of the mean.
+    pub cost_per_mille: u64,
+    /// Load that a receiver may get in ten seconds, in per cent of the mean.
+    pub receive_percent: u64,
+    /// Time in which a leaving target is emptied.
+    pub drain: Span,
+    /// Most moves in a minute, except from targets that leave or are lost.
+    pub moves_per_minute: u32,
+    /// Load from which a key is placed apart, in per cent of the mean of a target.
+    pub hot_key_percent: u64,
+}
+
+/// What a target may give and take.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Condition {
+    /// It gives and takes.
+    Takes,
+    /// It keeps what it has or gives some away, and takes nothing.
+    Keeps,
+    /// Operators want it empty.
+    Leaves,
+    /// It answers nothing, and its last grant has expired.
+    Gone,
+}
+
+/// A target as the plan sees it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// What it bears relative to the others: its weight in the table times its capacity.
+    pub weight: u32,
+    /// What it may give and take.
+    pub condition: Condition,
+}
+
+/// State of one service.
+#[derive(Clone, Debug)]
+pub struct View<'a> {
+    /// Current owners.
+    pub assignment: &'a Assignment,
+    /// The service's targets.
+    pub targets: &'a BTreeMap<name::Target, Target>,
+    /// Load of each slice, without keys that are placed apart.
+    pub slices: &'a [u64],
+    /// Load of keys that are hot or placed apart.
+    pub keys: &'a BTreeMap<Digest, u64>,
+}
+
+/// A planned move.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Move {
+    /// What moves.
+    pub share: Share,
+    /// Its owner.
+    pub from: name::Target,
+    /// Its new owner.
+    pub to: name::Target,
+}
+
+/// Planner of one service's moves.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    settings: Settings,
+    pace: Pace,
+    moved: BTreeMap<Share, Instant>,
+    leaving: BTreeMap<name::Target, (Instant, usize)>,
+    exceeded: Option<Instant>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            bound_percent: 125,
+            aim_percent: 120,
+            lasting: Span::from_secs(2),
+            stay: Span::from_secs(60),
+            cost_per_mille: 10,
+            receive_percent: 25,
+            drain: Span::from_secs(3),
+            moves_per_minute: 60,
+            hot_key_percent: 10,
+        }
+    }
+}
+
+impl From<&table::Service> for Settings {
+    fn from(row: &table::Service) -> Self {
+        Self {
+            moves_per_minute: row.moves_per_minute,
+            hot_key_percent: u64::from(row.hot_key_percent),
+            ..Self::default()
+        }
+    }
+}
+
+impl Plan {
+    /// Creates a planner that has moved nothing yet.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            pace: Pace::new(settings.moves_per_minute),
+            moved: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            exceeded: None,
+            settings,
+        }
+    }
+
+    /// Notes a move that the log shows, planned by whichever holder.
+    pub fn note(&mut self, now: Instant, share: Share) {
+        self.moved.insert(share, now);
+    }
+
+    /// Returns the moves to make now. The caller makes those whose source it holds.
+    pub fn next(&mut self, now: Instant, view: &View) -> Vec<Move> {
+        self.pace.refill(now);
+        let stay = self.settings.stay;
+        self.moved.retain(|_, at| now.since(*at) < stay);
+        let mut tally = Tally::new(view);
+        let mut moves = Vec::new();
+        self.empty(now, view, &mut tally, &mut moves);
+        self.merge(now, view, &mut tally, &mut moves);
+        self.level(now, view, &mut tally, &mut moves);
+        moves
+    }
+
+    /// Empties targets that are gone, at once, and those that leave, evenly over the drain time.
+    fn empty<'a>(
+        &mut self,
+        now: Instant,
+        view: &'a View,
+        tally: &mut Tally<'a>,
+        moves: &mut Vec<Move>,
+    ) {
+        self.leaving.retain(|name, _| {
+            let target = view.targets.get(name);
+            target.is_some_and(|t| t.condition == Condition::Leaves)
+        });
+        for (from, target) in view.targets {
+            let count = match target.condition {
+                Condition::Gone => usize::MAX,
+                Condition::Leaves => self.due(now, view, from),
+                _ => continue,
+            };
+            let mut owned = view.owned(from);
+            owned.sort_by_key(|(share, load)| (std::cmp::Reverse(*load), *share));
+            for (share, load) in owned.into_iter().take(count) {
+                let Some(to) = tally.lowest(load, |_| true) else {
+                    return;
+                };
+                self.add(now, tally, moves, (share, load), from, to);
+            }
+        }
+    }
+
+    /// Returns how many shares a leaving target gives away in this step.
+    fn due(&mut self, now: Instant, view: &View, from: &name::Target) -> usize {
+        let left = view.owned(from).len();
+        let (began, total) = *self.leaving.entry(from.clone()).or_insert((now, left));
+        let elapsed = now.since(began).0;
+        let done = total.saturating_sub(left) as u64;
+        let due = (total as u64 * elapsed).div_ceil(self.settings.drain.0.max(1));
+        (due.max(1).saturating_sub(done) as usize).min(left)
+    }
+
+    /// Returns keys that cooled down to the owner of their slice.
+    fn merge<'a>(
+        &mut self,
+        now: Instant,
+        view: &'a View,
+        tally: &mut Tally<'a>,
+        moves: &mut Vec<Move>,
+    ) {
+        let cool = self.hot(tally) / 2;
+        for (key, from) in &view.assignment.keys {
+            let load = view.key_load(*key);
+            let slice = key.slice(view.assignment.slices.len() as u32);
+            let Some(home) = view.assignment.slices.get(slice.0 as usize) else {
+                continue;
+            };
+            let takes = |name| view.targets.get(name).map(|t: &Target| t.condition);
+            let stays = self.moved.contains_key(&Share::Key(*key))
+                || takes(home) != Some(Condition::Takes)
+                || moves.iter().any(|m| m.share == Share::Key(*key));
+            if load >= cool || stays || !self.pace.has_move() {
+                continue;
+            }
+            self.pace.take_move();
+            self.add(now, tally, moves, (Share::Merge(*key), load), from, home);
+        }
+    }
+
+    /// Moves the fewest shares that bring each target's load under the bound.
+    fn level<'a>(
+        &mut self,
+        now: Instant,
+        view: &'a View,
+        tally: &mut Tally<'a>,
+        moves: &mut Vec<Move>,
+    ) {
+        let mean = tally.mean();
+        let bound = mean * self.settings.bound_percent / 100;
+        let is_over = |tally: &Tally| tally.highest().is_some_and(|t| tally.level(t, 0) > bound);
+        if !is_over(tally) {
+            self.exceeded = None;
+            return;
+        }
+        let since = *self.exceeded.get_or_insert(now);
+        if now.since(since) < self.settings.lasting {
+            return;
+        }
+        let mut from = tally.highest();
+        while let Some(source) = from.filter(|t| tally.level(t, 0) > bound) {
+            while self.pace.has_move()
+                && tally.level(source, 0) > mean * self.settings.aim_percent / 100
+            {
+                let Some((item, to)) = self.best(now, view, tally, moves, source) else {
+                    return;
+                };
+                self.pace.take_move();
+                self.add(now, tally, moves, item, source, to);
+            }
+            from = tally.highest().filter(|_| self.pace.has_move());
+        }
+    }
+
+    /// Finds the share to take from `source`: the smallest that suffices alone, or else the
+    /// largest that its receiver has room for, or else the one that lowers the maximum most.
+    fn best<'a>(
+        &self,
+        now: Instant,
+        view: &'a View,
+        tally: &Tally<'a>,
+        moves: &[Move],
+        source: &name::Target,
+    ) -> Option<((Share, u64), &'a name::Target)> {
+        let mean = tally.mean();
+        let aim = mean * self.settings.aim_percent / 100;
+        let to = tally.lowest(0, |name| name != source && self.bears(now, tally, name))?;
+        let highest = tally.level(source, 0);
+        let gain = |load: u64| {
+            let after = tally.level_less(source, load).max(tally.level(to, load));
+            highest.saturating_sub(after)
+        };
+        let mut items = self.items(view, tally, moves, source);
+        // With many small slices, none is worth the cost of a move by itself.
+        let usual = tally.level(source, 0) / (items.len() as u64).max(1) / 2;
+        let worth = (mean * self.settings.cost_per_mille / 1_000)
+            .min(usual)
+            .max(1);
+        items.retain(|(_, load)| gain(*load) >= worth);
+        let fits = |load: u64| tally.level(to, load) <= aim;
+        let suffices = |load: u64| tally.level_less(source, load) <= aim;
+        let rank = |(share, load): &(Share, u64)| match (fits(*load), suffices(*load)) {
+            (true, true) => (2, u64::MAX - load, *share),
+            (true, false) => (1, *load, *share),
+            (false, _) => (0, gain(*load), *share),
+        };
+        let item = items.into_iter().max_by_key(rank)?;
+        Some((item, to))
+    }
+
+    /// Returns what may move from a target: shares that have not moved lately and hot keys.
+    fn items(
+        &self,
+        view: &View,
+        tally: &Tally,
+        moves: &[Move],
+        source: &name::Target,
+    ) -> Vec<(Share, u64)> {
+        let hot = self.hot(tally);
+        let apart = &view.assignment.keys;
+        let hot_keys = view.keys.iter().filter(|(key, load)| {
+            let owner = view.assignment.owner(**key);
+            **load >= hot && owner == Some(source) && !apart.contains_key(*key)
+        });
+        let hot_keys = hot_keys.map(|(key, load)| (Share::Key(*key), *load));
+        let mut items = view.owned(source);
+        items.extend(hot_keys);
+        items.retain(|(share, _)| {
+            !self.moved.contains_key(share) && !moves.iter().any(|m| m.share == *share)
+        });
+        items
+    }
+
+    fn bears(&self, now: Instant, tally: &Tally, name: &name::Target) -> bool {
+        let most = tally.mean() * self.settings.receive_percent / 100;
+        self.pace.unsettled(now, name) < tally.weighted(name, most)
+    }
+
+    fn hot(&self, tally: &Tally) -> u64 {
+        tally.mean_load() * self.settings.hot_key_percent / 100
+    }
+
+    fn add<'a>(
+        &mut self,
+        now: Instant,
+        tally: &mut Tally<'a>,
+        moves: &mut Vec<Move>,
+        (share, load): (Share, u64),
+        from: &'a name::Target,
+        to: &'a name::Target,
+    ) {
+        tally.shift(from, to, load);
+        self.pace.receive(now, to, load);
+        moves.push(Move {
+            share,
+            from: from.clone(),
+            to: to.clone(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/choice.rs
@@ -0,0 +1,123 @@
+//! Choice of a target for services whose keys are not partitioned, and hedging.
+
+use rand::{RngExt, SeedableRng, rngs::Xoshiro256PlusPlus};
+
+use crate::{latency::Histogram, retry::Budget, time::Span};
+
+/// Samples below which the tail is too uncertain to hedge by.
+const FEWEST: u32 = 50;
+/// A second copy is sent once the first has taken longer than this share of requests, in per mille.
+const HEDGE_QUANTILE: u32 = 950;
+
+/// A target that may take a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// Requests that run or wait there.
+    pub in_flight: u32,
+    /// Requests that it may run.
+    pub limit: u32,
+    /// Median latency, or zero if it is not known.
+    pub latency: Span,
+    /// Factor from load reports, in per cent.
+    pub factor_percent: u64,
+    /// False if it must get no new work.
+    pub usable: bool,
+}
+
+/// Chooses between two samples.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    random: Xoshiro256PlusPlus,
+}
+
+impl Candidate {
+    fn has_room(&self) -> bool {
+        self.usable && self.in_flight < self.limit
+    }
+
+    /// Expected time to an answer, up to a constant factor.
+    fn cost(&self) -> u64 {
+        let turns = u64::from(self.in_flight + 1) * 1_000 / u64::from(self.limit.max(1));
+        turns.max(1_000) * self.latency.0.max(1) * self.factor_percent.max(1)
+    }
+}
+
+impl Choice {
+    /// Creates a choice whose samples follow from the seed.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            random: Xoshiro256PlusPlus::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns the position of the cheaper of two sampled candidates, other than `except`.
+    ///
+    /// If neither sample has room but another candidate does, takes the cheapest one with room.
+    pub fn pick(&mut self, candidates: &[Candidate], except: Option<usize>) -> Option<usize> {
+        let first = self.sample(candidates, [except, None])?;
+        let second = self
+            .sample(candidates, [except, Some(first)])
+            .unwrap_or(first);
+        let cost = |index: &usize| candidates[*index].cost();
+        let with_room = |index: &usize| candidates[*index].has_room();
+        let sampled = [first, second];
+        sampled
+            .into_iter()
+            .filter(with_room)
+            .min_by_key(cost)
+            .or_else(|| {
+                let others = (0..candidates.len()).filter(|index| Some(*index) != except);
+                others.filter(with_room).min_by_key(cost)
+            })
+            .or_else(|| sampled.into_iter().min_by_key(cost))
+    }
+
+    fn sample(&mut self, candidates: &[Candidate], except: [Option<usize>; 2]) -> Option<usize> {
+        let usable = |index: &usize| candidates[*index].usable && !except.contains(&Some(*index));
+        let count = (0..candidates.len()).filter(usable).count();
+        if count == 0 {
+            return None;
+        }
+        let nth = self.random.random_range(0..count);
+        (0..candidates.len()).filter(usable).nth(nth)
+    }
+}
+
+/// Decides when an idempotent request is sent to a second target. The answer that arrives first
+/// counts; the other copy is cancelled.
+#[derive(Clone, Debug)]
+pub struct Hedge {
+    latency: Histogram,
+    budget: Budget,
+}
+
+impl Hedge {
+    /// Creates the hedging of one service: at most `percent` of its requests get a second copy.
+    pub fn new(percent: u32) -> Self {
+        Self {
+            latency: Histogram::default(),
+            budget: Budget::new(percent, 20),
+        }
+    }
+
+    /// Notes a request.
+    pub fn deposit(&mut self) {
+        self.budget.deposit();
+    }
+
+    /// Notes the latency of an answer.
+    pub fn record(&mut self, latency: Span) {
+        self.latency.record(latency);
+    }
+
+    /// Returns after which time a request gets a second copy, or `None` if it is too early to say.
+    pub fn delay(&self) -> Option<Span> {
+        let enough = self.latency.count() >= FEWEST;
+        self.latency.quantile(HEDGE_QUANTILE).filter(|_| enough)
+    }
+
+    /// Takes a second copy from the budget; only where the second target has a free slot.
+    pub fn withdraw(&mut self, second: &Candidate) -> bool {
+        second.has_room() && self.budget.withdraw()
+    }
+}
--- /dev/null
+++ b/crates/core/src/health.rs
@@ -0,0 +1,256 @@
+//! A holder's observations of one target: latency, cold start, lasting slowness, loss.
+
+use crate::{
+    hint::{Hint, Report},
+    latency::Histogram,
+    ramp::Ramp,
+    time::{Instant, Span},
+};
+
+/// Time in which the weight of a latency sample halves.
+const HALF_LIFE: Span = Span::from_secs(1);
+/// Samples below which the median is too uncertain to judge by.
+const FEWEST: u32 = 8;
+/// Least capacity that is assumed of a slow target, in per cent.
+const LEAST_PERCENT: u32 = 10;
+
+/// What decides a target's state.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Requests that the target runs at the same time.
+    pub slots: u32,
+    /// Time in which a cold target becomes warm.
+    pub slow_start: Span,
+    /// Time without an answer after which the target counts as lost.
+    pub lost: Span,
+    /// Time for which slowness must last before it counts, and calm before it is over.
+    pub lasting: Span,
+    /// Median latency from which a target is slow, in per cent of the reference.
+    pub slow_percent: u64,
+    /// Median latency below which it no longer is, in per cent of the reference.
+    pub calm_percent: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            slots: 6,
+            slow_start: Span::from_secs(20),
+            lost: Span::from_secs(1),
+            lasting: Span::from_secs(10),
+            slow_percent: 200,
+            calm_percent: 150,
+        }
+    }
+}
+
+/// State of a target as its holder sees it.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum State {
+    /// It started a short time ago; its limit grows.
+    Cold,
+    /// It takes work up to its slots.
+    Warm,
+    /// It has been slower than the reference for long.
+    Slow,
+    /// It accepts connections and answers nothing.
+    Frozen,
+    /// It can't be reached.
+    Lost,
+}
+
+/// Something that the holder saw.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Observation {
+    /// A request was answered after this time.
+    Answered(Span),
+    /// The target refused a request because of its load.
+    Shed,
+    /// A connection broke while a request ran.
+    Broken,
+    /// A probe was answered; the mark changes when the target restarts.
+    Probed(u64),
+    /// A probe got no answer in time.
+    Silent,
+    /// A connection could not be opened.
+    Unreachable,
+}
+
+/// Health of one target.
+#[derive(Clone, Debug)]
+pub struct Health {
+    settings: Settings,
+    state: State,
+    ramp: Ramp,
+    hint: Hint,
+    latency: Histogram,
+    reference: Option<Span>,
+    start: Option<u64>,
+    heard: Instant,
+    failed: Option<(Instant, State)>,
+    changing: Option<Instant>,
+}
+
+impl Health {
+    /// Creates the health of a target of which nothing is known: it counts as cold.
+    pub fn new(now: Instant, settings: Settings) -> Self {
+        Self {
+            state: State::Cold,
+            ramp: Ramp::new(now, settings.slots, settings.slow_start),
+            hint: Hint::default(),
+            latency: Histogram::default(),
+            reference: None,
+            start: None,
+            heard: now,
+            failed: None,
+            changing: None,
+            settings,
+        }
+    }
+
+    /// Marks the target as warm, when the previous holder says so of the same start mark.
+    pub fn assume_warm(&mut self) {
+        self.state = State::Warm;
+        self.ramp.complete();
+    }
+
+    /// Notes what the holder saw.
+    pub fn observe(&mut self, now: Instant, observation: Observation) {
+        match observation {
+            Observation::Answered(latency) => {
+                self.latency.decay(now, HALF_LIFE);
+                self.latency.record(latency);
+                self.ramp.succeed(now);
+                self.hear(now);
+            }
+            Observation::Probed(start) => self.compare_start(now, start),
+            Observation::Shed => {
+                self.ramp.shed(now);
+                self.hear(now);
+                self.state = State::Cold;
+            }
+            Observation::Broken => {
+                self.ramp.hold(true);
+                self.fail(now, State::Lost);
+            }
+            Observation::Silent => self.fail(now, State::Frozen),
+            Observation::Unreachable => self.fail(now, State::Lost),
+        }
+    }
+
+    /// Notes a load report.
+    pub fn report(&mut self, now: Instant, report: &Report) {
+        self.compare_start(now, report.start);
+        let percent = self.latency_percent();
+        self.hint.note(now, report, percent);
+    }
+
+    /// Updates the state. `reference` is the median latency of the service's other targets.
+    pub fn check(&mut self, now: Instant, reference: Option<Span>) -> State {
+        self.latency.decay(now, HALF_LIFE);
+        self.reference = reference;
+        if let Some((first, state)) = self.failed
+            && now.since(self.heard) >= self.settings.lost
+            && now.since(first).0 >= self.settings.lost.0 / 2
+        {
+            self.state = state;
+            return state;
+        }
+        match self.state {
+            State::Cold if self.ramp.is_complete() => self.state = State::Warm,
+            State::Warm => {
+                let limit = self.settings.slow_percent;
+                self.change_after(now, State::Slow, |percent| percent >= limit);
+            }
+            State::Slow => {
+                let limit = self.settings.calm_percent;
+                self.change_after(now, State::Warm, |percent| percent < limit);
+            }
+            _ => {}
+        }
+        self.state
+    }
+
+    /// Returns the state found by the last check.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Returns how many requests may run on the target.
+    pub fn limit(&self, now: Instant) -> u32 {
+        self.ramp.limit(now)
+    }
+
+    /// Returns the recent latencies.
+    pub fn latency(&self) -> &Histogram {
+        &self.latency
+    }
+
+    /// Returns the load reports and the trust in them.
+    pub fn hint(&self) -> &Hint {
+        &self.hint
+    }
+
+    /// Returns what the target bears, in per cent of a warm one.
+    pub fn capacity_percent(&self, now: Instant) -> u32 {
+        match self.state {
+            State::Warm => 100,
+            State::Cold => (self.limit(now) * 100 / self.settings.slots.max(1)).max(1),
+            State::Slow => {
+                let percent = self.latency_percent().unwrap_or(100).max(100);
+                ((10_000 / percent) as u32).max(LEAST_PERCENT)
+            }
+            State::Frozen | State::Lost => 0,
+        }
+    }
+
+    fn latency_percent(&self) -> Option<u64> {
+        let reference = self.reference.filter(|r| *r > Span::ZERO)?;
+        let enough = self.latency.count() >= FEWEST;
+        let median = self.latency.quantile(500).filter(|_| enough)?;
+        Some(median.0 * 100 / reference.0)
+    }
+
+    /// Changes the state once the condition has held for the lasting time without a break.
+    fn change_after(&mut self, now: Instant, state: State, holds: impl Fn(u64) -> bool) {
+        if !self.latency_percent().is_some_and(holds) {
+            self.changing = None;
+            return;
+        }
+        let since = *self.changing.get_or_insert(now);
+        if now.since(since) >= self.settings.lasting {
+            self.state = state;
+            self.changing = None;
+        }
+    }
+
+    fn compare_start(&mut self, now: Instant, start: u64) {
+        let restarted = self.start.is_some_and(|known| known != start);
+        self.start = Some(start);
+        if restarted {
+            self.restart(now);
+        }
+        self.ramp.hold(false);
+        self.hear(now);
+    }
+
+    fn hear(&mut self, now: Instant) {
+        self.heard = now;
+        self.failed = None;
+        if matches!(self.state, State::Frozen | State::Lost) {
+            self.restart(now);
+        }
+    }
+
+    fn restart(&mut self, now: Instant) {
+        self.ramp.restart(now);
+        self.latency = Histogram::default();
+        self.state = State::Cold;
+        self.changing = None;
+    }
+
+    fn fail(&mut self, now: Instant, state: State) {
+        let first = self.failed.map_or(now, |(first, _)| first);
+        self.failed = Some((first, state));
+    }
+}
--- /dev/null
+++ b/crates/core/src/lane.rs
@@ -0,0 +1,93 @@
+//! Waiting requests of one class, served in turn by caller.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::{
+    admission::{Caller, Ticket},
+    request,
+    time::Instant,
+};
+
+/// A request that waits for a slot.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) ticket: Ticket,
+    pub(crate) arrived: Instant,
+}
+
+/// Waiting requests: one FIFO per caller, and the order in which callers have their turn.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Lane {
+    callers: BTreeMap<Caller, VecDeque<Waiting>>,
+    turns: VecDeque<Caller>,
+    len: usize,
+}
+
+impl Lane {
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(crate) fn head(&self) -> Option<&Waiting> {
+        self.callers.get(self.turns.front()?)?.front()
+    }
+
+    pub(crate) fn push(&mut self, waiting: Waiting) {
+        let caller = waiting.ticket.caller;
+        let queue = self.callers.entry(caller).or_default();
+        if queue.is_empty() {
+            self.turns.push_back(caller);
+        }
+        queue.push_back(waiting);
+        self.len += 1;
+    }
+
+    pub(crate) fn pop(&mut self) -> Option<Waiting> {
+        let caller = self.turns.pop_front()?;
+        let queue = self.callers.get_mut(&caller)?;
+        let waiting = queue.pop_front();
+        if queue.is_empty() {
+            self.callers.remove(&caller);
+        } else {
+            self.turns.push_back(caller);
+        }
+        self.len -= usize::from(waiting.is_some());
+        waiting
+    }
+
+    /// Returns how many requests get a slot before a new one of this caller does.
+    pub(crate) fn ahead(&self, caller: Caller) -> usize {
+        let own = self.callers.get(&caller).map_or(0, VecDeque::len);
+        let before = |(name, queue): (&Caller, &VecDeque<Waiting>)| match *name == caller {
+            true => own,
+            false => queue.len().min(own + 1),
+        };
+        self.callers.iter().map(before).sum()
+    }
+
+    pub(crate) fn remove(&mut self, id: request::Id) -> bool {
+        !self.extract(|waiting| waiting.ticket.id == id).is_empty()
+    }
+
+    /// Removes and returns the requests for which `leaves` holds.
+    pub(crate) fn extract(&mut self, leaves: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
+        let mut gone = Vec::new();
+        for queue in self.callers.values_mut() {
+            if queue.iter().any(&leaves) {
+                gone.extend(queue.iter().filter(|waiting| leaves(waiting)));
+                queue.retain(|waiting| !leaves(waiting));
+            }
+        }
+        if !gone.is_empty() {
+            self.callers.retain(|_, queue| !queue.is_empty());
+            let callers = &self.callers;
+            self.turns.retain(|caller| callers.contains_key(caller));
+            self.len -= gone.len();
+        }
+        gone
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        self.callers.values().flatten()
+    }
+}
--- /dev/null
+++ b/crates/core/src/latency.rs
@@ -0,0 +1,90 @@
+//! Latency quantiles in a fixed amount of memory.
+
+use crate::time::{Instant, Span};
+
+/// Buckets per doubling of the latency. Eight bound the error of a quantile to about 6%.
+const PARTS: u32 = 8;
+/// Power of two of the smallest latency that is told apart: 64 microseconds.
+const LOWEST: u32 = 6;
+/// Buckets in all: 24 doublings, up to about 18 minutes.
+const BUCKETS: usize = 192;
+/// Samples at which all counts are halved, so that old samples lose weight.
+const FULL: u32 = 2_048;
+
+/// Histogram of latencies in which old samples lose weight.
+#[derive(Clone, Debug)]
+pub struct Histogram {
+    counts: [u16; BUCKETS],
+    total: u32,
+    decayed: Instant,
+}
+
+impl Default for Histogram {
+    fn default() -> Self {
+        Self {
+            counts: [0; BUCKETS],
+            total: 0,
+            decayed: Instant::default(),
+        }
+    }
+}
+
+impl Histogram {
+    /// Adds a sample.
+    pub fn record(&mut self, latency: Span) {
+        self.counts[bucket(latency)] += 1;
+        self.total += 1;
+        if self.total >= FULL {
+            self.halve();
+        }
+    }
+
+    /// Halves the weight of all samples once per `half_life`.
+    pub fn decay(&mut self, now: Instant, half_life: Span) {
+        let halvings = now.since(self.decayed).0 / half_life.0.max(1);
+        if halvings == 0 {
+            return;
+        }
+        self.decayed = now;
+        for _ in 0..halvings.min(16) {
+            self.halve();
+        }
+    }
+
+    /// Returns the latency that `per_mille` of the samples do not exceed, or `None` without any.
+    pub fn quantile(&self, per_mille: u32) -> Option<Span> {
+        let rank = (u64::from(self.total) * u64::from(per_mille)).div_ceil(1_000);
+        let mut seen = 0;
+        for (index, count) in self.counts.iter().enumerate() {
+            seen += u64::from(*count);
+            if seen >= rank.max(1) {
+                return Some(middle(index));
+            }
+        }
+        None
+    }
+
+    /// Returns the number of samples, after decay.
+    pub fn count(&self) -> u32 {
+        self.total
+    }
+
+    fn halve(&mut self) {
+        self.counts.iter_mut().for_each(|count| *count /= 2);
+        self.total = self.counts.iter().map(|count| u32::from(*count)).sum();
+    }
+}
+
+fn bucket(latency: Span) -> usize {
+    let micros = latency.0.max(1 << LOWEST);
+    let power = micros.ilog2();
+    let part = (micros >> (power - PARTS.ilog2())) as u32 % PARTS;
+    let index = (power - LOWEST) * PARTS + part;
+    (index as usize).min(BUCKETS - 1)
+}
+
+fn middle(index: usize) -> Span {
+    let power = index as u32 / PARTS + LOWEST;
+    let width = 1u64 << (power - PARTS.ilog2());
+    Span((u64::from(PARTS) + index as u64 % u64::from(PARTS)) * width + width / 2)
+}
--- /dev/null
+++ b/crates/core/src/sketch.rs
@@ -0,0 +1,100 @@
+//! Heavy hitters in bounded memory, by the space-saving algorithm.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::key::Digest;
+
+/// Counter of one key.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Count {
+    /// Upper bound of the key's weight.
+    pub most: u64,
+    /// How much of the upper bound may belong to keys that were counted here before.
+    pub error: u64,
+}
+
+/// Weights of the heaviest keys.
+#[derive(Clone, Debug)]
+pub struct Sketch {
+    capacity: usize,
+    counts: BTreeMap<Digest, Count>,
+    order: BTreeSet<(u64, Digest)>,
+    total: u64,
+}
+
+impl Count {
+    /// Returns the weight that the key has for certain.
+    pub fn least(&self) -> u64 {
+        self.most - self.error
+    }
+}
+
+impl Sketch {
+    /// Creates a sketch of at most `capacity` keys.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity: capacity.max(1),
+            counts: BTreeMap::new(),
+            order: BTreeSet::new(),
+            total: 0,
+        }
+    }
+
+    /// Adds weight to a key. The lightest key makes room for a new one.
+    pub fn add(&mut self, key: Digest, weight: u64) {
+        self.total += weight;
+        let mut count = match self.counts.get(&key) {
+            Some(count) => *count,
+            None => self.inherit(),
+        };
+        self.order.remove(&(count.most, key));
+        count.most += weight;
+        self.order.insert((count.most, key));
+        self.counts.insert(key, count);
+    }
+
+    /// Halves all weights, so that keys that cooled down make room.
+    pub fn halve(&mut self) {
+        self.total /= 2;
+        for count in self.counts.values_mut() {
+            count.most /= 2;
+            count.error /= 2;
+        }
+        self.counts.retain(|_, count| count.most > 0);
+        let pair = |(key, count): (&Digest, &Count)| (count.most, *key);
+        self.order = self.counts.iter().map(pair).collect();
+    }
+
+    /// Returns the keys that have at least `per_mille` of the total weight for certain.
+    pub fn heavy(&self, per_mille: u64) -> BTreeMap<Digest, Count> {
+        let least = (self.total * per_mille).div_ceil(1_000).max(1);
+        let heavy = self.counts.iter().filter(|(_, c)| c.least() >= least);
+        heavy.map(|(key, count)| (*key, *count)).collect()
+    }
+
+    /// Returns the weight of all keys.
+    pub fn total(&self) -> u64 {
+        self.total
+    }
+
+    /// Returns the number of keys that are counted.
+    pub fn len(&self) -> usize {
+        self.counts.len()
+    }
+
+    /// Tells whether no key is counted.
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+
+    fn inherit(&mut self) -> Count {
+        if self.counts.len() < self.capacity {
+            return Count::default();
+        }
+        let Some((most, lightest)) = self.order.pop_first() else {
+            return Count::default();
+        };
+        self.counts.remove(&lightest);
+        Count { most, error: most }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/quarantine.rs
@@ -0,0 +1,110 @@
+//! Quarantine: a crashing request takes at most two targets, and no innocent one is barred.
+
+use ragwortrill_core::{
+    quarantine::{Quarantine, Standing},
+    request::Fingerprint,
+    time::Instant,
+};
+
+const POISON: Fingerprint = Fingerprint(99);
+
+fn at(secs: u64) -> Instant {
+    Instant(secs * 1_000_000)
+}
+
+fn prints(numbers: &[u64]) -> Vec<Fingerprint> {
+    numbers.iter().copied().map(Fingerprint).collect()
+}
+
+struct Case {
+    name: &'static str,
+    crashes: Vec<Vec<u64>>,
+    answered: Vec<u64>,
+    barred: Vec<u64>,
+}
+
+/// Guards against a third crash by the same request, and against barring bystanders.
+#[test]
+fn bars_only_what_was_alone_or_is_the_only_repetition() {
+    let cases = [
+        Case {
+            name: "one crash in company",
+            crashes: vec![vec![1, 2, 99]],
+            answered: vec![],
+            barred: vec![],
+        },
+        Case {
+            name: "one crash alone",
+            crashes: vec![vec![99]],
+            answered: vec![],
+            barred: vec![],
+        },
+        Case {
+            name: "in company, then alone",
+            crashes: vec![vec![1, 2, 3, 4, 5, 99], vec![99]],
+            answered: vec![],
+            barred: vec![99],
+        },
+        Case {
+            name: "copies ran on two targets before either crashed",
+            crashes: vec![vec![1, 2, 99], vec![4, 5, 99]],
+            answered: vec![],
+            barred: vec![99],
+        },
+        Case {
+            name: "two requests in both crashes, one of them answered in between",
+            crashes: vec![vec![1, 7, 99], vec![4, 7, 99]],
+            answered: vec![7],
+            barred: vec![99],
+        },
+        Case {
+            name: "two requests in both crashes can't be told apart",
+            crashes: vec![vec![1, 7, 99], vec![4, 7, 99]],
+            answered: vec![],
+            barred: vec![],
+        },
+    ];
+    for case in cases {
+        let mut quarantine = Quarantine::default();
+        let mut barred = Vec::new();
+        for (second, crash) in case.crashes.iter().enumerate() {
+            barred.extend(quarantine.crash(at(second as u64), &prints(crash)));
+            for answered in &case.answered {
+                quarantine.acquit(Fingerprint(*answered));
+            }
+        }
+        assert_eq!(barred, prints(&case.barred), "{}", case.name);
+        let standing = quarantine.standing(POISON);
+        let expected = match case.barred.is_empty() {
+            true => Standing::Suspect,
+            false => Standing::Barred,
+        };
+        assert_eq!(standing, expected, "{}", case.name);
+    }
+}
+
+/// Guards against a bar that outlives its time or an operator's release.
+#[test]
+fn releases_after_ten_minutes_or_by_an_operator() {
+    let mut quarantine = Quarantine::default();
+    quarantine.crash(at(0), &[POISON]);
+    quarantine.crash(at(1), &[POISON]);
+    assert_eq!(quarantine.expire(at(600)), []);
+    assert_eq!(quarantine.standing(POISON), Standing::Barred);
+    assert_eq!(quarantine.expire(at(601)), [POISON]);
+    assert_eq!(quarantine.standing(POISON), Standing::Clear);
+    quarantine.bar(at(700), POISON);
+    quarantine.release(POISON);
+    assert_eq!(quarantine.standing(POISON), Standing::Clear);
+}
+
+/// Guards against suspects that use memory without bound.
+#[test]
+fn suspects_are_bounded() {
+    let mut quarantine = Quarantine::default();
+    for second in 0..3_000 {
+        quarantine.crash(at(second), &prints(&[second]));
+    }
+    assert_eq!(quarantine.suspects().len(), 1_024);
+    assert_eq!(quarantine.standing(Fingerprint(2_999)), Standing::Suspect);
+}
