Measure the core's decisions in virtual time

The decisions under load had unit tests but no run under load. Add VirtualTarget and the measure example: the real Queue, Health, Choice, Hedge, Plan and Quarantine on an event queue, with open-loop load from two sample deployments, eleven scenarios, baselines and switches.

Health and Queue get a limit of zero for a target that can't be reached, so that a crash does not spend the retry budget on requests that can't be sent.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -184,10 +184,10 @@
         }
     }
 
-    /// Sets how many requests may run, between one and the target's slots. Requests that run
-    /// above a lower limit are not interrupted.
+    /// Sets how many requests may run, up to the target's slots. At zero, requests wait until
+    /// the target is heard again. Requests that run above a lower limit are not interrupted.
     pub fn set_limit(&mut self, now: Instant, limit: u32, out: &mut Vec<Decision>) {
-        self.limit = limit.clamp(1, self.settings.slots.max(1));
+        self.limit = limit.min(self.settings.slots);
         self.dispatch(now, out);
     }
 
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -89,6 +89,14 @@
     heard: Instant,
     failed: Option<(Instant, State)>,
     changing: Option<Instant>,
+    unreachable: bool,
+}
+
+/// Returns the median of the service's latencies, by which each target is judged.
+pub fn reference(medians: impl IntoIterator<Item = Span>) -> Option<Span> {
+    let mut medians: Vec<Span> = medians.into_iter().collect();
+    medians.sort_unstable();
+    medians.get(medians.len() / 2).copied()
 }
 
 impl Health {
@@ -104,6 +112,7 @@
             heard: now,
             failed: None,
             changing: None,
+            unreachable: false,
             settings,
         }
     }
@@ -134,7 +143,10 @@
                 self.fail(now, State::Lost);
             }
             Observation::Silent => self.fail(now, State::Frozen),
-            Observation::Unreachable => self.fail(now, State::Lost),
+            Observation::Unreachable => {
+                self.unreachable = true;
+                self.fail(now, State::Lost);
+            }
         }
     }
 
@@ -176,9 +188,20 @@
         self.state
     }
 
-    /// Returns how many requests may run on the target.
+    /// Returns how many requests may run on the target. Zero until an unreachable target is heard
+    /// again by a probe, a report or an answer.
     pub fn limit(&self, now: Instant) -> u32 {
-        self.ramp.limit(now)
+        let lost = matches!(self.state, State::Frozen | State::Lost);
+        match lost || self.unreachable {
+            true => 0,
+            false => self.ramp.limit(now),
+        }
+    }
+
+    /// Returns the median latency, or `None` with too few samples to judge by.
+    pub fn median(&self) -> Option<Span> {
+        let enough = self.latency.count() >= FEWEST;
+        self.latency.quantile(500).filter(|_| enough)
     }
 
     /// Returns the recent latencies.
@@ -206,9 +229,7 @@
 
     fn latency_percent(&self) -> Option<u64> {
         let reference = self.reference.filter(|r| *r > Span::ZERO)?;
-        let enough = self.latency.count() >= FEWEST;
-        let median = self.latency.quantile(500).filter(|_| enough)?;
-        Some(median.0 * 100 / reference.0)
+        Some(self.median()?.0 * 100 / reference.0)
     }
 
     /// Changes the state once the condition has held for the lasting time without a break.
@@ -237,6 +258,7 @@
     fn hear(&mut self, now: Instant) {
         self.heard = now;
         self.failed = None;
+        self.unreachable = false;
         if matches!(self.state, State::Frozen | State::Lost) {
             self.restart(now);
         }
--- /dev/null
+++ b/crates/standin/src/measure/control.rs
@@ -0,0 +1,261 @@
+//! Periodic work of holders: probes, checks, load messages, plans.
+
+use std::collections::BTreeMap;
+
+use rand::{SeedableRng, rngs::Xoshiro256PlusPlus};
+use rand_distr::{Distribution, StandardNormal};
+
+use ragwortrill_core::{
+    balance::{Condition, Target, View},
+    choice::Candidate,
+    health::{self, Observation, State},
+    request::Refusal,
+    time::{Instant, Span},
+};
+
+use super::{
+    agenda::Event,
+    world::{SAMPLE, TICK, World},
+};
+
+/// Time from the loss of a target to the end of its last grant: grant and margin less the time
+/// in which it was found lost.
+const GRANT_LEFT: Span = Span::from_millis(600);
+/// How far ahead a forecast looks.
+const AHEAD: Span = Span::from_secs(30);
+/// Interval at which a forecast is made.
+const FORECAST: Span = Span::from_secs(5);
+
+impl World<'_> {
+    pub(crate) fn sample(&mut self, now: Instant) {
+        if self.is_open(now) || !self.requests.is_empty() {
+            self.agenda.add(now + SAMPLE, Event::Sample);
+        }
+        for target in 0..self.holders.len() {
+            let mut out = Vec::new();
+            let holder = &mut self.holders[target];
+            holder.target.sample(now);
+            holder.queue.expire(now, &mut out);
+            self.decisions.push((target, out));
+        }
+        if self.service.divided_by_key && self.is_open(now) {
+            self.count_unavailable(now);
+        }
+    }
+
+    fn count_unavailable(&mut self, now: Instant) {
+        let up = |holder: &super::world::Holder| holder.target.is_up(now);
+        let down: Vec<_> = self
+            .holders
+            .iter()
+            .filter(|h| !up(h))
+            .map(|h| &h.name)
+            .collect();
+        let moving = self.moving.keys();
+        let mut slices = moving
+            .filter(|share| matches!(share, ragwortrill_core::record::Share::Slice(_)))
+            .count();
+        if !down.is_empty() {
+            let owners = self.assignment.slices.iter().enumerate();
+            let unserved = owners.filter(|(index, owner)| {
+                let slice = ragwortrill_core::number::Slice(*index as u32);
+                let share = ragwortrill_core::record::Share::Slice(slice);
+                down.contains(owner) && !self.moving.contains_key(&share)
+            });
+            slices += unserved.count();
+        }
+        let keys = f64::from(self.deployment.keys) / f64::from(self.service.slices);
+        self.outcome.unavailable += slices as f64 * keys * SAMPLE.0 as f64 / 1e6;
+    }
+
+    pub(crate) fn tick(&mut self, now: Instant) {
+        if self.is_open(now) || !self.requests.is_empty() {
+            self.agenda.add(now + TICK, Event::Tick);
+        }
+        self.ticks += 1;
+        for target in 0..self.holders.len() {
+            self.probe(now, target);
+        }
+        self.check(now);
+        if self.ticks.is_multiple_of(4) {
+            self.estimate_loads();
+        }
+        if self.service.divided_by_key && self.policy.admission {
+            self.make_plan(now);
+        }
+        self.send_views(now);
+    }
+
+    fn probe(&mut self, now: Instant, target: usize) {
+        let holder = &mut self.holders[target];
+        let seen = match holder.target.probe(now) {
+            Some(start) => Observation::Probed(start),
+            None if holder.target.is_down(now) => Observation::Unreachable,
+            None => Observation::Silent,
+        };
+        holder.health.observe(now, seen);
+        if let Some(report) = holder.target.report(now) {
+            holder.reported = report.load_percent;
+            if self.policy.hints {
+                holder.health.report(now, &report);
+            }
+        }
+    }
+
+    fn check(&mut self, now: Instant) {
+        let medians = self.holders.iter().filter_map(|h| h.health.median());
+        let reference = health::reference(medians);
+        for target in 0..self.holders.len() {
+            let holder = &mut self.holders[target];
+            let state = holder.health.check(now, reference);
+            if matches!(state, State::Frozen | State::Lost) {
+                let since = *holder.silent_since.get_or_insert(now);
+                if !holder.gone && now.since(since) >= GRANT_LEFT {
+                    self.lose(now, target);
+                }
+            } else {
+                holder.silent_since = None;
+                holder.gone = false;
+            }
+            self.apply_limit(now, target);
+        }
+    }
+
+    pub(crate) fn apply_limit(&mut self, now: Instant, target: usize) {
+        let mut out = Vec::new();
+        let slots = self.service.slots + self.policy.excess_slots;
+        let holder = &mut self.holders[target];
+        let limit = match self.policy.slow_start {
+            true if self.policy.excess_slots > 0 => slots,
+            true => holder.health.limit(now),
+            false => slots,
+        };
+        holder.queue.set_limit(now, limit, &mut out);
+        self.decisions.push((target, out));
+    }
+
+    /// The last grant of a silent target has expired: its slices may move.
+    fn lose(&mut self, now: Instant, target: usize) {
+        let mut out = Vec::new();
+        let holder = &mut self.holders[target];
+        holder.gone = true;
+        let open: Vec<_> = holder.open.iter().copied().collect();
+        for id in &open {
+            holder.target.finish(*id);
+        }
+        holder.queue.clear(Refusal::Moving, &mut out);
+        self.decisions.push((target, out));
+        if self.service.divided_by_key && self.policy.admission {
+            let name = self.holders[target].name.clone();
+            let owned = self.planned.slices.iter().filter(|owner| **owner == name);
+            self.outcome.forced += owned.count() as u64;
+        }
+        self.break_copies(now, target, open);
+        self.settle_moves(now, target);
+    }
+
+    fn estimate_loads(&mut self) {
+        for (load, count) in self.loads.iter_mut().zip(&mut self.counts) {
+            *load = (*load * 7 + *count * 1_000) / 8;
+            *count = 0;
+        }
+        if self.ticks.is_multiple_of(8) {
+            self.holders.iter_mut().for_each(|h| h.sketch.halve());
+        }
+    }
+
+    fn make_plan(&mut self, now: Instant) {
+        self.make_forecast(now);
+        let targets = self.conditions(now);
+        let keys = self.key_loads();
+        let slices = self
+            .forecast
+            .as_ref()
+            .map_or(&self.loads, |(_, loads)| loads);
+        let view = View {
+            assignment: &self.planned,
+            targets: &targets,
+            slices,
+            keys: &keys,
+        };
+        let moves = self.plan.next(now, &view);
+        for planned in moves {
+            self.begin(now, planned);
+        }
+    }
+
+    fn conditions(&self, now: Instant) -> BTreeMap<ragwortrill_core::name::Target, Target> {
+        let conditions = self.holders.iter().map(|holder| {
+            let lost = matches!(holder.health.state(), State::Frozen | State::Lost);
+            let condition = match (holder.gone, holder.out_since.is_some()) {
+                (true, _) => Condition::Gone,
+                (_, true) => Condition::Leaves,
+                _ if lost => Condition::Keeps,
+                _ => Condition::Takes,
+            };
+            let weight = match lost || !self.policy.slow_start {
+                true => 100,
+                false => holder.health.capacity_percent(now),
+            };
+            (holder.name.clone(), Target { weight, condition })
+        });
+        conditions.collect()
+    }
+
+    /// Returns the loads of keys that are hot or placed apart, in the unit of slice loads.
+    fn key_loads(&self) -> BTreeMap<ragwortrill_core::key::Digest, u64> {
+        let mut keys = BTreeMap::new();
+        if !self.policy.hot_keys {
+            return keys;
+        }
+        for holder in &self.holders {
+            // Weights halve every two seconds, so the total is three seconds' requests on average.
+            for (key, count) in holder.sketch.heavy(20) {
+                keys.insert(key, count.least() * 1_000 / 3);
+            }
+        }
+        for key in self.planned.keys.keys() {
+            keys.entry(*key).or_insert(0);
+        }
+        keys
+    }
+
+    fn make_forecast(&mut self, now: Instant) {
+        let Some(error) = self.policy.forecast_error else {
+            return;
+        };
+        let fresh = |(at, _): &(Instant, Vec<u64>)| now.since(*at) < FORECAST;
+        if self.scenario.keys_shift.is_none() || self.forecast.as_ref().is_some_and(fresh) {
+            return;
+        }
+        let mut loads = self.load.expected(now + AHEAD);
+        let mut random = Xoshiro256PlusPlus::seed_from_u64(self.seed ^ 0xf0ca);
+        for load in &mut loads {
+            let unit: f64 = StandardNormal.sample(&mut random);
+            let factor = (1.0 + unit * f64::from(error) / 100.0).max(0.0);
+            *load = (*load as f64 * factor) as u64;
+        }
+        self.forecast = Some((now, loads));
+    }
+
+    /// Tells all entries the load of all targets.
+    fn send_views(&mut self, now: Instant) {
+        let candidates = self.holders.iter().map(|holder| {
+            let lost = matches!(holder.health.state(), State::Frozen | State::Lost);
+            Candidate {
+                in_flight: (holder.queue.running() + holder.queue.waiting()) as u32,
+                limit: holder.queue.limit(),
+                latency: holder.health.median().unwrap_or(self.service.service),
+                factor_percent: match self.policy.hints {
+                    true => holder.health.hint().factor_percent(now),
+                    false => 100,
+                },
+                usable: holder.out_since.is_none() && !lost,
+            }
+        });
+        let candidates: Vec<Candidate> = candidates.collect();
+        self.views
+            .iter_mut()
+            .for_each(|view| view.clone_from(&candidates));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/measure/world.rs
@@ -0,0 +1,296 @@
+//! State of a run and its event loop.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ragwortrill_core::{
+    admission::{self, Decision, Queue},
+    balance::{self, Plan},
+    choice::{Candidate, Choice, Hedge},
+    health::{self, Health},
+    ledger::Assignment,
+    name, placement,
+    quarantine::Quarantine,
+    record::Share,
+    request::{Fingerprint, Id},
+    retry::Budget,
+    sketch::Sketch,
+    time::{Instant, Span},
+};
+
+use super::{
+    agenda::{Agenda, Event},
+    deployment::{Deployment, Service},
+    load::{Draw, Load},
+    outcome::Outcome,
+    policy::Policy,
+    scenario::Scenario,
+};
+use crate::virtual_target::{self, VirtualTarget};
+
+/// Interval of probes, checks and plans, as in the core's default times.
+pub(crate) const TICK: Span = Span::from_millis(250);
+/// Interval at which waiting requests expire and availability is sampled.
+pub(crate) const SAMPLE: Span = Span::from_millis(25);
+/// Time in which a cold target becomes warm.
+const WARM_UP: Span = Span::from_secs(20);
+/// Age of the load that targets report.
+const LAG: Span = Span::from_millis(1_500);
+/// Most retries and hedges, in per cent of requests.
+const RETRY_PERCENT: u32 = 10;
+const HEDGE_PERCENT: u32 = 5;
+
+/// A target with its holder's state.
+pub(crate) struct Holder {
+    pub(crate) name: name::Target,
+    pub(crate) data_centre: usize,
+    pub(crate) target: VirtualTarget,
+    pub(crate) queue: Queue,
+    pub(crate) health: Health,
+    pub(crate) sketch: Sketch,
+    /// Copies that run or stream on the target.
+    pub(crate) open: BTreeSet<Id>,
+    /// Most connections that were open at once, which are kept open.
+    pub(crate) opened: usize,
+    pub(crate) out_since: Option<Instant>,
+    pub(crate) silent_since: Option<Instant>,
+    pub(crate) gone: bool,
+    pub(crate) reported: u32,
+}
+
+/// Where a copy of a request is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Place {
+    Travelling,
+    Queued(usize),
+    Running(usize, Instant),
+}
+
+/// A request and its copies.
+pub(crate) struct Request {
+    pub(crate) draw: Draw,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) poison: bool,
+    pub(crate) copies: BTreeMap<Id, Place>,
+    pub(crate) attempts: u64,
+    pub(crate) runs: u32,
+    pub(crate) tried: Option<usize>,
+    /// True once the caller has its answer, refusal or timeout.
+    pub(crate) over: bool,
+}
+
+/// A share that is on its way to another target.
+pub(crate) struct Moving {
+    pub(crate) from: usize,
+    pub(crate) appended: bool,
+    pub(crate) parked: Vec<u64>,
+}
+
+/// State of a run of one service.
+pub(crate) struct World<'a> {
+    pub(crate) deployment: &'a Deployment,
+    pub(crate) service: &'a Service,
+    pub(crate) scenario: &'a Scenario,
+    pub(crate) policy: &'a Policy,
+    pub(crate) load: Load<'a>,
+    pub(crate) agenda: Agenda,
+    pub(crate) holders: Vec<Holder>,
+    pub(crate) requests: BTreeMap<u64, Request>,
+    pub(crate) numbers: u64,
+    pub(crate) assignment: Assignment,
+    pub(crate) planned: Assignment,
+    pub(crate) plan: Plan,
+    pub(crate) moving: BTreeMap<Share, Moving>,
+    pub(crate) counts: Vec<u64>,
+    pub(crate) loads: Vec<u64>,
+    pub(crate) forecast: Option<(Instant, Vec<u64>)>,
+    pub(crate) views: Vec<Vec<Candidate>>,
+    pub(crate) choice: Choice,
+    pub(crate) turn: usize,
+    pub(crate) hedge: Hedge,
+    pub(crate) budget: Budget,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) ticks: u64,
+    pub(crate) seed: u64,
+    pub(crate) decisions: Vec<(usize, Vec<Decision>)>,
+    pub(crate) outcome: Outcome,
+}
+
+/// Fingerprint of the request that crashes its targets.
+pub(crate) const POISON: Fingerprint = Fingerprint(u64::MAX);
+
+/// Runs a scenario on each service of a deployment.
+pub fn run(deployment: &Deployment, scenario: &str, policy: &Policy, seed: u64) -> Vec<Outcome> {
+    let services = deployment.services.iter().enumerate();
+    let run = |(index, service): (usize, &Service)| {
+        let seed = seed.wrapping_mul(1_000) + index as u64;
+        let scenario = Scenario::new(scenario, service.targets, seed)?;
+        Some(World::new(deployment, service, &scenario, policy, seed).run())
+    };
+    services.filter_map(run).collect()
+}
+
+impl<'a> World<'a> {
+    fn new(
+        deployment: &'a Deployment,
+        service: &'a Service,
+        scenario: &'a Scenario,
+        policy: &'a Policy,
+        seed: u64,
+    ) -> Self {
+        let holders: Vec<Holder> = (0..service.targets)
+            .map(|index| holder(deployment, service, policy, index))
+            .collect();
+        let weights = holders.iter().map(|h| (h.name.clone(), 100)).collect();
+        let assignment = Assignment {
+            slices: placement::distribute(service.slices, &weights),
+            keys: BTreeMap::new(),
+        };
+        Self {
+            load: Load::new(deployment, service, scenario, seed),
+            agenda: Agenda::default(),
+            requests: BTreeMap::new(),
+            numbers: 0,
+            planned: assignment.clone(),
+            assignment,
+            plan: Plan::new(plan_settings(service, policy)),
+            moving: BTreeMap::new(),
+            counts: vec![0; service.slices as usize],
+            loads: vec![0; service.slices as usize],
+            forecast: None,
+            views: vec![Vec::new(); deployment.entries],
+            choice: Choice::new(seed ^ 0xc401),
+            turn: 0,
+            hedge: Hedge::new(HEDGE_PERCENT),
+            budget: Budget::new(RETRY_PERCENT, 100),
+            quarantine: Quarantine::default(),
+            ticks: 0,
+            seed,
+            decisions: Vec::new(),
+            outcome: Outcome::new(&service.name),
+            holders,
+            deployment,
+            service,
+            scenario,
+            policy,
+        }
+    }
+
+    fn run(mut self) -> Outcome {
+        let start = Instant::default();
+        self.agenda.add(start, Event::Tick);
+        self.agenda.add(start, Event::Sample);
+        self.agenda.add(start + SAMPLE, Event::Arrive);
+        for (index, (at, _)) in self.scenario.actions.iter().enumerate() {
+            self.agenda.add(*at, Event::Act(index));
+        }
+        for at in &self.scenario.poison {
+            self.agenda.add(*at, Event::Poison);
+        }
+        while let Some((now, event)) = self.agenda.next() {
+            self.handle(now, event);
+            self.decide(now);
+        }
+        self.finish()
+    }
+
+    fn handle(&mut self, now: Instant, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(now),
+            Event::Deliver(id, target) => self.deliver(now, id, target),
+            Event::Route(number) => self.route(now, number),
+            Event::Done(id, target) => self.done(now, id, target),
+            Event::Streamed(id, target) => self.streamed(now, id, target),
+            Event::Hedge(number) => self.send_hedge(now, number),
+            Event::Deadline(number) => self.pass_deadline(now, number),
+            Event::Moved(share) => self.commit(now, share),
+            Event::Sample => self.sample(now),
+            Event::Tick => self.tick(now),
+            Event::Act(index) => self.act(now, self.scenario.actions[index].1),
+            Event::Poison => self.send_poison(now),
+        }
+    }
+
+    /// Tells whether requests still arrive. Afterwards only those that have arrived are served.
+    pub(crate) fn is_open(&self, now: Instant) -> bool {
+        now.0 < self.scenario.length.0
+    }
+
+    pub(crate) fn capacity_of_window(&self) -> f64 {
+        self.service.capacity() * super::outcome::WINDOW.0 as f64 / 1e6
+    }
+
+    pub(crate) fn hop(&self, entry: usize, target: usize) -> Span {
+        let count = self.deployment.data_centres.len();
+        match entry % count == self.holders[target].data_centre {
+            true => self.deployment.within,
+            false => self.deployment.between,
+        }
+    }
+
+    fn finish(mut self) -> Outcome {
+        let outcome = &mut self.outcome;
+        for holder in &self.holders {
+            let witness = holder.target.witness;
+            outcome.breaches += witness.slot_breaches;
+            outcome.ramp_breaches += witness.ramp_breaches;
+            outcome.shed += witness.shed;
+        }
+        self.outcome
+    }
+}
+
+fn holder(deployment: &Deployment, service: &Service, policy: &Policy, index: usize) -> Holder {
+    let now = Instant::default();
+    let mut health = Health::new(
+        now,
+        health::Settings {
+            slots: service.slots,
+            slow_start: WARM_UP,
+            ..health::Settings::default()
+        },
+    );
+    health.assume_warm();
+    let name = format!("{}-{index:02}", service.name);
+    Holder {
+        name: name.parse().expect("the deployment has valid names"),
+        data_centre: index % deployment.data_centres.len(),
+        target: VirtualTarget::new(virtual_target::Settings {
+            slots: service.slots,
+            connections: service.connections,
+            warm_up: WARM_UP,
+            lag: LAG,
+        }),
+        queue: Queue::new(admission::Settings {
+            slots: service.slots + policy.excess_slots,
+            connections: service.connections,
+            queue: service.queue,
+            reserved_percent: service.reserved_percent,
+        }),
+        health,
+        sketch: Sketch::new(64),
+        open: BTreeSet::new(),
+        opened: 0,
+        out_since: None,
+        silent_since: None,
+        gone: false,
+        reported: 0,
+    }
+}
+
+fn plan_settings(service: &Service, policy: &Policy) -> balance::Settings {
+    let mut settings = balance::Settings {
+        moves_per_minute: service.slices * 2 / 5,
+        ..balance::Settings::default()
+    };
+    if !policy.balance {
+        settings.moves_per_minute = 0;
+        settings.bound_percent = u64::from(u32::MAX);
+    }
+    if !policy.pace {
+        settings.receive_percent = 100_000;
+        settings.drain = Span::ZERO;
+        settings.moves_per_minute *= 100;
+    }
+    settings
+}
