--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod hosts;
 pub mod log;
+pub mod measure;
 pub(crate) mod reply;
 pub(crate) mod server;
 pub mod target;
+pub mod virtual_target;
 pub(crate) mod watched;
