Test the codec and the clients' errors

ntex reports a connection that closes before the answer's head as a connect error. The client took it for a request that was never sent, so an append in the log could have counted as undone. It now counts as lost, and a table of fixed answers covers each error.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -4,7 +4,10 @@
 
 use ntex::{
     SharedCfg,
-    client::{self, ClientRequest, ClientResponse, error::ClientError},
+    client::{
+        self, ClientRequest, ClientResponse,
+        error::{ClientError, ConnectError},
+    },
     http::{Method, StatusCode, error::PayloadError},
     io::IoConfig,
     time::Millis,
@@ -125,6 +128,8 @@
         let peer = self.peer();
         let reason = error.to_string();
         match error {
+            // ntex reports a connection that closes before the answer's head as this connect error.
+            ClientError::Connect(ConnectError::Disconnected(None)) => Error::Lost { peer, reason },
             ClientError::Connect(_) | ClientError::Url(_) => Error::Refused { peer, reason },
             ClientError::Response(_) => Error::Malformed { peer, reason },
             _ => Error::Lost { peer, reason },
--- /dev/null
+++ b/crates/platform/tests/client.rs
@@ -0,0 +1,338 @@
+//! Errors of the clients, against a server that answers with fixed bytes.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    thread,
+};
+
+use ntex::rt;
+use ragwortrill_core::{
+    number::{Epoch, Offset},
+    record::Id,
+    request,
+    time::Span,
+};
+use ragwortrill_platform::{error, hosts, log, target};
+
+/// Long enough for any answer that comes at all.
+const PATIENT: Span = Span::from_secs(30);
+/// Short, for answers that never come.
+const IMPATIENT: Span = Span::from_millis(50);
+
+fn run(test: impl Future<Output = ()> + 'static) {
+    rt::System::new("test", rt::DefaultRuntime).block_on(test);
+}
+
+/// Answers one request with fixed bytes and closes the connection.
+fn answering(answer: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut stream = listener.accept().unwrap().0;
+        receive(&mut stream);
+        // The client may hang up early, which is what some cases test.
+        let _ = stream.write_all(&answer);
+    });
+    address
+}
+
+/// Reads a whole request. Closing with unread bytes would reset the connection and could discard
+/// the answer.
+fn receive(stream: &mut TcpStream) {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).unwrap() > 0 {
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).unwrap().to_ascii_lowercase();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    let mut body = vec![0; length.map_or(0, |length| length.parse().unwrap())];
+    stream.read_exact(&mut body).unwrap();
+}
+
+fn answer(status: &str, body: &[u8]) -> Vec<u8> {
+    let length = body.len();
+    let head = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n");
+    [head.as_bytes(), body].concat()
+}
+
+/// Returns an address that refuses connections.
+fn closed() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn query(from: u64) -> log::Query {
+    log::Query {
+        from: Offset(from),
+        max: 10,
+        wait_ms: 0,
+    }
+}
+
+fn batch() -> log::Batch {
+    let mut batch = log::Batch::new();
+    batch.push_bytes(Id(1), vec![1]).unwrap();
+    batch
+}
+
+fn page(offsets: &[u64], end: u64) -> Vec<u8> {
+    let row = |offset: &u64| log::Row {
+        offset: Offset(*offset),
+        id: Id(1),
+        bytes: vec![],
+    };
+    let page = log::Page {
+        first: Offset(1),
+        end: Offset(end),
+        records: offsets.iter().map(row).collect(),
+    };
+    page.to_cbor()
+}
+
+struct Case {
+    name: &'static str,
+    answer: Vec<u8>,
+    expected: &'static str,
+}
+
+/// Guards against a reader that applies a malformed, partial or reordered page.
+#[test]
+fn reads_of_the_log() {
+    let huge = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n",
+        (4 << 20) + 1
+    );
+    let bounds = log::Bounds {
+        first: Offset(40),
+        end: Offset(50),
+    };
+    let cases = [
+        Case {
+            name: "valid",
+            answer: answer("200 OK", &page(&[5, 6], 6)),
+            expected: "",
+        },
+        Case {
+            name: "no HTTP",
+            answer: b"hello\r\n\r\n".to_vec(),
+            expected: "malformed log data",
+        },
+        Case {
+            name: "no CBOR",
+            answer: answer("200 OK", b"\xff"),
+            expected: "malformed log data",
+        },
+        Case {
+            name: "gap between records",
+            answer: answer("200 OK", &page(&[5, 7], 7)),
+            expected: "malformed log data (offset 7 in place of 6",
+        },
+        Case {
+            name: "first record is not the one asked for",
+            answer: answer("200 OK", &page(&[4], 7)),
+            expected: "malformed log data (offset 4 in place of 5",
+        },
+        Case {
+            name: "record past the end",
+            answer: answer("200 OK", &page(&[5, 6], 5)),
+            expected: "malformed log data (offset 6 in place of 6, end 5",
+        },
+        Case {
+            name: "closed before the answer",
+            answer: vec![],
+            expected: "the log service closed the connection",
+        },
+        Case {
+            name: "closed within the answer",
+            answer: b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nabc".to_vec(),
+            expected: "the log service closed the connection",
+        },
+        Case {
+            name: "too large",
+            answer: huge.into_bytes(),
+            expected: "the answer has more bytes, more than 4194304; split it",
+        },
+        Case {
+            name: "expired",
+            answer: answer("410 Gone", &bounds.to_cbor()),
+            expected: "records before 40 have expired, 5 among them",
+        },
+        Case {
+            name: "expired without bounds",
+            answer: answer("410 Gone", b""),
+            expected: "malformed log data",
+        },
+        Case {
+            name: "overloaded",
+            answer: answer("503 Service Unavailable", b"later"),
+            expected: "the log service refused the request (503 Service Unavailable: later)",
+        },
+        Case {
+            name: "failed inside",
+            answer: answer("500 Internal Server Error", b""),
+            expected: "the log service closed the connection (500",
+        },
+    ];
+    for case in cases {
+        run(async move {
+            let client = log::Client::new(answering(case.answer), PATIENT).await;
+            let text = client
+                .read(query(5))
+                .await
+                .map_or_else(|e| e.to_string(), |_| String::new());
+            let as_expected =
+                text.starts_with(case.expected) && text.is_empty() == case.expected.is_empty();
+            assert!(as_expected, "{}: {text}", case.name);
+        });
+    }
+}
+
+struct Append {
+    name: &'static str,
+    answer: Vec<u8>,
+    may_have_taken_effect: bool,
+}
+
+/// Guards against a writer that takes an append for undone although it may be in the log.
+#[test]
+fn appends_whose_effect_is_unknown() {
+    let receipt = |first, last| {
+        let receipt = log::Receipt {
+            first: Offset(first),
+            last: Offset(last),
+            offsets: (first..=last).map(Offset).collect(),
+        };
+        answer("200 OK", &receipt.to_cbor())
+    };
+    let cases = [
+        Append {
+            name: "closed before the answer",
+            answer: vec![],
+            may_have_taken_effect: true,
+        },
+        Append {
+            name: "receipt for another number of entries",
+            answer: receipt(3, 4),
+            may_have_taken_effect: true,
+        },
+        Append {
+            name: "failed inside",
+            answer: answer("500 Internal Server Error", b""),
+            may_have_taken_effect: true,
+        },
+        Append {
+            name: "bad gateway",
+            answer: answer("502 Bad Gateway", b""),
+            may_have_taken_effect: true,
+        },
+        Append {
+            name: "too many appends",
+            answer: answer("429 Too Many Requests", b""),
+            may_have_taken_effect: false,
+        },
+        Append {
+            name: "declined as malformed",
+            answer: answer("400 Bad Request", b""),
+            may_have_taken_effect: false,
+        },
+        Append {
+            name: "declined as too large",
+            answer: answer("413 Payload Too Large", b""),
+            may_have_taken_effect: false,
+        },
+    ];
+    for case in cases {
+        run(async move {
+            let client = log::Client::new(answering(case.answer), PATIENT).await;
+            let error = client.append(&batch()).await.unwrap_err();
+            let may = error.may_have_taken_effect();
+            assert_eq!(may, case.may_have_taken_effect, "{}: {error}", case.name);
+        });
+    }
+}
+
+/// Guards against a client that waits forever, or mistakes a closed port for an unknown effect.
+#[test]
+fn services_that_do_not_answer() {
+    run(async {
+        let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+        let client = log::Client::new(silent.local_addr().unwrap(), IMPATIENT).await;
+        let error = client.append(&batch()).await.unwrap_err();
+        assert_eq!(error, log::Error::TimedOut { millis: 50 });
+        assert!(error.may_have_taken_effect());
+
+        let client = log::Client::new(closed(), PATIENT).await;
+        let error = client.append(&batch()).await.unwrap_err();
+        assert!(matches!(error, log::Error::Refused(_)), "{error}");
+
+        let client = hosts::Client::new(closed(), PATIENT).await;
+        let error = client.list().await.unwrap_err();
+        assert!(!error.may_have_taken_effect(), "{error}");
+    });
+}
+
+/// Guards against accepting a host list or load report that is not of the documented form.
+#[test]
+fn malformed_json_is_refused() {
+    let cases = [
+        answer("200 OK", b"{"),
+        answer("200 OK", b"[{\"host\": \"H 1\"}]"),
+        answer("200 OK", b"[1]"),
+        answer("404 Not Found", b"[]"),
+    ];
+    for answer in cases {
+        let shown = String::from_utf8_lossy(&answer).into_owned();
+        run(async move {
+            let client = hosts::Client::new(answering(answer.clone()), PATIENT).await;
+            let error = client.list().await.unwrap_err();
+            assert!(
+                matches!(error, error::Error::Malformed { .. }),
+                "{shown}: {error}"
+            );
+            let client = target::Client::new(answering(answer), PATIENT).await;
+            let error = client.load().await.unwrap_err();
+            let malformed = target::Error::Unanswered(error::Error::Malformed {
+                peer: String::new(),
+                reason: String::new(),
+            });
+            let same = std::mem::discriminant(&error) == std::mem::discriminant(&malformed);
+            assert!(
+                same && error.to_string().contains("malformed"),
+                "{shown}: {error}"
+            );
+        });
+    }
+}
+
+/// Guards against a holder that goes on after a target has seen a higher epoch.
+#[test]
+fn commands_to_targets() {
+    run(async {
+        let grant = target::Grant {
+            epoch: Epoch(5),
+            ttl_ms: 1_500,
+        };
+        let stale = answering(answer("409 Conflict", b"{\"highest\": 9}"));
+        let client = target::Client::new(stale, PATIENT).await;
+        let error = client.grant(grant).await.unwrap_err();
+        let expected = target::Error::Stale {
+            granted: Epoch(5),
+            highest: Epoch(9),
+        };
+        assert_eq!(error, expected);
+
+        let draining = answering(answer("503 Service Unavailable", b"draining"));
+        let client = target::Client::new(draining, PATIENT).await;
+        let error = client.health().await.unwrap_err();
+        assert!(error.to_string().contains("refused"), "{error}");
+
+        let gone = answering(answer("404 Not Found", b""));
+        let client = target::Client::new(gone, PATIENT).await;
+        let cancelled = client.cancel(request::Id::default()).await;
+        assert_eq!(cancelled, Ok(target::Cancelled::Unknown));
+    });
+}
