--- a/crates/standin/src/log/store.rs
+++ b/crates/standin/src/log/store.rs
@@ -17,6 +17,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Store {
     pub(crate) faults: Faults,
+    pub(crate) received: u64,
     end: u64,
     rows: VecDeque<Row>,
     ids: BTreeSet<record::Id>,
