--- /dev/null
+++ b/crates/standin/tests/failure.rs
@@ -0,0 +1,335 @@
+//! The target's fake: cold starts, freezes, crashes and connections.
+
+mod common;
+
+use common::{AGES, Caller, PATIENT, run};
+use ntex::rt;
+use ragwortrill_core::{number::Epoch, time::Span};
+use ragwortrill_platform::{
+    headers,
+    target::{Client, EPOCH_HEADER, Grant, REFUSED_HEADER, REQUEST_HEADER},
+};
+use ragwortrill_standin::target::{Server, Settings};
+
+/// Short, for answers that never come.
+const IMPATIENT: Span = Span::from_millis(200);
+
+fn start(settings: Settings) -> Server {
+    Server::start("t1".parse().unwrap(), settings).unwrap()
+}
+
+/// Settings of a target that runs whatever it gets.
+fn open() -> Settings {
+    Settings {
+        checks_epoch: false,
+        ..Settings::default()
+    }
+}
+
+/// Sends a request on a task of its own. True if it gets an answer with status 200.
+fn spawn(
+    caller: &Caller,
+    headers: &'static [(&'static str, &'static str)],
+) -> rt::JoinHandle<bool> {
+    let caller = caller.clone();
+    rt::spawn(async move {
+        let sent = caller.send("GET", "/", headers, b"").await;
+        sent.is_ok_and(|answer| answer.status == 200 && answer.body.is_ok())
+    })
+}
+
+struct Cold {
+    name: &'static str,
+    settings: Settings,
+    /// Requests that are slow before the target is warm, if it ever is.
+    slow: usize,
+    warms: bool,
+}
+
+/// Guards against a cold start that is as fast as a warm target.
+#[test]
+fn cold_starts() {
+    let cases = [
+        Cold {
+            name: "warm at once",
+            settings: open(),
+            slow: 0,
+            warms: true,
+        },
+        Cold {
+            name: "cold for two requests",
+            settings: Settings {
+                cold_requests: 2,
+                cold_time: AGES,
+                ..open()
+            },
+            slow: 2,
+            warms: true,
+        },
+        Cold {
+            name: "cold for a long time",
+            settings: Settings {
+                cold_span: AGES,
+                cold_time: AGES,
+                ..open()
+            },
+            slow: 3,
+            warms: false,
+        },
+    ];
+    for case in cases {
+        run(async move {
+            let server = start(case.settings);
+            let caller = Caller::new(server.address()).await;
+            let mut pending = Vec::new();
+            for sent in 1..=case.slow {
+                pending.push(spawn(&caller, &[]));
+                server.until(|counts| counts.started == sent as u64).await;
+            }
+            if case.warms {
+                assert!(spawn(&caller, &[]).await.unwrap(), "{}", case.name);
+            }
+            let finished = server.counts().finished;
+            assert_eq!(finished, u64::from(case.warms), "{}", case.name);
+            assert!(pending.iter().all(|p| !p.is_finished()), "{}", case.name);
+
+            let before = server.start_id();
+            server.chill();
+            assert_ne!(server.start_id(), before, "{}", case.name);
+        });
+    }
+}
+
+/// Guards against a freeze that answers, or that loses what arrived meanwhile.
+#[test]
+fn freezes() {
+    run(async {
+        let server = start(open());
+        let caller = Caller::new(server.address()).await;
+        server.change(|settings| settings.hold = true);
+        let before = spawn(&caller, &[(REQUEST_HEADER, "r1")]);
+        server.until(|counts| counts.running == 1).await;
+        server.freeze();
+        server.change(|settings| settings.hold = false);
+        let during = spawn(&caller, &[(REQUEST_HEADER, "r2")]);
+        let client = Client::new(server.address(), IMPATIENT).await;
+        client.load().await.unwrap_err();
+        assert!(!before.is_finished() && !during.is_finished());
+        let counts = server.counts();
+        assert_eq!((counts.received, counts.finished, counts.probes), (1, 0, 0));
+
+        server.resume();
+        assert!(before.await.unwrap() && during.await.unwrap());
+        assert_eq!(server.counts().runs.len(), 2);
+    });
+}
+
+/// Guards against a target that forgets, in a freeze, to check the epoch of what arrived.
+#[test]
+fn a_resumed_target_checks_epochs() {
+    run(async {
+        let server = start(Settings::default());
+        let client = Client::new(server.address(), PATIENT).await;
+        let caller = Caller::new(server.address()).await;
+        let grant = |epoch, ttl: Span| Grant {
+            epoch: Epoch(epoch),
+            ttl_ms: ttl.as_millis(),
+        };
+        client.grant(grant(5, AGES)).await.unwrap();
+        client.grant(grant(5, Span::ZERO)).await.unwrap();
+        server.freeze();
+        let headers = [(EPOCH_HEADER, "5")];
+        let sent = rt::spawn(async move { caller.send("GET", "/", &headers, b"").await });
+        server.resume();
+        let answer = sent.await.unwrap().unwrap();
+        assert_eq!(answer.header(REFUSED_HEADER), "no-grant");
+        assert_eq!(server.counts().started, 0);
+    });
+}
+
+/// Guards against a crash that lets work, connections or memory survive.
+#[test]
+fn crashes_and_restarts() {
+    run(async {
+        let mut server = start(Settings {
+            hold: true,
+            slots: 1,
+            ..open()
+        });
+        let caller = Caller::new(server.address()).await;
+        let running = spawn(&caller, &[(REQUEST_HEADER, "r1")]);
+        server.until(|counts| counts.running == 1).await;
+        let waiting = spawn(&caller, &[(REQUEST_HEADER, "r2")]);
+        server.until(|counts| counts.waiting == 1).await;
+        let before = server.start_id();
+        server.crash();
+        assert!(server.is_crashed());
+        assert!(!running.await.unwrap() && !waiting.await.unwrap());
+        assert!(
+            !spawn(&caller, &[]).await.unwrap(),
+            "the listener is closed"
+        );
+        let counts = server.counts();
+        assert_eq!(
+            (counts.running, counts.waiting, counts.connections),
+            (0, 0, 0)
+        );
+        assert_eq!((counts.interrupted, counts.crashes), (1, 1));
+
+        let address = server.address();
+        server.change(|settings| settings.hold = false);
+        server.restart().unwrap();
+        assert_eq!(server.address(), address);
+        assert_ne!(server.start_id(), before);
+        assert!(spawn(&caller, &[(REQUEST_HEADER, "r1")]).await.unwrap());
+        assert_eq!(
+            server.counts().repeated(),
+            ["r1"],
+            "counters survive a crash"
+        );
+    });
+}
+
+/// Guards against a restart while frozen, or of a target that still runs, that fails.
+#[test]
+fn restarts_from_any_state() {
+    run(async {
+        let mut server = start(open());
+        let caller = Caller::new(server.address()).await;
+        assert!(spawn(&caller, &[]).await.unwrap());
+        server.restart().unwrap();
+        assert!(!server.is_crashed());
+        let caller = Caller::new(server.address()).await;
+        assert!(spawn(&caller, &[]).await.unwrap());
+        server.freeze();
+        server.restart().unwrap();
+        let caller = Caller::new(server.address()).await;
+        assert!(spawn(&caller, &[]).await.unwrap());
+        assert_eq!(server.counts().crashes, 2);
+    });
+}
+
+struct Memory {
+    remembers: bool,
+    accepted: bool,
+}
+
+/// Guards against tests that take a restarted target's memory of epochs for granted.
+#[test]
+fn restarted_targets_may_forget_epochs() {
+    let cases = [
+        Memory {
+            remembers: false,
+            accepted: true,
+        },
+        Memory {
+            remembers: true,
+            accepted: false,
+        },
+    ];
+    for case in cases {
+        run(async move {
+            let mut server = start(Settings {
+                remembers_epoch: case.remembers,
+                ..Settings::default()
+            });
+            let grant = |epoch| Grant {
+                epoch: Epoch(epoch),
+                ttl_ms: AGES.as_millis(),
+            };
+            let client = Client::new(server.address(), PATIENT).await;
+            client.grant(grant(5)).await.unwrap();
+            server.restart().unwrap();
+            let caller = Caller::new(server.address()).await;
+            let answer = caller
+                .send("GET", "/", &[(EPOCH_HEADER, "5")], b"")
+                .await
+                .unwrap();
+            assert_eq!(
+                answer.header(REFUSED_HEADER),
+                "no-grant",
+                "no grant survives"
+            );
+            let client = Client::new(server.address(), PATIENT).await;
+            let lower = Grant {
+                epoch: Epoch(4),
+                ..grant(4)
+            };
+            // The request above had epoch 5, so a lower grant needs a target without memory.
+            server.restart().unwrap();
+            let granted = client.grant(lower).await;
+            let client = Client::new(server.address(), PATIENT).await;
+            let granted = granted.or(client.grant(lower).await);
+            assert_eq!(granted.is_ok(), case.accepted, "{granted:?}");
+        });
+    }
+}
+
+/// Guards against a fatal request that does not crash its target.
+#[test]
+fn fatal_requests() {
+    run(async {
+        let mut server = start(Settings {
+            fatal_key: Some("bad".to_owned()),
+            ..open()
+        });
+        let caller = Caller::new(server.address()).await;
+        assert!(spawn(&caller, &[(headers::KEY, "good")]).await.unwrap());
+        assert!(!spawn(&caller, &[(headers::KEY, "bad")]).await.unwrap());
+        server.until_crashed().await;
+        let counts = server.counts();
+        assert_eq!((counts.started, counts.finished), (2, 1));
+        server.restart().unwrap();
+        let caller = Caller::new(server.address()).await;
+        assert!(spawn(&caller, &[(headers::KEY, "good")]).await.unwrap());
+        let counts = server.counts();
+        assert_eq!(
+            (counts.running, counts.crashes, counts.interrupted),
+            (0, 1, 1)
+        );
+    });
+}
+
+/// Guards against a target that accepts more connections than its limit.
+#[test]
+fn connections_are_limited() {
+    run(async {
+        let server = start(Settings {
+            connections: 1,
+            hold: true,
+            ..open()
+        });
+        let caller = Caller::new(server.address()).await;
+        let first = spawn(&caller, &[]);
+        server.until(|counts| counts.running == 1).await;
+        assert!(!spawn(&caller, &[]).await.unwrap());
+        let counts = server.counts();
+        assert_eq!((counts.connections, counts.connections_refused), (1, 1));
+        server.change(|settings| settings.connections = 2);
+        let second = spawn(&caller, &[]);
+        server.until(|counts| counts.running == 2).await;
+        server.change(|settings| settings.hold = false);
+        assert!(first.await.unwrap() && second.await.unwrap());
+        assert_eq!(server.counts().connections_peak, 2);
+    });
+}
+
+/// Guards against a run that ends with its caller's connection. The design relies on such runs
+/// going on until they are cancelled.
+#[test]
+fn runs_survive_their_caller() {
+    run(async {
+        let server = start(Settings {
+            hold: true,
+            ..open()
+        });
+        let caller = Caller::new(server.address()).await;
+        let pending = spawn(&caller, &[]);
+        server.until(|counts| counts.running == 1).await;
+        pending.cancel();
+        server.until(|counts| counts.connections == 0).await;
+        assert_eq!(server.counts().running, 1);
+        server.change(|settings| settings.hold = false);
+        server.until(|counts| counts.finished == 1).await;
+    });
+}
--- /dev/null
+++ b/crates/standin/tests/stream.rs
@@ -0,0 +1,234 @@
+//! The target's fake: downloads.
+
+mod common;
+
+use common::{Caller, run};
+use ragwortrill_platform::headers;
+use ragwortrill_standin::target::{Server, Settings, byte_at};
+
+/// Length of the downloads, in bytes. More than the buffers of a connection hold.
+const SIZE: u64 = 20 << 20;
+
+fn start() -> Server {
+    let settings = Settings {
+        checks_epoch: false,
+        ..Settings::default()
+    };
+    Server::start("t1".parse().unwrap(), settings).unwrap()
+}
+
+fn content(version: u64, start: u64, end: u64) -> Vec<u8> {
+    (start..end)
+        .map(|offset| byte_at(version, offset))
+        .collect()
+}
+
+struct Case {
+    name: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    status: u16,
+    range: &'static str,
+    /// First byte and the one after the last.
+    bytes: (u64, u64),
+}
+
+/// Guards against a download that resumes at the wrong byte or in another version.
+#[test]
+fn ranges() {
+    const ETAG: &str = "\"1-1000\"";
+    let case = |name, headers, status, range, bytes| Case {
+        name,
+        headers,
+        status,
+        range,
+        bytes,
+    };
+    let cases = [
+        case("whole", &[], 200, "", (0, 1000)),
+        case(
+            "part",
+            &[(headers::RANGE, "bytes=10-19")],
+            206,
+            "bytes 10-19/1000",
+            (10, 20),
+        ),
+        case(
+            "rest",
+            &[(headers::RANGE, "bytes=990-")],
+            206,
+            "bytes 990-999/1000",
+            (990, 1000),
+        ),
+        case(
+            "tail",
+            &[(headers::RANGE, "bytes=-5")],
+            206,
+            "bytes 995-999/1000",
+            (995, 1000),
+        ),
+        case(
+            "long tail",
+            &[(headers::RANGE, "bytes=-5000")],
+            206,
+            "bytes 0-999/1000",
+            (0, 1000),
+        ),
+        case(
+            "past the end",
+            &[(headers::RANGE, "bytes=990-2000")],
+            206,
+            "bytes 990-999/1000",
+            (990, 1000),
+        ),
+        case(
+            "nothing",
+            &[(headers::RANGE, "bytes=1000-")],
+            416,
+            "bytes */1000",
+            (0, 0),
+        ),
+        case(
+            "reversed",
+            &[(headers::RANGE, "bytes=9-1")],
+            200,
+            "",
+            (0, 1000),
+        ),
+        case(
+            "malformed",
+            &[(headers::RANGE, "lines=1-2")],
+            200,
+            "",
+            (0, 1000),
+        ),
+        case(
+            "same version",
+            &[(headers::RANGE, "bytes=10-19"), (headers::IF_RANGE, ETAG)],
+            206,
+            "bytes 10-19/1000",
+            (10, 20),
+        ),
+        case(
+            "other version",
+            &[
+                (headers::RANGE, "bytes=10-19"),
+                (headers::IF_RANGE, "\"0-1000\""),
+            ],
+            200,
+            "",
+            (0, 1000),
+        ),
+    ];
+    run(async move {
+        let server = start();
+        let caller = Caller::new(server.address()).await;
+        for case in cases {
+            let answer = caller
+                .send("GET", "/stream/1000?chunk=7", case.headers, b"")
+                .await
+                .unwrap();
+            assert_eq!(answer.status, case.status, "{}", case.name);
+            assert_eq!(answer.header("Content-Range"), case.range, "{}", case.name);
+            if case.status < 300 {
+                let (start, end) = case.bytes;
+                assert_eq!(answer.whole(), content(1, start, end), "{}", case.name);
+                assert_eq!(answer.header(headers::ETAG), ETAG, "{}", case.name);
+            }
+        }
+        server.until(|counts| counts.running == 0).await;
+        assert_eq!(server.counts().interrupted, 0);
+    });
+}
+
+/// Guards against large downloads that are cut or that lose their order.
+#[test]
+fn large_downloads() {
+    run(async {
+        let server = start();
+        let caller = Caller::new(server.address()).await;
+        for query in [
+            "",
+            "?chunked=1",
+            "?chunk=100000",
+            "?chunk=5000000&interval_ms=1",
+        ] {
+            let path = format!("/stream/{SIZE}{query}");
+            let answer = caller.send("GET", &path, &[], b"").await.unwrap();
+            assert!(answer.whole() == content(1, 0, SIZE), "{query}");
+        }
+        let empty = caller.send("GET", "/stream/0", &[], b"").await.unwrap();
+        assert_eq!((empty.status, empty.whole().len()), (200, 0));
+    });
+}
+
+/// Guards against a change of the content that keeps its ETag.
+#[test]
+fn changed_content() {
+    run(async {
+        let server = start();
+        let caller = Caller::new(server.address()).await;
+        let first = caller.send("GET", "/stream/100", &[], b"").await.unwrap();
+        server.change(|settings| settings.content = 2);
+        let etag = first.header(headers::ETAG).to_owned();
+        let headers = [(headers::RANGE, "bytes=50-"), (headers::IF_RANGE, &etag)];
+        let second = caller
+            .send("GET", "/stream/100", &headers, b"")
+            .await
+            .unwrap();
+        assert_eq!(second.status, 200);
+        assert_ne!(second.header(headers::ETAG), etag);
+        assert_eq!(second.whole(), content(2, 0, 100));
+    });
+}
+
+/// Guards against a broken download that looks complete.
+#[test]
+fn broken_downloads() {
+    run(async {
+        let server = start();
+        let caller = Caller::new(server.address()).await;
+        for query in ["break_at=70000", "break_at=70000&chunked=1"] {
+            let path = format!("/stream/{SIZE}?{query}");
+            let answer = caller.send("GET", &path, &[], b"").await.unwrap();
+            assert!(answer.body.is_err(), "{query}");
+        }
+        server
+            .until(|counts| counts.interrupted == 2 && counts.running == 0)
+            .await;
+    });
+}
+
+/// Guards against a crash that ends a download without a visible break.
+#[test]
+fn a_crash_breaks_downloads() {
+    run(async {
+        let mut server = start();
+        let caller = Caller::new(server.address()).await;
+        server.change(|settings| settings.hold = true);
+        for query in ["", "?chunked=1"] {
+            let path = format!("/stream/{SIZE}{query}");
+            let response = caller.open("GET", &path, &[], b"").await.unwrap();
+            assert_eq!(response.status().as_u16(), 200, "{query}");
+            server.crash();
+            assert!(response.body().await.is_err(), "{query}");
+            server.restart().unwrap();
+        }
+        assert_eq!(server.counts().interrupted, 2);
+    });
+}
+
+/// Guards against a download that keeps its slot after its caller has gone.
+#[test]
+fn a_download_ends_with_its_caller() {
+    run(async {
+        let server = start();
+        let caller = Caller::new(server.address()).await;
+        let path = format!("/stream/{SIZE}");
+        let response = caller.open("GET", &path, &[], b"").await.unwrap();
+        server.until(|counts| counts.running == 1).await;
+        drop(response);
+        server
+            .until(|counts| counts.interrupted == 1 && counts.running == 0)
+            .await;
+    });
+}
