--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -128,7 +128,7 @@
         let peer = self.peer();
         let reason = error.to_string();
         match error {
-            // ntex reports a connection that closes after the request was sent in this way.
+            // ntex reports a connection that closes before the answer's head as this connect error.
             ClientError::Connect(ConnectError::Disconnected(None)) => Error::Lost { peer, reason },
             ClientError::Connect(_) | ClientError::Url(_) => Error::Refused { peer, reason },
             ClientError::Response(_) => Error::Malformed { peer, reason },
