--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -106,6 +106,12 @@
         }
     }
 
+    /// Applies changed limits. Requests that run above a lower limit are not interrupted.
+    pub fn configure(&mut self, settings: Settings) {
+        self.limit = self.limit.min(settings.slots);
+        self.settings = settings;
+    }
+
     /// Asks for a slot. Does not allocate when the request starts at once.
     pub fn offer(&mut self, now: Instant, ticket: Ticket) -> Verdict {
         if ticket.deadline <= now {
--- /dev/null
+++ b/crates/core/src/claims.rs
@@ -0,0 +1,229 @@
+//! Claims of contracts, their standbys, and contracts given up to better placed daemons.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    action::Action,
+    contract::Contract,
+    ledger::Peer,
+    name,
+    node::Node,
+    placement,
+    process::Process,
+    record::{Record, State},
+    time::{Instant, Span},
+};
+
+/// Standbys that a contract names.
+const STANDBYS: usize = 2;
+
+/// Time for which a daemon must be heard before it gets contracts from live holders.
+const SETTLED: Span = Span::from_secs(5);
+
+/// Interval between contracts that a holder gives up, so that few keys pause at a time.
+const YIELD_INTERVAL: Span = Span::from_millis(500);
+
+/// Longest time that a holder waits for running requests before it gives a contract up.
+const YIELD_LIMIT: Span = Span::from_secs(1);
+
+impl Node {
+    /// Returns the processes that may hold contracts: heard, in service, not known to be lost.
+    pub(crate) fn candidates(&self, now: Instant) -> Vec<&Peer> {
+        let live = |p: &&Peer| match p.process == self.config.process {
+            true => self.stopping.is_none(),
+            false => self.hears(&p.process, now),
+        };
+        let in_service = |p: &&Peer| {
+            self.ledger.host(&p.process.host) == State::In
+                && self.ledger.data_centre(&p.data_centre) == State::In
+                && !self.ledger.lost().contains(&p.process)
+        };
+        let peers = self.ledger.processes().values();
+        peers.filter(live).filter(in_service).collect()
+    }
+
+    /// Ranks candidates for a target: those in its data centre first.
+    fn ranked(&self, target: &name::Target, candidates: &[&Peer]) -> Vec<Process> {
+        let row = self.ledger.table().target(target);
+        let home = row.map(|(_, _, row)| &row.data_centre);
+        let (near, far): (Vec<_>, Vec<_>) = candidates
+            .iter()
+            .partition(|peer| Some(&peer.data_centre) == home);
+        let rank = |peers: Vec<&&Peer>| {
+            let processes = peers.into_iter().map(|p| p.process.clone());
+            placement::rank(target.as_str(), processes)
+        };
+        rank(near).into_iter().chain(rank(far)).collect()
+    }
+
+    /// Returns the standbys that this process would name now: in other data centres if possible.
+    fn choose_standbys(&self, now: Instant) -> Vec<Process> {
+        let candidates = self.candidates(now);
+        let others = candidates
+            .iter()
+            .filter(|p| p.process != self.config.process);
+        let places: BTreeMap<&Process, &name::DataCentre> =
+            others.map(|p| (&p.process, &p.data_centre)).collect();
+        let subject = self.config.process.to_string();
+        let mut ranked = placement::rank(&subject, places.keys().map(|p| (*p).clone()));
+        let mut used = vec![&self.config.data_centre];
+        let mut chosen = Vec::new();
+        while chosen.len() < STANDBYS && !ranked.is_empty() {
+            let fresh = ranked.iter().position(|p| !used.contains(&places[p]));
+            let process = ranked.remove(fresh.unwrap_or(0));
+            used.push(places[&process]);
+            chosen.push(process);
+        }
+        chosen
+    }
+
+    pub(crate) fn claim(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if !self.is_reading(now) || !self.started || self.stopping.is_some() {
+            return;
+        }
+        let candidates = self.candidates(now);
+        let mut due = Vec::new();
+        let mut claimable = BTreeMap::new();
+        for target in self.subjects() {
+            let contract = self.ledger.contracts().get(&target);
+            if self.ownership.is_claiming(&target) || !self.is_claimable(now, contract) {
+                continue;
+            }
+            let since = *self.claimable.get(&target).unwrap_or(&now);
+            claimable.insert(target.clone(), since);
+            let Some(turn) = self.turn(&target, contract, &candidates) else {
+                continue;
+            };
+            let delay = Span(self.config.times.second_standby.0 * turn);
+            if now.since(since) >= delay {
+                due.push((target, contract.map(|c| c.epoch)));
+            }
+        }
+        self.claimable = claimable;
+        if !due.is_empty() {
+            let id = self.next_entry();
+            let standbys = self.choose_standbys(now);
+            let record = self.ownership.claim(id, due, standbys);
+            self.append_as(id, "target has no live holder", record, actions);
+        }
+    }
+
+    /// Returns all targets that need a holder.
+    fn subjects(&self) -> BTreeSet<name::Target> {
+        let rows = self.ledger.table().services.values();
+        let named = rows.flat_map(|row| row.targets.keys());
+        let held = self.ledger.contracts().keys();
+        named.chain(held).cloned().collect()
+    }
+
+    fn is_claimable(&self, now: Instant, contract: Option<&Contract>) -> bool {
+        contract.is_none_or(|contract| {
+            contract.released.is_some()
+                || self.ledger.lost().contains(&contract.holder)
+                || contract.holder != self.config.process && !self.hears(&contract.holder, now)
+        })
+    }
+
+    /// Returns how many others go before this process in claiming a target.
+    fn turn(
+        &self,
+        target: &name::Target,
+        contract: Option<&Contract>,
+        candidates: &[&Peer],
+    ) -> Option<u64> {
+        let ranked = self.ranked(target, candidates);
+        let rank = ranked.iter().position(|p| *p == self.config.process)? as u64;
+        let Some(contract) = contract.filter(|c| c.released.is_none()) else {
+            return Some(rank);
+        };
+        let live = |process: &&Process| candidates.iter().any(|p| p.process == **process);
+        let mut standbys = contract.standbys.iter().filter(live);
+        match standbys.position(|standby| *standby == self.config.process) {
+            Some(turn) => Some(turn as u64),
+            None if contract.standbys.iter().any(|s| live(&s)) => None,
+            None => Some(rank + STANDBYS as u64),
+        }
+    }
+
+    /// Confirms contracts after their wait, and replaces standbys that are silent.
+    pub(crate) fn rename(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if !self.is_reading(now) || self.stopping.is_some() {
+            return;
+        }
+        let chosen = self.choose_standbys(now);
+        let wants = |standbys: &[Process]| {
+            standbys.len() < chosen.len() || standbys.iter().any(|s| !self.hears(s, now))
+        };
+        let held = self.ownership.held().iter();
+        let targets: Vec<_> = held
+            .filter(|(_, held)| held.from <= now && !self.ownership.is_renaming(held.epoch))
+            .filter(|(_, held)| !held.is_confirmed() || wants(held.standbys()))
+            .map(|(target, held)| (target.clone(), held.epoch))
+            .collect();
+        if targets.is_empty() {
+            return;
+        }
+        let id = self.next_entry();
+        let record = self.ownership.rename(id, targets, chosen);
+        self.append_as(id, "holder confirms and names standbys", record, actions);
+    }
+
+    /// Starts to give up one contract that another daemon is better placed to hold.
+    pub(crate) fn yield_contracts(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.stopping.is_none() && self.is_reading(now) && now >= self.next_yield {
+            self.next_yield = now + YIELD_INTERVAL;
+            if let Some(target) = self.misplaced(now) {
+                self.stop_sending(now, &target, actions);
+            }
+        }
+        self.release(now, actions);
+    }
+
+    fn misplaced(&self, now: Instant) -> Option<name::Target> {
+        let candidates = self.candidates(now);
+        let held = self.ownership.held().iter();
+        let idle = |target: &name::Target| {
+            let desk = self.desks.get(target);
+            desk.is_some_and(|desk| desk.handover.is_none() && desk.yielding.is_none())
+        };
+        let mut movable = held.filter(|(target, held)| held.is_confirmed() && idle(target));
+        let better = movable.find(|(target, _)| {
+            let best = self.ranked(target, &candidates).into_iter().next();
+            best.is_some_and(|best| {
+                best != self.config.process && self.view.heard_for(&best, now) >= SETTLED
+            })
+        });
+        better.map(|(target, _)| target.clone())
+    }
+
+    /// Ends admission to a target whose contract is to be given up.
+    pub(crate) fn stop_sending(
+        &mut self,
+        now: Instant,
+        target: &name::Target,
+        actions: &mut Vec<Action>,
+    ) {
+        self.ownership.stop(target);
+        if let Some(desk) = self.desks.get_mut(target) {
+            desk.yielding = Some(now);
+        }
+        self.requeue(now, target, actions);
+    }
+
+    /// Gives up contracts whose requests have ended, or waited long enough.
+    fn release(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let ready = |since: Instant, running: usize| running == 0 || now >= since + YIELD_LIMIT;
+        let mut targets = Vec::new();
+        for (target, desk) in &mut self.desks {
+            let running = desk.queue.running();
+            if desk.yielding.is_some_and(|since| ready(since, running)) && !desk.released {
+                desk.released = true;
+                targets.push((target.clone(), desk.epoch, running as u32));
+            }
+        }
+        if !targets.is_empty() {
+            let record = Record::Release { targets };
+            self.append("another daemon takes over", record, actions);
+        }
+    }
+}
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -1,56 +1,119 @@
 //! What the holder of a target keeps about it.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use crate::{
-    event::Ticket,
+    admission::{self, Queue},
+    event::{Probe, Report, Ticket},
     handover::Handover,
-    number::Epoch,
+    health::{self, Health, Observation, State},
+    hint,
+    key::Digest,
+    name,
+    number::{Epoch, Slice},
+    request::{self, Fingerprint},
+    sketch::Sketch,
+    table::Service,
     time::{Instant, Span},
     times::Times,
 };
 
-/// Requests, grants and health of a target that this process holds.
+/// Keys whose load is told apart for each target.
+const SKETCH_KEYS: usize = 256;
+
+/// Time after which loads count half.
+const HALF_LIFE: Span = Span::from_secs(10);
+
+/// Requests, grants, health and loads of a target that this process holds.
 #[derive(Clone, Debug)]
 pub(crate) struct Desk {
     /// Epoch under which this process holds the target.
     pub(crate) epoch: Epoch,
-    /// Requests that the target runs, with the deadline of each.
-    pub(crate) running: BTreeMap<Ticket, Instant>,
-    /// Requests that wait for a slot.
-    pub(crate) queue: VecDeque<Ticket>,
+    /// Admission to the target.
+    pub(crate) queue: Queue,
+    /// Health of the target.
+    pub(crate) health: Health,
     /// Shares on their way to other targets.
     pub(crate) handover: Option<Handover>,
     /// When this process first knew that it holds the target.
     pub(crate) since: Instant,
-    /// Last answer to a probe.
-    answered: Instant,
-    /// Last probe sent.
+    /// True once the target has accepted a grant of this epoch, or if it checks none.
+    pub(crate) accepted: bool,
+    /// Requests whose connection broke, until it is known whether the target crashed.
+    pub(crate) broken: Option<Break>,
+    /// When this process stopped sending work in order to give the contract up.
+    pub(crate) yielding: Option<Instant>,
+    /// True once the record that gives the contract up is submitted.
+    pub(crate) released: bool,
+    /// Busy time by slice, in microseconds.
+    pub(crate) slices: BTreeMap<Slice, u64>,
+    /// Busy time by key, in microseconds, of the keys with the most.
+    pub(crate) keys: Sketch,
+    /// Latest deadline of the requests that were sent.
+    pub(crate) last_deadline: Instant,
+    slots: u32,
+    halved: Instant,
     probed: Option<Instant>,
-    /// Last grant sent.
     granted: Option<Instant>,
-    /// True once the target has accepted a grant of this epoch.
-    pub(crate) accepted: bool,
-    /// Restart mark of the target.
-    pub(crate) mark: Option<u64>,
+    start: Option<u64>,
+}
+
+/// Requests that were in flight when a connection to their target broke.
+#[derive(Clone, Debug)]
+pub(crate) struct Break {
+    /// Fingerprints of the requests in flight.
+    pub(crate) fingerprints: Vec<Fingerprint>,
+    /// Requests that wait for the verdict.
+    pub(crate) waiting: Vec<Ticket>,
+    /// Mark of the target before the break.
+    pub(crate) start: Option<u64>,
+    /// When the first connection broke.
+    pub(crate) at: Instant,
 }
 
 impl Desk {
-    pub(crate) fn new(epoch: Epoch, now: Instant) -> Self {
+    /// Opens the desk of a target that is not known yet.
+    pub(crate) fn new(
+        epoch: Epoch,
+        now: Instant,
+        row: &Service,
+        checks: bool,
+        times: &Times,
+    ) -> Self {
+        let settings = health::Settings {
+            slots: row.slots,
+            slow_start: row.slow_start,
+            lost: times.target_lost,
+            ..Default::default()
+        };
         Self {
             epoch,
-            running: BTreeMap::new(),
-            queue: VecDeque::new(),
+            queue: Queue::new(admission::Settings::from(row)),
+            health: Health::new(now, settings),
             handover: None,
             since: now,
-            answered: now,
+            accepted: !checks,
+            broken: None,
+            yielding: None,
+            released: false,
+            slices: BTreeMap::new(),
+            keys: Sketch::new(SKETCH_KEYS),
+            last_deadline: Instant::default(),
+            slots: row.slots,
+            halved: now,
             probed: None,
             granted: None,
-            accepted: false,
-            mark: None,
+            start: None,
         }
     }
 
+    /// Applies changed limits of the table.
+    pub(crate) fn configure(&mut self, row: &Service) {
+        self.slots = row.slots;
+        self.queue.configure(admission::Settings::from(row));
+        self.health.configure(row.slots, row.slow_start);
+    }
+
     /// Tells whether a probe is due, and notes that it is sent.
     pub(crate) fn probe(&mut self, now: Instant, times: &Times) -> bool {
         let due = is_due(self.probed, now, times.probe);
@@ -60,32 +123,71 @@
         due
     }
 
+    /// Makes a probe due at once.
+    pub(crate) fn probe_soon(&mut self) {
+        self.probed = None;
+    }
+
     /// Tells whether a grant is due, and notes that it is sent.
     ///
     /// A target that doesn't answer probes gets no grant, so that its last one ends in time.
     pub(crate) fn grant(&mut self, now: Instant, times: &Times) -> bool {
-        let answers = now.since(self.answered) < times.grant_renewal;
-        let due = answers && is_due(self.granted, now, times.grant_renewal);
+        let due = self.answers() && is_due(self.granted, now, times.grant_renewal);
         if due {
             self.granted = Some(now);
         }
         due
     }
 
-    /// Restarts the timeout of the target.
-    pub(crate) fn restart(&mut self, now: Instant) {
-        self.answered = now;
+    fn answers(&self) -> bool {
+        self.start.is_some() && !self.health.is_failing()
     }
 
     /// Notes an answer to a probe.
-    pub(crate) fn answer(&mut self, now: Instant, mark: u64) {
-        self.answered = now;
-        self.mark = Some(mark);
+    pub(crate) fn answer(&mut self, now: Instant, answer: Probe) {
+        let Probe::Answered { start, load } = answer else {
+            let observation = match answer {
+                Probe::Unreachable => Observation::Unreachable,
+                _ => Observation::Silent,
+            };
+            return self.health.observe(now, observation);
+        };
+        // A restarted target has forgotten its grant.
+        if self.start.is_some_and(|known| known != start) {
+            self.granted = None;
+        }
+        self.start = Some(start);
+        let load_percent = load * 100 / self.slots.max(1);
+        self.health.observe(now, Observation::Probed(start));
+        let report = hint::Report {
+            load_percent,
+            start,
+        };
+        self.health.report(now, &report);
+    }
+
+    /// Takes the earlier holder's word that the target is warm.
+    pub(crate) fn inherit(&mut self, report: &Report) {
+        if report.state == State::Warm && report.start == self.start {
+            self.health.assume_warm();
+        }
+    }
+
+    /// Restarts the timeout of the target after a pause of this process.
+    pub(crate) fn restart(&mut self, now: Instant) {
+        if let Some(start) = self.start {
+            self.health.observe(now, Observation::Probed(start));
+        }
+    }
+
+    /// Returns the mark of the target's last restart.
+    pub(crate) fn start(&self) -> Option<u64> {
+        self.start
     }
 
     /// Tells whether the target counts as lost.
-    pub(crate) fn is_lost(&self, now: Instant, times: &Times) -> bool {
-        now.since(self.answered) >= times.target_lost
+    pub(crate) fn is_lost(&self) -> bool {
+        matches!(self.health.state(), State::Frozen | State::Lost)
     }
 
     /// Returns when the target can no longer serve under any grant that was sent.
@@ -95,10 +197,53 @@
             .unwrap_or_default()
     }
 
-    /// Returns the latest deadline of the requests that the target runs.
-    pub(crate) fn last_deadline(&self) -> Instant {
-        self.running.values().copied().max().unwrap_or_default()
+    /// Adds the busy time of a request.
+    pub(crate) fn charge(&mut self, slice: Slice, key: Option<Digest>, busy: Span) {
+        let busy = busy.0.max(1);
+        *self.slices.entry(slice).or_default() += busy;
+        if let Some(key) = key {
+            self.keys.add(key, busy);
+        }
+    }
+
+    /// Lets old loads count less.
+    pub(crate) fn decay(&mut self, now: Instant) {
+        if now.since(self.halved) < HALF_LIFE {
+            return;
+        }
+        self.halved = now;
+        self.keys.halve();
+        self.slices.values_mut().for_each(|load| *load /= 2);
+        self.slices.retain(|_, load| *load > 0);
     }
+
+    /// Describes the target for peers.
+    pub(crate) fn report(&self, target: &name::Target, now: Instant) -> Report {
+        Report {
+            target: target.clone(),
+            start: self.start,
+            state: self.health.state(),
+            in_flight: (self.queue.running() + self.queue.waiting()) as u32,
+            limit: self.queue.limit(),
+            latency: self.health.median().unwrap_or_default(),
+            load: self.slices.values().sum(),
+            capacity_percent: self.health.capacity_percent(now),
+        }
+    }
+}
+
+/// Returns the identifier of a request in the queue: unique in the process, even if two callers
+/// use the same idempotency key.
+pub(crate) fn queue_id(ticket: Ticket) -> request::Id {
+    request::Id {
+        key: Digest::default(),
+        number: ticket.0,
+    }
+}
+
+/// Returns the request that an identifier in the queue stands for.
+pub(crate) fn ticket(id: request::Id) -> Ticket {
+    Ticket(id.number)
 }
 
 fn is_due(last: Option<Instant>, now: Instant, interval: Span) -> bool {
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    key, name,
+    health, key, name,
     number::{Epoch, Offset},
     process::Process,
     record::Entry,
@@ -42,8 +42,8 @@
     Probed {
         /// The target.
         target: name::Target,
-        /// Its restart mark if it answered.
-        answer: Option<u64>,
+        /// Its answer.
+        answer: Probe,
     },
     /// A target answered a grant.
     Granted {
@@ -58,6 +58,43 @@
     Stop,
 }
 
+/// Answer to a probe.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Probe {
+    /// The target answered.
+    Answered {
+        /// Mark that changes when the target restarts.
+        start: u64,
+        /// Requests that it runs or that wait there, as it says.
+        load: u32,
+    },
+    /// No answer came in time.
+    Silent,
+    /// The connection was refused.
+    Unreachable,
+}
+
+/// What a holder tells its peers of a target.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Report {
+    /// The target.
+    pub target: name::Target,
+    /// Mark that changes when the target restarts.
+    pub start: Option<u64>,
+    /// Its state.
+    pub state: health::State,
+    /// Requests that run or wait there.
+    pub in_flight: u32,
+    /// Requests that may run there now.
+    pub limit: u32,
+    /// Median time to an answer, or zero if it is not known.
+    pub latency: Span,
+    /// Busy time of its requests lately, in microseconds.
+    pub load: u64,
+    /// What it bears, in per cent of a warm target.
+    pub capacity_percent: u32,
+}
+
 /// Records that a read of the log returned.
 #[derive(Clone, Debug, Default)]
 pub struct Read {
@@ -119,6 +156,8 @@
         /// True if the lease had ended.
         lapsed: bool,
     },
+    /// The target refused it because of its load, and did not run it.
+    Shed,
     /// The daemon that it was forwarded to refused it.
     Refused {
         /// Why.
@@ -143,8 +182,8 @@
         hash: u64,
         /// Epochs that the sender holds and names the receiver as standby for.
         epochs: Vec<Epoch>,
-        /// Targets that the sender holds and finds lost.
-        lost: Vec<name::Target>,
+        /// Targets that the sender holds.
+        reports: Vec<Report>,
     },
     /// Answers a heartbeat.
     Promise {
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -1,5 +1,7 @@
 //! A holder's observations of one target: latency, cold start, lasting slowness, loss.
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     hint::{Hint, Report},
     latency::Histogram,
@@ -45,7 +47,7 @@
 }
 
 /// State of a target as its holder sees it.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum State {
     /// It started a short time ago; its limit grows.
     Cold,
@@ -117,6 +119,13 @@
         }
     }
 
+    /// Applies changed limits.
+    pub fn configure(&mut self, slots: u32, slow_start: Span) {
+        self.settings.slots = slots;
+        self.settings.slow_start = slow_start;
+        self.ramp.configure(slots, slow_start);
+    }
+
     /// Marks the target as warm, when the previous holder says so of the same start mark.
     pub fn assume_warm(&mut self) {
         self.state = State::Warm;
@@ -188,6 +197,11 @@
         self.state
     }
 
+    /// Tells whether the last probe or connection failed.
+    pub fn is_failing(&self) -> bool {
+        self.failed.is_some()
+    }
+
     /// Returns how many requests may run on the target. Zero until an unreachable target is heard
     /// again by a probe, a report or an answer.
     pub fn limit(&self, now: Instant) -> u32 {
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -157,7 +157,11 @@
                 epoch,
                 requests,
             } => self.permit(offset, target, *epoch, requests),
+            Record::Withdraw { requests } => self.withdraw(requests),
             Record::Outcome { requests } => self.note_outcomes(requests),
+            Record::Crash { target, epoch, .. } => {
+                Effect::from_parts(self.is_current(target, *epoch))
+            }
             Record::Quarantine {
                 fingerprint,
                 barred,
@@ -328,6 +332,18 @@
         Effect::from_parts(changed)
     }
 
+    fn withdraw(&mut self, requests: &[(request::Id, Offset)]) -> Effect {
+        let mut changed = false;
+        for (request, offset) in requests {
+            let intent = self.requests.get(request);
+            if intent.is_some_and(|i| i.offset == *offset && i.status.is_none()) {
+                self.requests.remove(request);
+                changed = true;
+            }
+        }
+        Effect::from_parts(changed)
+    }
+
     fn note_outcomes(&mut self, requests: &[(request::Id, u16)]) -> Effect {
         let mut changed = false;
         for (request, status) in requests {
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -11,12 +11,30 @@
 #[derive(Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct View {
     heard: BTreeMap<Process, Instant>,
+    since: BTreeMap<Process, Instant>,
 }
 
 impl View {
     /// Notes a message from a process.
     pub fn hear(&mut self, process: &Process, now: Instant) {
         self.heard.insert(process.clone(), now);
+        self.since.entry(process.clone()).or_insert(now);
+    }
+
+    /// Forgets since when a silent process was heard.
+    pub fn forget_silent(&mut self, now: Instant, span: Span) {
+        let heard = &self.heard;
+        let silent = |process: &Process| {
+            let heard = heard.get(process);
+            heard.is_none_or(|heard| now.since(*heard) >= span)
+        };
+        self.since.retain(|process, _| !silent(process));
+    }
+
+    /// Returns how long a process has been heard without a break.
+    pub fn heard_for(&self, process: &Process, now: Instant) -> Span {
+        let since = self.since.get(process);
+        since.map(|since| now.since(*since)).unwrap_or_default()
     }
 
     /// Starts the suspicion timeout of a process that was not heard yet.
@@ -32,6 +50,7 @@
     /// Drops processes that are no longer of interest.
     pub fn retain(&mut self, keep: impl Fn(&Process) -> bool) {
         self.heard.retain(|process, _| keep(process));
+        self.since.retain(|process, _| keep(process));
     }
 
     /// Tells whether a process was heard within a span before `now`.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,19 +1,23 @@
 //! All decisions of one daemon behind one function.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::{
     action::Action,
+    balance::Plan,
+    choice::Choice,
     desk::Desk,
-    event::{Arrival, Event, Finish, Message, Peer, Read, Ticket},
+    event::{Arrival, Event, Message, Peer, Read, Report, Ticket},
     ledger::{Effect, Ledger},
     member::View,
     name,
-    number::Offset,
+    number::{Epoch, Offset},
     ownership::Ownership,
     process::Process,
+    quarantine::Quarantine,
     record::{self, Entry, Record},
     request,
+    retry::Budget,
     time::Instant,
     times::Times,
 };
@@ -44,11 +48,18 @@
     /// Status of requests that ended here, until the log has their outcome.
     pub(crate) ended: BTreeMap<request::Id, u16>,
     pub(crate) claimable: BTreeMap<name::Target, Instant>,
-    pub(crate) peers_lost: BTreeMap<Process, BTreeSet<name::Target>>,
+    /// What the holders of targets last told of them.
+    pub(crate) reports: BTreeMap<name::Target, Report>,
+    pub(crate) plans: BTreeMap<name::Service, Plan>,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) choice: Choice,
+    pub(crate) retries: BTreeMap<name::Service, Budget>,
     pub(crate) entries: u64,
     pub(crate) started: bool,
     pub(crate) stopping: Option<Instant>,
     pub(crate) next_heartbeat: Instant,
+    pub(crate) next_plan: Instant,
+    pub(crate) next_yield: Instant,
     pub(crate) ticked: Instant,
 }
 
@@ -57,6 +68,15 @@
 pub(crate) struct Held {
     pub(crate) arrival: Arrival,
     pub(crate) phase: Phase,
+    /// The intent in the log, once the request is registered and until it is sent.
+    pub(crate) intent: Option<Intent>,
+}
+
+/// A registration of a request in the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Intent {
+    pub(crate) offset: Offset,
+    pub(crate) epoch: Epoch,
 }
 
 /// Where a request stands.
@@ -68,8 +88,10 @@
     Queued(name::Target),
     /// Waits for its intent's record.
     Registering(name::Target, record::Id),
-    /// Runs at a target.
-    Running(name::Target),
+    /// Runs at a target since a moment.
+    Running(name::Target, Instant),
+    /// Waits until it is known whether its target crashed.
+    Suspended(name::Target),
     /// Was forwarded to the daemon that holds its target.
     Forwarded(Process),
 }
@@ -79,7 +101,6 @@
     pub fn new(config: Config) -> Self {
         Self {
             ownership: Ownership::new(config.process.clone()),
-            config,
             ledger: Ledger::default(),
             view: View::default(),
             desks: BTreeMap::new(),
@@ -87,12 +108,19 @@
             running: BTreeMap::new(),
             ended: BTreeMap::new(),
             claimable: BTreeMap::new(),
-            peers_lost: BTreeMap::new(),
+            reports: BTreeMap::new(),
+            plans: BTreeMap::new(),
+            quarantine: Quarantine::default(),
+            choice: Choice::new(config.process.incarnation),
+            retries: BTreeMap::new(),
             entries: 0,
             started: false,
             stopping: None,
             next_heartbeat: Instant::default(),
+            next_plan: Instant::default(),
+            next_yield: Instant::default(),
             ticked: Instant::default(),
+            config,
         }
     }
 
@@ -105,7 +133,7 @@
             Event::Arrive(arrival) => self.arrive(now, arrival, actions),
             Event::Finish { ticket, result } => self.finish(now, ticket, result, actions),
             Event::Gone(ticket) => self.leave(now, ticket, actions),
-            Event::Probed { target, answer } => self.probed(now, &target, answer),
+            Event::Probed { target, answer } => self.probed(now, &target, answer, actions),
             Event::Granted {
                 target,
                 epoch,
@@ -131,7 +159,8 @@
             self.announce(actions);
         }
         if self.ledger.offset() != before {
-            self.reconcile(now);
+            self.reconcile(now, actions);
+            self.claim(now, actions);
             self.route_waiting(now, actions);
         }
     }
@@ -158,9 +187,15 @@
             .follow(now, offset, entry, &self.ledger, &self.config.times);
         match &entry.record {
             Record::Started { process, .. } => self.view.expect(process, now),
-            Record::Intent { requests, .. } => {
+            Record::Intent {
+                requests, epoch, ..
+            } => {
+                let intent = Intent {
+                    offset,
+                    epoch: *epoch,
+                };
                 for request in requests {
-                    self.registered(now, entry.id, *request, offset, actions);
+                    self.registered(now, entry, *request, intent, actions);
                 }
             }
             Record::Outcome { requests } => {
@@ -168,7 +203,23 @@
                     self.ended.remove(request);
                 }
             }
-            Record::Move { from, .. } => self.moved(from, entry.id, effect),
+            Record::Move {
+                service,
+                from,
+                shares,
+                ..
+            } => self.moved(now, entry.id, service, shares, from),
+            Record::Crash { fingerprints, .. } if effect == Effect::Applied => {
+                self.note_crash(now, entry, fingerprints, actions);
+            }
+            Record::Quarantine {
+                fingerprint,
+                barred,
+            } => match barred {
+                true => self.quarantine.bar(now, *fingerprint),
+                false => self.quarantine.release(*fingerprint),
+            },
+            Record::Table { .. } => self.configure(),
             _ => {}
         }
     }
@@ -206,10 +257,14 @@
         self.view.hear(&from, now);
         match message {
             Message::Heartbeat {
-                sent, epochs, lost, ..
+                sent,
+                epochs,
+                reports,
+                ..
             } => {
-                self.peers_lost
-                    .insert(from.clone(), lost.into_iter().collect());
+                for report in reports {
+                    self.reports.insert(report.target.clone(), report);
+                }
                 let withheld = self.ownership.withheld(&epochs);
                 let message = Message::Promise {
                     sent,
@@ -296,10 +351,3 @@
         Some(held)
     }
 }
-
-impl Finish {
-    /// Tells whether the request may be tried again without running twice.
-    pub(crate) fn is_unsent(&self) -> bool {
-        matches!(self, Self::Unsent { .. })
-    }
-}
--- a/crates/core/src/ramp.rs
+++ b/crates/core/src/ramp.rs
@@ -31,6 +31,16 @@
         }
     }
 
+    /// Applies a changed number of slots and time. A ramp that was complete stays so.
+    pub fn configure(&mut self, slots: u32, span: Span) {
+        let complete = self.is_complete();
+        self.slots = slots.max(1);
+        self.span = span;
+        if complete {
+            self.complete();
+        }
+    }
+
     /// Begins again at one slot.
     pub fn restart(&mut self, now: Instant) {
         *self = Self::new(now, self.slots, self.span);
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -131,11 +131,25 @@
         /// The requests.
         requests: Vec<request::Id>,
     },
+    /// Takes intents back: their requests were not sent and will not be.
+    Withdraw {
+        /// Each request with the offset of its intent.
+        requests: Vec<(request::Id, Offset)>,
+    },
     /// Notes how non-idempotent requests ended.
     Outcome {
         /// Each request with the HTTP status of its answer.
         requests: Vec<(request::Id, u16)>,
     },
+    /// Notes that a target crashed, and the requests that were in flight there.
+    Crash {
+        /// The target.
+        target: name::Target,
+        /// Epoch of its contract.
+        epoch: Epoch,
+        /// Fingerprints of the requests.
+        fingerprints: Vec<request::Fingerprint>,
+    },
     /// Bars requests with a fingerprint, or releases them.
     Quarantine {
         /// The fingerprint.
--- /dev/null
+++ b/crates/core/src/suspicion.rs
@@ -0,0 +1,143 @@
+//! Broken connections: whether the target crashed, and what that says of its requests.
+
+use crate::{
+    action::Action,
+    desk::{self, Break},
+    event::{Probe, Ticket},
+    health::Observation,
+    name,
+    node::{Node, Phase},
+    record::{Entry, Record},
+    request::{Fingerprint, Refusal},
+    time::{Instant, Span},
+};
+
+/// Age of a break from which an answer to a probe was sent after it.
+const FRESH: Span = Span::from_millis(10);
+
+impl Node {
+    /// Holds a request whose connection broke until a probe tells whether the target crashed.
+    ///
+    /// Without the pause, a request that crashes targets would reach a second one before anybody
+    /// knows of the first.
+    pub(crate) fn suspend(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        target: &name::Target,
+        actions: &mut Vec<Action>,
+    ) {
+        let in_flight = self.in_flight_fingerprints(target);
+        self.set_phase(ticket, Phase::Suspended(target.clone()));
+        let Some(desk) = self.desks.get_mut(target) else {
+            return self.conclude(ticket, actions);
+        };
+        desk.health.observe(now, Observation::Broken);
+        let start = desk.start();
+        let broken = desk.broken.get_or_insert_with(|| Break {
+            fingerprints: in_flight,
+            waiting: Vec::new(),
+            start,
+            at: now,
+        });
+        broken.waiting.push(ticket);
+        desk.probe_soon();
+        self.free(now, ticket, target, None, actions);
+    }
+
+    fn in_flight_fingerprints(&self, target: &name::Target) -> Vec<Fingerprint> {
+        let desk = self.desks.get(target);
+        let running = desk.into_iter().flat_map(|desk| desk.queue.in_flight());
+        running
+            .filter_map(|id| self.tickets.get(&desk::ticket(id)))
+            .filter(|held| matches!(held.phase, Phase::Running(_, _)))
+            .map(|held| held.arrival.head.fingerprint)
+            .collect()
+    }
+
+    /// Decides by a probe whether a target crashed when connections to it broke.
+    pub(crate) fn judge_break(
+        &mut self,
+        now: Instant,
+        target: &name::Target,
+        answer: Probe,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(desk) = self.desks.get_mut(target) else {
+            return;
+        };
+        // An earlier answer may be from before the break.
+        let Some(broken) = desk.broken.take_if(|b| now.since(b.at) >= FRESH) else {
+            return;
+        };
+        let epoch = desk.epoch;
+        let crashed = match answer {
+            Probe::Answered { start, .. } => broken.start != Some(start),
+            Probe::Unreachable => true,
+            Probe::Silent => false,
+        };
+        if crashed {
+            let record = Record::Crash {
+                target: target.clone(),
+                epoch,
+                fingerprints: broken.fingerprints.clone(),
+            };
+            self.quarantine.crash(now, &broken.fingerprints);
+            self.append("target crashed", record, actions);
+        }
+        for ticket in broken.waiting {
+            self.conclude(ticket, actions);
+        }
+    }
+
+    /// Follows the record of a crash. The process that wrote it has counted the crash already.
+    pub(crate) fn note_crash(
+        &mut self,
+        now: Instant,
+        entry: &Entry,
+        fingerprints: &[Fingerprint],
+        actions: &mut Vec<Action>,
+    ) {
+        let own = entry.actor == self.config.process.to_string();
+        if !own {
+            self.quarantine.crash(now, fingerprints);
+            return;
+        }
+        let quarantine = &self.quarantine;
+        let barred = fingerprints.iter().filter(|f| {
+            quarantine.standing(**f) == crate::quarantine::Standing::Barred
+                && !self.ledger.quarantine().contains_key(f)
+        });
+        for fingerprint in barred.copied().collect::<Vec<_>>() {
+            let record = Record::Quarantine {
+                fingerprint,
+                barred: true,
+            };
+            self.append("the request crashed two targets", record, actions);
+        }
+    }
+
+    /// Ends the pause of all requests whose connection to a target broke.
+    pub(crate) fn conclude_all(&mut self, target: &name::Target, actions: &mut Vec<Action>) {
+        let desk = self.desks.get_mut(target);
+        let broken = desk.and_then(|desk| desk.broken.take());
+        for ticket in broken.into_iter().flat_map(|b| b.waiting) {
+            self.conclude(ticket, actions);
+        }
+    }
+
+    /// Ends the pause of a request whose connection broke.
+    fn conclude(&mut self, ticket: Ticket, actions: &mut Vec<Action>) {
+        let Some(held) = self.tickets.get(&ticket) else {
+            return;
+        };
+        if !matches!(held.phase, Phase::Suspended(_)) {
+            return;
+        }
+        let head = held.arrival.head.clone();
+        match head.idempotent && self.may_retry(&head.service) {
+            true => self.wait_again(ticket),
+            false => self.refuse(ticket, Refusal::Broken, None, actions),
+        }
+    }
+}
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -2,13 +2,19 @@
 
 use crate::{
     action::{Action, Start},
-    event::{Arrival, Finish, Ticket},
+    admission::{self, Caller, Decision, Verdict},
+    choice::Candidate,
+    desk::{self, queue_id},
+    event::{Arrival, Finish, Head, Ticket},
+    health::Observation,
     key::Digest,
     name,
-    node::{Held, Node, Phase},
+    node::{Held, Intent, Node, Phase},
     number::Offset,
-    record::{self, Record},
+    quarantine::Standing,
+    record::{Entry, Record},
     request::{self, Refusal},
+    retry::Budget,
     table,
     time::{Instant, Span},
 };
@@ -16,11 +22,20 @@
 /// Shortest time after which a refused caller should try again.
 const RETRY_AFTER: Span = Span::from_secs(1);
 
+/// Retries that a service may save up.
+const RETRY_BURST: u32 = 100;
+
 impl Node {
     pub(crate) fn arrive(&mut self, now: Instant, arrival: Arrival, actions: &mut Vec<Action>) {
+        self.count_request(&arrival.head.service);
         let ticket = arrival.ticket;
         let phase = Phase::Waiting;
-        self.tickets.insert(ticket, Held { arrival, phase });
+        let held = Held {
+            arrival,
+            phase,
+            intent: None,
+        };
+        self.tickets.insert(ticket, held);
         self.route(now, ticket, actions);
     }
 
@@ -43,13 +58,17 @@
         if self.ledger.offset() < arrival.known {
             return;
         }
-        let Some(row) = self.ledger.table().services.get(&arrival.head.service) else {
+        let row = self.ledger.table().services.get(&arrival.head.service);
+        let Some(row) = row.cloned() else {
             if self.ledger.version().0 > 0 {
                 self.refuse(ticket, Refusal::UnknownService, None, actions);
             }
             return;
         };
-        let Some(target) = self.choose(now, row, &arrival) else {
+        let Some(target) = self.choose(now, &row, &arrival) else {
+            if arrival.forwarded {
+                self.refuse(ticket, Refusal::Moving, None, actions);
+            }
             return;
         };
         if self
@@ -66,7 +85,7 @@
     /// Chooses the target of a request: its key's owner, or any target if the service isn't
     /// divided by key.
     fn choose(
-        &self,
+        &mut self,
         now: Instant,
         row: &table::Service,
         arrival: &Arrival,
@@ -76,24 +95,47 @@
             let key = head.key.unwrap_or(head.request.key);
             return self.ledger.owner(&head.service, key).cloned();
         }
-        let usable = row.targets.keys().filter(|t| self.is_usable(now, t));
-        let held = |t: &&name::Target| self.desks.contains_key(*t);
-        let usable: Vec<&name::Target> = match arrival.forwarded {
-            true => usable.filter(held).collect(),
-            false => usable.collect(),
-        };
-        let first = arrival.ticket.0 as usize;
-        let second = first.wrapping_mul(2_654_435_761).wrapping_add(1);
-        let samples = [first, second].into_iter();
-        let samples = samples.filter_map(|n| usable.get(n.checked_rem(usable.len())?));
-        samples
-            .min_by_key(|t| self.in_flight(t))
-            .map(|t| (*t).clone())
+        let targets: Vec<&name::Target> = row.targets.keys().collect();
+        let candidates: Vec<Candidate> = targets
+            .iter()
+            .map(|target| self.candidate(now, target, row, arrival.forwarded))
+            .collect();
+        let chosen = self.choice.pick(&candidates, None)?;
+        Some(targets[chosen].clone())
     }
 
-    fn in_flight(&self, target: &name::Target) -> usize {
-        let desk = self.desks.get(target);
-        desk.map_or(0, |desk| desk.running.len() + desk.queue.len())
+    /// Describes a target for the choice between two samples.
+    fn candidate(
+        &self,
+        now: Instant,
+        target: &name::Target,
+        row: &table::Service,
+        own_only: bool,
+    ) -> Candidate {
+        let usable = self.ledger.has_work(target) && !self.is_lost(target);
+        let unknown = Candidate {
+            in_flight: 0,
+            limit: row.slots,
+            latency: Span::ZERO,
+            factor_percent: 100,
+            usable: usable && !own_only,
+        };
+        match (self.desks.get(target), self.reports.get(target)) {
+            (Some(desk), _) => Candidate {
+                in_flight: (desk.queue.running() + desk.queue.waiting()) as u32,
+                limit: desk.queue.limit(),
+                latency: desk.health.median().unwrap_or_default(),
+                factor_percent: desk.health.hint().factor_percent(now),
+                usable: usable && desk.yielding.is_none(),
+            },
+            (None, Some(report)) => Candidate {
+                in_flight: report.in_flight,
+                limit: report.limit,
+                latency: report.latency,
+                ..unknown
+            },
+            (None, None) => unknown,
+        }
     }
 
     fn pass_on(
@@ -140,32 +182,78 @@
         target: &name::Target,
         actions: &mut Vec<Action>,
     ) {
-        let head = self.tickets[&ticket].arrival.head.clone();
-        if self.ledger.quarantine().contains_key(&head.fingerprint) {
+        let Arrival { head, deadline, .. } = self.tickets[&ticket].arrival.clone();
+        let standing = self.quarantine.standing(head.fingerprint);
+        if standing == Standing::Barred || self.is_barred(head.fingerprint) {
             return self.refuse(ticket, Refusal::Barred, None, actions);
         }
-        if !head.idempotent && self.is_repeated(ticket, head.request, actions) {
+        if !head.idempotent && self.is_closed_to(now, ticket, target, &head, actions) {
             return;
         }
         if self.is_moving(target, &head.service, head.key) {
             return;
         }
-        let Some(row) = self.ledger.table().services.get(&head.service) else {
-            return;
+        let offered = admission::Ticket {
+            id: queue_id(ticket),
+            caller: Caller(head.caller),
+            deadline,
+            idempotent: head.idempotent,
+            alone: standing == Standing::Suspect,
         };
-        let limit = row.queue as usize;
         let Some(desk) = self.desks.get_mut(target) else {
             return;
         };
-        if desk.queue.len() >= limit {
-            return self.refuse(ticket, Refusal::Full, Some(RETRY_AFTER), actions);
+        let verdict = desk.queue.offer(now, offered);
+        if !head.idempotent {
+            self.running.insert(head.request, ticket);
+        }
+        self.set_phase(ticket, Phase::Queued(target.clone()));
+        match verdict {
+            Verdict::Start => self.begin(now, ticket, target, actions),
+            Verdict::Wait => {}
+            Verdict::Refuse(refusal, span) => {
+                self.refuse(ticket, refusal, Some(span.max(RETRY_AFTER)), actions);
+            }
         }
-        desk.queue.push_back(ticket);
+    }
+
+    fn is_barred(&self, fingerprint: request::Fingerprint) -> bool {
+        self.ledger.quarantine().contains_key(&fingerprint)
+    }
+
+    pub(crate) fn set_phase(&mut self, ticket: Ticket, phase: Phase) {
         if let Some(held) = self.tickets.get_mut(&ticket) {
-            held.phase = Phase::Queued(target.clone());
+            held.phase = phase;
+        }
+    }
+
+    /// Answers a non-idempotent request that may not be sent now, if it is one.
+    fn is_closed_to(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        target: &name::Target,
+        head: &Head,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        if let Some(intent) = self.tickets[&ticket].intent {
+            // Registered and not sent: only the holder that registered it may send it.
+            let current = self.desks.get(target).map(|desk| desk.epoch);
+            if current == Some(intent.epoch) {
+                return false;
+            }
+            self.refuse(ticket, Refusal::Unreachable, Some(RETRY_AFTER), actions);
+            return true;
+        }
+        if self.is_repeated(ticket, head.request, actions) {
+            return true;
+        }
+        let lease = self.config.times.lease;
+        let down = !self.ownership.lease().is_recent(now, lease);
+        if down {
+            self.refuse(ticket, Refusal::LogDown, Some(RETRY_AFTER), actions);
         }
-        self.running.insert(head.request, ticket);
-        self.start_queued(now, target, actions);
+        down
     }
 
     /// Answers a repeated non-idempotent request, if it is one.
@@ -214,36 +302,47 @@
         !row.divided_by_key || key.is_some_and(|key| handover.has(key, row.slices))
     }
 
-    pub(crate) fn start_queued(
+    /// Carries out what a target's queue decided about waiting requests.
+    pub(crate) fn carry_out(
         &mut self,
         now: Instant,
         target: &name::Target,
+        decisions: Vec<Decision>,
         actions: &mut Vec<Action>,
     ) {
-        let Some((_, row, place)) = self.ledger.table().target(target) else {
-            return;
-        };
-        let (slots, checks) = (row.slots as usize, place.checks_epoch);
-        while let Some(desk) = self.desks.get_mut(target) {
-            let ready = desk.accepted || !checks;
-            if !ready || desk.running.len() >= slots {
-                return;
-            }
-            let Some(ticket) = desk.queue.pop_front() else {
-                return;
-            };
-            let Some(held) = self.tickets.get(&ticket) else {
-                continue;
-            };
-            desk.running.insert(ticket, held.arrival.deadline);
-            if held.arrival.head.idempotent {
-                self.start(now, ticket, target, actions);
-            } else {
-                self.register(ticket, target, actions);
+        for decision in decisions {
+            match decision {
+                Decision::Start(offered) => {
+                    self.begin(now, desk::ticket(offered.id), target, actions);
+                }
+                Decision::Refuse(offered, refusal, _) if refusal.may_reroute() => {
+                    self.wait_again(desk::ticket(offered.id));
+                }
+                Decision::Refuse(offered, refusal, span) => {
+                    let span = Some(span.max(RETRY_AFTER));
+                    self.refuse(desk::ticket(offered.id), refusal, span, actions);
+                }
             }
         }
     }
 
+    /// Sends a request that has a slot, or registers it first.
+    fn begin(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        target: &name::Target,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(held) = self.tickets.get(&ticket) else {
+            return self.free(now, ticket, target, None, actions);
+        };
+        match held.arrival.head.idempotent || held.intent.is_some() {
+            true => self.start(now, ticket, target, actions),
+            false => self.register(ticket, target, actions),
+        }
+    }
+
     /// Writes the intent of a non-idempotent request before it is sent.
     fn register(&mut self, ticket: Ticket, target: &name::Target, actions: &mut Vec<Action>) {
         let id = self.next_entry();
@@ -259,34 +358,53 @@
         self.append_as(id, "request may run once", record, actions);
     }
 
+    /// Follows an intent's record: the request is sent if the record took effect.
     pub(crate) fn registered(
         &mut self,
         now: Instant,
-        id: record::Id,
+        entry: &Entry,
         request: request::Id,
-        offset: Offset,
+        intent: Intent,
         actions: &mut Vec<Action>,
     ) {
-        let Some(ticket) = self.running.get(&request).copied() else {
-            return;
+        let known = self.ledger.intent(&request);
+        let applied = known.is_some_and(|known| known.offset == intent.offset);
+        let ticket = self.running.get(&request).copied();
+        let phase = ticket.and_then(|ticket| Some(self.tickets.get(&ticket)?.phase.clone()));
+        let waiting = match (ticket, phase) {
+            (Some(ticket), Some(Phase::Registering(target, id))) if id == entry.id => {
+                Some((ticket, target))
+            }
+            _ => None,
         };
-        let phase = self.tickets.get(&ticket).map(|held| held.phase.clone());
-        let Some(Phase::Registering(target, _)) =
-            phase.filter(|phase| matches!(phase, Phase::Registering(_, entry) if *entry == id))
-        else {
+        let Some((ticket, target)) = waiting else {
+            let own = entry.actor == self.config.process.to_string();
+            if applied && own {
+                self.withdraw(request, intent.offset, actions);
+            }
             return;
         };
-        let intent = self.ledger.intent(&request);
-        if intent.is_some_and(|intent| intent.offset == offset) {
-            self.start(now, ticket, &target, actions);
-        } else {
-            self.stop_running(now, ticket, &target, actions);
+        if applied {
             if let Some(held) = self.tickets.get_mut(&ticket) {
-                held.phase = Phase::Waiting;
+                held.intent = Some(intent);
             }
+            self.start(now, ticket, &target, actions);
+        } else {
+            self.wait_again(ticket);
+            self.free(now, ticket, &target, None, actions);
         }
     }
 
+    /// Takes back the intent of a request that was not sent and will not be.
+    fn withdraw(&mut self, request: request::Id, offset: Offset, actions: &mut Vec<Action>) {
+        let requests = vec![(request, offset)];
+        self.append(
+            "request was not sent",
+            Record::Withdraw { requests },
+            actions,
+        );
+    }
+
     fn start(
         &mut self,
         now: Instant,
@@ -306,7 +424,7 @@
         let Some(held) = self.tickets.get_mut(&ticket) else {
             return;
         };
-        held.phase = Phase::Running(target.clone());
+        held.phase = Phase::Running(target.clone(), now);
         actions.push(Action::Start(Start {
             ticket,
             target: target.clone(),
@@ -315,6 +433,10 @@
             until,
             deadline: held.arrival.deadline,
         }));
+        let deadline = held.arrival.deadline;
+        if let Some(desk) = self.desks.get_mut(target) {
+            desk.last_deadline = desk.last_deadline.max(deadline);
+        }
     }
 
     pub(crate) fn finish(
@@ -326,7 +448,7 @@
     ) {
         let phase = self.tickets.get(&ticket).map(|held| held.phase.clone());
         match phase {
-            Some(Phase::Running(target)) => {
+            Some(Phase::Running(target, _)) => {
                 self.finish_running(now, ticket, &target, result, actions);
             }
             Some(Phase::Forwarded(_)) => self.finish_forwarded(now, ticket, result, actions),
@@ -342,26 +464,104 @@
         result: Finish,
         actions: &mut Vec<Action>,
     ) {
-        self.stop_running(now, ticket, target, actions);
-        let head = self.tickets[&ticket].arrival.head.clone();
+        let Some(held) = self.tickets.get(&ticket) else {
+            return;
+        };
+        let head = held.arrival.head.clone();
+        let busy = match held.phase {
+            Phase::Running(_, since) => now.since(since),
+            _ => Span::ZERO,
+        };
         match result {
-            Finish::Answered(status) | Finish::Cut(status) => {
-                self.close(ticket);
-                if !head.idempotent {
-                    self.ended.insert(head.request, status);
-                    let requests = vec![(head.request, status)];
-                    self.append("request ended", Record::Outcome { requests }, actions);
+            Finish::Answered(status) => {
+                self.observe(now, target, Observation::Answered(busy), &head, busy);
+                self.quarantine.acquit(head.fingerprint);
+                self.end(ticket, status, actions);
+                self.free(now, ticket, target, Some(busy), actions);
+            }
+            Finish::Cut(status) => {
+                self.end(ticket, status, actions);
+                self.free(now, ticket, target, None, actions);
+            }
+            Finish::Unsent { .. } | Finish::Shed => {
+                let seen = match result {
+                    Finish::Shed => Some(Observation::Shed),
+                    Finish::Unsent { lapsed: false } => Some(Observation::Unreachable),
+                    _ => None,
+                };
+                if let Some(seen) = seen {
+                    self.observe(now, target, seen, &head, Span::ZERO);
+                }
+                self.wait_again(ticket);
+                if !self.may_retry(&head.service) {
+                    self.refuse(ticket, Refusal::Unreachable, Some(RETRY_AFTER), actions);
                 }
+                self.free(now, ticket, target, None, actions);
             }
-            result if result.is_unsent() && head.idempotent => self.wait_again(ticket),
-            result if result.is_unsent() => {
-                self.refuse(ticket, Refusal::Unreachable, Some(RETRY_AFTER), actions);
+            _ => {
+                // It was sent, so that its intent must stay.
+                if let Some(held) = self.tickets.get_mut(&ticket) {
+                    held.intent = None;
+                }
+                self.suspend(now, ticket, target, actions);
             }
-            _ if head.idempotent => self.wait_again(ticket),
-            _ => self.refuse(ticket, Refusal::Broken, None, actions),
         }
     }
 
+    /// Notes what a request showed of its target, and what it cost there.
+    fn observe(
+        &mut self,
+        now: Instant,
+        target: &name::Target,
+        seen: Observation,
+        head: &Head,
+        busy: Span,
+    ) {
+        let row = self.ledger.table().services.get(&head.service);
+        let slices = row.map_or(1, |row| row.slices);
+        let Some(desk) = self.desks.get_mut(target) else {
+            return;
+        };
+        desk.health.observe(now, seen);
+        if busy > Span::ZERO {
+            let slice = head.key.unwrap_or(head.request.key).slice(slices);
+            desk.charge(slice, head.key, busy);
+        }
+    }
+
+    /// Ends a request whose answer was passed on.
+    fn end(&mut self, ticket: Ticket, status: u16, actions: &mut Vec<Action>) {
+        let Some(held) = self.close(ticket) else {
+            return;
+        };
+        let head = held.arrival.head;
+        if !head.idempotent {
+            self.ended.insert(head.request, status);
+            let requests = vec![(head.request, status)];
+            self.append("request ended", Record::Outcome { requests }, actions);
+        }
+    }
+
+    /// Takes one retry from the budget of a service.
+    pub(crate) fn may_retry(&mut self, service: &name::Service) -> bool {
+        let budget = self.retries.get_mut(service);
+        budget.is_none_or(Budget::withdraw)
+    }
+
+    fn count_request(&mut self, service: &name::Service) {
+        let Some(row) = self.ledger.table().services.get(service) else {
+            return;
+        };
+        let percent = row.retry_percent;
+        let budget = self.retries.entry(service.clone());
+        let full = || {
+            let mut budget = Budget::new(percent, RETRY_BURST);
+            (0..RETRY_BURST).for_each(|_| budget.deposit());
+            budget
+        };
+        budget.or_insert_with(full).deposit();
+    }
+
     fn finish_forwarded(
         &mut self,
         now: Instant,
@@ -384,27 +584,32 @@
                 self.route(now, ticket, actions);
             }
             Finish::Refused { refusal, .. } => self.refuse(ticket, refusal, None, actions),
-            Finish::LinkBroken | Finish::Broken | Finish::Unsent { .. } => self.wait_again(ticket),
+            _ => self.wait_again(ticket),
         }
     }
 
-    fn wait_again(&mut self, ticket: Ticket) {
-        if let Some(held) = self.tickets.get_mut(&ticket) {
-            held.phase = Phase::Waiting;
-        }
+    pub(crate) fn wait_again(&mut self, ticket: Ticket) {
+        self.set_phase(ticket, Phase::Waiting);
     }
 
-    fn stop_running(
+    /// Frees the slot of a request. `busy` is given if its answer is complete.
+    pub(crate) fn free(
         &mut self,
         now: Instant,
         ticket: Ticket,
         target: &name::Target,
+        busy: Option<Span>,
         actions: &mut Vec<Action>,
     ) {
+        let mut decisions = Vec::new();
         if let Some(desk) = self.desks.get_mut(target) {
-            desk.running.remove(&ticket);
-            self.start_queued(now, target, actions);
+            let id = queue_id(ticket);
+            match busy {
+                Some(_) => desk.queue.finish(now, id, &mut decisions),
+                None => desk.queue.release(now, id, &mut decisions),
+            }
         }
+        self.carry_out(now, target, decisions, actions);
     }
 
     /// Handles a caller that went away: idempotent work is cancelled, other work runs to its end.
@@ -414,10 +619,10 @@
         };
         let idempotent = held.arrival.head.idempotent;
         match held.phase.clone() {
-            Phase::Running(target) if idempotent => {
+            Phase::Running(target, _) | Phase::Suspended(target) if idempotent => {
                 actions.push(Action::Cancel(ticket));
-                self.stop_running(now, ticket, &target, actions);
                 self.close(ticket);
+                self.free(now, ticket, &target, None, actions);
             }
             Phase::Forwarded(_) if idempotent => {
                 actions.push(Action::Cancel(ticket));
@@ -425,7 +630,7 @@
             }
             Phase::Queued(target) => {
                 if let Some(desk) = self.desks.get_mut(&target) {
-                    desk.queue.retain(|queued| *queued != ticket);
+                    desk.queue.cancel(queue_id(ticket));
                 }
                 self.close(ticket);
             }
@@ -438,35 +643,46 @@
 
     /// Refuses requests whose deadline has passed before they were started.
     pub(crate) fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let late = self
-            .tickets
-            .iter()
-            .filter(|(_, held)| held.arrival.deadline <= now);
+        let targets: Vec<name::Target> = self.desks.keys().cloned().collect();
+        for target in targets {
+            let mut decisions = Vec::new();
+            if let Some(desk) = self.desks.get_mut(&target) {
+                desk.queue.expire(now, &mut decisions);
+            }
+            self.carry_out(now, &target, decisions, actions);
+        }
+        let late = self.tickets.iter();
+        let late = late.filter(|(_, held)| held.arrival.deadline <= now);
         let late: Vec<(Ticket, Phase)> = late
             .map(|(ticket, held)| (*ticket, held.phase.clone()))
             .collect();
         for (ticket, phase) in late {
             match phase {
                 Phase::Waiting => self.refuse(ticket, Refusal::NoHolder, None, actions),
-                Phase::Queued(target) => {
-                    if let Some(desk) = self.desks.get_mut(&target) {
-                        desk.queue.retain(|queued| *queued != ticket);
-                    }
-                    self.refuse(ticket, Refusal::Late, Some(RETRY_AFTER), actions);
+                Phase::Registering(target, _) => {
+                    self.refuse(ticket, Refusal::LogDown, Some(RETRY_AFTER), actions);
+                    self.free(now, ticket, &target, None, actions);
                 }
+                Phase::Suspended(_) => self.refuse(ticket, Refusal::Broken, None, actions),
                 _ => {}
             }
         }
     }
 
-    fn refuse(
+    pub(crate) fn refuse(
         &mut self,
         ticket: Ticket,
         refusal: Refusal,
         retry_after: Option<Span>,
         actions: &mut Vec<Action>,
     ) {
-        self.close(ticket);
+        let held = self.close(ticket);
+        let unsent = held.filter(|held| !matches!(held.phase, Phase::Running(_, _)));
+        if let Some(held) = unsent
+            && let Some(intent) = held.intent
+        {
+            self.withdraw(held.arrival.head.request, intent.offset, actions);
+        }
         actions.push(Action::Refuse {
             ticket,
             refusal,
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -2,8 +2,14 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use ragwortrill_core::{event::Event, time::Span};
-use ragwortrill_platform::target::{Client, Grant};
+use ragwortrill_core::{
+    event::{Event, Probe},
+    time::Span,
+};
+use ragwortrill_platform::{
+    error as platform,
+    target::{Client, Error, Grant},
+};
 use tokio::sync::mpsc;
 
 use crate::{decide::Check, shell::Shell};
@@ -35,13 +41,26 @@
 }
 
 async fn probe(check: Check, client: &Client) -> Event {
-    let load = client.load().await;
-    if let Err(error) = &load {
-        log::debug!(target_name = check.target.as_str(); "probe failed: {error}");
-    }
+    let answer = match client.load().await {
+        Ok(load) => Probe::Answered {
+            start: load.start_id,
+            load: load.running + load.waiting,
+        },
+        Err(error) => {
+            log::debug!(target_name = check.target.as_str(); "probe failed: {error}");
+            failure(&error)
+        }
+    };
     Event::Probed {
         target: check.target,
-        answer: load.ok().map(|load| load.start_id),
+        answer,
+    }
+}
+
+fn failure(error: &Error) -> Probe {
+    match error {
+        Error::Unanswered(platform::Error::Refused { .. }) => Probe::Unreachable,
+        _ => Probe::Silent,
     }
 }
 
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -86,7 +86,13 @@
     } else {
         call.send_body(request.prefix.clone()).await
     };
-    sent.map(answer).map_err(|error| failure(&error))
+    match sent {
+        Ok(response) if response.headers().contains_key(target::REFUSED_HEADER) => {
+            Err(Finish::Shed)
+        }
+        Ok(response) => Ok(answer(response)),
+        Err(error) => Err(failure(&error)),
+    }
 }
 
 /// Tells whether a failed request may have reached its target.
