End the test of an abandoned download

The buffers of a loopback connection took the whole download of 20 MiB, so the target finished it although its caller had gone, and the test waited forever. The download is now 1 TiB long, made as it is read, and a second case covers a download that waits for its own next chunk.

--- a/crates/standin/tests/stream.rs
+++ b/crates/standin/tests/stream.rs
@@ -4,10 +4,13 @@
 
 use common::{Caller, run};
 use ragwortrill_platform::headers;
-use ragwortrill_standin::target::{Server, Settings, byte_at};
+use ragwortrill_standin::target::{Counts, Server, Settings, byte_at};
 
-/// Length of the downloads, in bytes. More than the buffers of a connection hold.
+/// Length of a large download that is read to its end, in bytes.
 const SIZE: u64 = 20 << 20;
+/// Length of a download that is never read to its end, in bytes. The buffers of a connection took
+/// all of 20 MiB, so that the target could finish without its caller.
+const ENDLESS: u64 = 1 << 40;
 
 fn start() -> Server {
     let settings = Settings {
@@ -217,18 +220,21 @@
     });
 }
 
-/// Guards against a download that keeps its slot after its caller has gone.
+/// Guards against a download that keeps its slot after its caller has gone, whether it waits for
+/// the caller to read or for its own next chunk.
 #[test]
 fn a_download_ends_with_its_caller() {
-    run(async {
-        let server = start();
-        let caller = Caller::new(server.address()).await;
-        let path = format!("/stream/{SIZE}");
-        let response = caller.open("GET", &path, &[], b"").await.unwrap();
-        server.until(|counts| counts.running == 1).await;
-        drop(response);
-        server
-            .until(|counts| counts.interrupted == 1 && counts.running == 0)
-            .await;
-    });
+    for hold in [false, true] {
+        run(async move {
+            let server = start();
+            server.change(|settings| settings.hold = hold);
+            let caller = Caller::new(server.address()).await;
+            let path = format!("/stream/{ENDLESS}");
+            let response = caller.open("GET", &path, &[], b"").await.unwrap();
+            server.until(|counts| counts.running == 1).await;
+            drop(response);
+            let ended = |counts: &Counts| counts.interrupted == 1 && counts.running == 0;
+            server.until(ended).await;
+        });
+    }
 }
