Stop a download whose caller has gone while it waits

A download that waited for its next chunk kept its slot forever. It now also waits for the end of its connection.

--- a/crates/standin/src/target/stream.rs
+++ b/crates/standin/src/target/stream.rs
@@ -6,6 +6,7 @@
         Method, Request, Response, StatusCode,
         body::{Body, BoxedBodyStream, SizedStream},
     },
+    io::IoRef,
     util::Bytes,
 };
 use ragwortrill_core::time::Span;
@@ -40,6 +41,7 @@
 
 /// A download under way.
 struct Download {
+    io: Option<IoRef>,
     site: Arc<Site>,
     slot: Option<Slot>,
     content: u64,
@@ -154,6 +156,7 @@
         let fields = reply::query(request);
         let number = |name: &str| fields.get(name).and_then(|text| text.parse().ok());
         Self {
+            io: request.io().cloned(),
             site: site.clone(),
             slot: Some(slot),
             content,
@@ -172,24 +175,43 @@
             }
             return None;
         }
-        if self.sent > 0 {
-            self.pause().await;
-        }
-        self.site.thawed().await;
-        let broken = self.break_at.is_some_and(|at| self.sent >= at);
+        let gone = self.pause_or_gone().await;
+        let broken = gone || self.break_at.is_some_and(|at| self.sent >= at);
         let piece = match broken {
-            true => Err(Rc::new(io::Error::other("broken by request")) as Rc<dyn Error>),
+            true => Err(
+                Rc::new(io::Error::other("the caller has gone or asked for a break"))
+                    as Rc<dyn Error>,
+            ),
             false => Ok(self.take()),
         };
         Some((piece, self))
     }
 
+    /// Waits until the next chunk is due. True if the caller has gone, which ntex notices only when
+    /// there is something to write.
+    async fn pause_or_gone(&self) -> bool {
+        let gone = async {
+            match &self.io {
+                Some(io) => io.on_disconnect().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = self.pause() => false,
+            () = gone => true,
+        }
+    }
+
     async fn pause(&self) {
+        if self.sent == 0 {
+            return self.site.thawed().await;
+        }
         if self.interval > Span::ZERO {
             tokio::time::sleep(self.interval.as_duration()).await;
         }
         let released = |state: &mut State| (!state.settings.hold).then_some(());
         self.site.state.until(released).await;
+        self.site.thawed().await;
     }
 
     fn take(&mut self) -> Bytes {
