Split the fakes into smaller files and count crashes at once

A crash by a fatal request was counted only at the restart; it is counted when it happens. The limit on appends a second has a test.

--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod server;
+mod site;
 mod store;
 
 pub use faults::Faults;
--- a/crates/standin/src/target/server.rs
+++ b/crates/standin/src/target/server.rs
@@ -86,10 +86,8 @@
 
     /// Closes the listener and all connections, and ends all work.
     pub fn crash(&mut self) {
-        self.site.state.change(|state| state.crashed = true);
-        if self.server.take().is_some() {
-            self.site.state.change(|state| state.counts.crashes += 1);
-        }
+        self.site.state.change(State::crash);
+        self.server.take();
     }
 
     /// Tells whether the target has crashed and was not restarted.
--- a/crates/standin/src/target/state.rs
+++ b/crates/standin/src/target/state.rs
@@ -1,15 +1,9 @@
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Instant,
-};
+use std::{collections::BTreeMap, time::Instant};
 
 use ragwortrill_core::{number::Epoch, time::Span};
 use ragwortrill_platform::target::{Load, Refused};
 
-use super::{Counts, Report, Settings, call::Call};
-
-/// Number of changes of the load that are kept for lagging reports.
-const MAX_HISTORY: usize = 10_000;
+use super::{Counts, Report, Settings, call::Call, history::History};
 
 /// Present state of a target.
 pub(crate) struct State {
@@ -28,7 +22,7 @@
     cold_left: u32,
     /// Requests that wait or run: how many there are, and whether they are cancelled.
     present: BTreeMap<String, (usize, bool)>,
-    history: VecDeque<(Instant, Load)>,
+    history: History,
 }
 
 impl State {
@@ -45,12 +39,18 @@
             started: Instant::now(),
             cold_left: 0,
             present: BTreeMap::new(),
-            history: VecDeque::new(),
+            history: History::default(),
         };
         state.start_cold();
         state
     }
 
+    /// Makes the server end. A crashed target can't crash again.
+    pub(crate) fn crash(&mut self) {
+        self.counts.crashes += u64::from(!self.crashed);
+        self.crashed = true;
+    }
+
     /// Forgets what a restarted process would not know.
     pub(crate) fn start_cold(&mut self) {
         self.crashed = false;
@@ -180,20 +180,14 @@
     }
 
     fn note_load(&mut self) {
-        self.history.push_back((Instant::now(), self.load()));
-        let surplus = self.history.len().saturating_sub(MAX_HISTORY);
-        self.history.drain(..surplus);
+        self.history.note(Instant::now(), self.load());
     }
 
     pub(crate) fn report(&self, now: Instant) -> Load {
-        let lag = match self.settings.report {
-            Report::Exact => return self.load(),
-            Report::Fixed(load) => return load,
-            Report::Lagging(lag) => lag.as_duration(),
-        };
-        let is_old = |noted: &Instant| now.saturating_duration_since(*noted) >= lag;
-        let old = self.history.iter().rev().find(|(noted, _)| is_old(noted));
-        let row = old.or(self.history.front());
-        row.map_or(self.load(), |row| row.1)
+        match self.settings.report {
+            Report::Exact => self.load(),
+            Report::Fixed(load) => load,
+            Report::Lagging(lag) => self.history.at(now, lag).unwrap_or(self.load()),
+        }
     }
 }
--- a/crates/standin/src/target/stream.rs
+++ b/crates/standin/src/target/stream.rs
@@ -14,9 +14,10 @@
 
 use super::{
     call::{Call, name, refuse, value},
+    extent::{Extent, range},
     site::Site,
+    slot::{Slot, enter},
     state::State,
-    work::{self, Slot},
 };
 use crate::reply;
 
@@ -32,13 +33,6 @@
     (offset.wrapping_mul(31).wrapping_add(content) % 251) as u8
 }
 
-/// Part of a resource, from `start` up to but not including `end`.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct Extent {
-    start: u64,
-    end: u64,
-}
-
 /// A download under way.
 struct Download {
     io: Option<IoRef>,
@@ -69,7 +63,7 @@
         Ok(range) => range,
         Err(response) => return response,
     };
-    let (slot, time) = match work::enter(site, call).await {
+    let (slot, time) = match enter(site, call).await {
         Ok(entered) => entered,
         Err(refused) => return refuse(refused),
     };
@@ -115,42 +109,6 @@
     }
 }
 
-/// Reads the range, if it applies. One that is malformed, multiple or for another version of the
-/// resource does not.
-fn range(request: &Request, etag: &str, size: u64) -> Result<Option<Extent>, Response> {
-    let condition = reply::header(request, headers::IF_RANGE);
-    if condition.is_some_and(|condition| condition != etag) {
-        return Ok(None);
-    }
-    let Some((start, end)) =
-        reply::header(request, headers::RANGE).and_then(|text| parse(&text, size))
-    else {
-        return Ok(None);
-    };
-    if start < end.min(size) {
-        let end = end.min(size);
-        return Ok(Some(Extent { start, end }));
-    }
-    let mut response = reply::text(StatusCode::RANGE_NOT_SATISFIABLE, "nothing in that range");
-    let text = format!("bytes */{size}");
-    response
-        .headers_mut()
-        .insert(name("Content-Range"), value(text));
-    Err(response)
-}
-
-fn parse(text: &str, size: u64) -> Option<(u64, u64)> {
-    let (start, last) = text.strip_prefix("bytes=")?.split_once('-')?;
-    match (start, last) {
-        ("", last) => Some((size.saturating_sub(last.parse().ok()?), size)),
-        (start, "") => Some((start.parse().ok()?, u64::MAX)),
-        (start, last) => {
-            let (start, last): (u64, u64) = (start.parse().ok()?, last.parse().ok()?);
-            (start <= last).then_some((start, last.saturating_add(1)))
-        }
-    }
-}
-
 impl Download {
     fn new(site: &Arc<Site>, slot: Slot, content: u64, rest: Extent, request: &Request) -> Self {
         let fields = reply::query(request);
@@ -196,22 +154,23 @@
                 None => std::future::pending().await,
             }
         };
-        tokio::select! {
+        let gone = tokio::select! {
             () = self.pause() => false,
             () = gone => true,
-        }
+        };
+        self.site.thawed().await;
+        gone
     }
 
     async fn pause(&self) {
         if self.sent == 0 {
-            return self.site.thawed().await;
+            return;
         }
         if self.interval > Span::ZERO {
             tokio::time::sleep(self.interval.as_duration()).await;
         }
         let released = |state: &mut State| (!state.settings.hold).then_some(());
         self.site.state.until(released).await;
-        self.site.thawed().await;
     }
 
     fn take(&mut self) -> Bytes {
--- a/crates/standin/tests/failure.rs
+++ b/crates/standin/tests/failure.rs
@@ -250,16 +250,10 @@
                 "no-grant",
                 "no grant survives"
             );
-            let client = Client::new(server.address(), PATIENT).await;
-            let lower = Grant {
-                epoch: Epoch(4),
-                ..grant(4)
-            };
             // The request above had epoch 5, so a lower grant needs a target without memory.
             server.restart().unwrap();
-            let granted = client.grant(lower).await;
             let client = Client::new(server.address(), PATIENT).await;
-            let granted = granted.or(client.grant(lower).await);
+            let granted = client.grant(grant(4)).await;
             assert_eq!(granted.is_ok(), case.accepted, "{granted:?}");
         });
     }
@@ -278,7 +272,7 @@
         assert!(!spawn(&caller, &[(headers::KEY, "bad")]).await.unwrap());
         server.until_crashed().await;
         let counts = server.counts();
-        assert_eq!((counts.started, counts.finished), (2, 1));
+        assert_eq!((counts.started, counts.finished, counts.crashes), (2, 1, 1));
         server.restart().unwrap();
         let caller = Caller::new(server.address()).await;
         assert!(spawn(&caller, &[(headers::KEY, "good")]).await.unwrap());
--- a/crates/standin/tests/log.rs
+++ b/crates/standin/tests/log.rs
@@ -275,6 +275,23 @@
     });
 }
 
+/// Guards against a limit on appends that refuses too early or never.
+#[test]
+fn appends_per_second() {
+    run(async {
+        let server = Server::start().unwrap();
+        let client = Client::new(server.address(), PATIENT).await;
+        server.change(|faults| faults.appends_per_second = Some(3));
+        let mut accepted = 0;
+        // Many more appends than a slow machine spreads at three a second.
+        while accepted < 1_000 && client.append(&batch(&[1])).await.is_ok() {
+            accepted += 1;
+        }
+        assert!((3..1_000).contains(&accepted), "{accepted}");
+        assert_eq!(server.rows().len(), accepted);
+    });
+}
+
 /// Guards against a reader that is not told that its records have expired.
 #[test]
 fn expired_offsets() {
