Test that a grant in a freeze counts from the resume

A target measures a grant's life from when it handles the grant, so a grant that waited in a frozen target's buffers is as good as new. The fake shows this, and the test keeps it so.

--- a/crates/standin/tests/failure.rs
+++ b/crates/standin/tests/failure.rs
@@ -147,6 +147,32 @@
     });
 }
 
+/// Guards against a fake that is kinder than a target: the life of a grant that arrives in a freeze
+/// counts from the resume, however late that is.
+#[test]
+fn grants_that_arrive_in_a_freeze() {
+    run(async {
+        let server = start(Settings::default());
+        server.freeze();
+        let client = Client::new(server.address(), PATIENT).await;
+        let sent = rt::spawn(async move {
+            let (epoch, ttl_ms) = (Epoch(5), AGES.as_millis());
+            client.grant(Grant { epoch, ttl_ms }).await
+        });
+        let impatient = Client::new(server.address(), IMPATIENT).await;
+        impatient.load().await.unwrap_err();
+        assert!(!sent.is_finished());
+        server.resume();
+        sent.await.unwrap().unwrap();
+        let caller = Caller::new(server.address()).await;
+        let answer = caller
+            .send("GET", "/", &[(EPOCH_HEADER, "5")], b"")
+            .await
+            .unwrap();
+        assert_eq!(answer.status, 200);
+    });
+}
+
 /// Guards against a crash that lets work, connections or memory survive.
 #[test]
 fn crashes_and_restarts() {
