Round the longest extension of a lease down

Cause: Span::scale rounds up, so with a margin of zero the extension on a slow clock ended after the wait of an outsider on a fast clock. Change: compute the extension with a division that rounds down. Before: outsider_wait 7, margin 0, drift 333333 ppm gave 4 units; 3.5 are safe.

--- a/crates/core/src/times.rs
+++ b/crates/core/src/times.rs
@@ -68,8 +68,11 @@
     }
 
     /// Returns how long after a log proof a holder may act on promises alone.
+    ///
+    /// Rounded down: rounded up, it ended after an outsider's wait when the margin was zero.
     pub fn longest_extension(&self) -> Span {
-        let wait = self.outsider_wait - self.margin;
-        wait.scale(MILLION - self.drift_ppm, MILLION + self.drift_ppm)
+        let wait = u128::from((self.outsider_wait - self.margin).0);
+        let (slow, fast) = (MILLION - self.drift_ppm, MILLION + self.drift_ppm);
+        Span((wait * u128::from(slow) / u128::from(fast)) as u64)
     }
 }
