Refuse late copies of records and promises for replaced epochs

Cause: (1) Standbys, Move, Started and the operators' state records were no compare-and-set, so a second or overtaken copy took effect: it renamed standbys back behind the holder's back, moved a slice back while its owner served it, declared a running process lost, or undid an operator's command. (2) A standby gave promises for an epoch again as soon as its own claim had replaced it. Change: (1) the records carry `after`, the offset that the writer had applied, and are refused if their subject changed later; a contract uses each Standbys or Move once. (2) Ownership remembers the epochs that its claims replaced. (3) Ownership::restore follows a restored ledger.

--- a/crates/core/src/contract.rs
+++ b/crates/core/src/contract.rs
@@ -2,7 +2,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{number::Epoch, process::Process, time::Span, times::Times};
+use crate::{
+    number::{Epoch, Offset},
+    process::Process,
+    time::Span,
+    times::Times,
+};
 
 /// Right of one process to command a target.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -19,6 +24,8 @@
     pub confirmed: bool,
     /// Requests that ran at the target when its holder gave the contract up, if it did.
     pub released: Option<u32>,
+    /// Offset of the claim or of the holder's latest record that changed standbys or moved keys.
+    pub changed: Offset,
 }
 
 /// How long a new holder waits before it acts.
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -27,9 +27,9 @@
     table: Table,
     table_entry: record::Id,
     table_offset: Offset,
-    data_centres_out: BTreeSet<name::DataCentre>,
-    hosts_out: BTreeSet<name::Host>,
-    targets_out: BTreeSet<name::Target>,
+    data_centres: BTreeMap<name::DataCentre, Mark>,
+    hosts: BTreeMap<name::Host, Mark>,
+    targets: BTreeMap<name::Target, Mark>,
     processes: BTreeMap<name::Host, Peer>,
     lost: BTreeSet<Process>,
     contracts: BTreeMap<name::Target, Contract>,
@@ -39,6 +39,13 @@
     quarantine: BTreeMap<request::Fingerprint, Offset>,
 }
 
+/// State that operators gave a data centre, host or target.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct Mark {
+    state: State,
+    offset: Offset,
+}
+
 /// The latest process of a host.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Peer {
@@ -48,6 +55,8 @@
     pub address: std::net::SocketAddr,
     /// Data centre that it runs in.
     pub data_centre: name::DataCentre,
+    /// Offset of the record that announced it.
+    pub offset: Offset,
 }
 
 /// Owners of a service's keys.
@@ -113,28 +122,35 @@
     fn change(&mut self, offset: Offset, entry: &Entry) -> Effect {
         match &entry.record {
             Record::Table { base, table } => self.replace_table(offset, entry.id, *base, table),
-            Record::DataCentre { name, state } => {
+            Record::DataCentre { name, state, after } => {
                 if !self.table.data_centres.contains_key(name) {
                     return Effect::Invalid;
                 }
-                set(&mut self.data_centres_out, name, *state)
+                set(&mut self.data_centres, name, *state, *after, offset)
+            }
+            Record::Host { name, state, after } => {
+                set(&mut self.hosts, name, *state, *after, offset)
             }
-            Record::Host { name, state } => set(&mut self.hosts_out, name, *state),
-            Record::Target { name, state } => {
+            Record::Target { name, state, after } => {
                 if self.table.target(name).is_none() {
                     return Effect::Invalid;
                 }
-                set(&mut self.targets_out, name, *state)
+                set(&mut self.targets, name, *state, *after, offset)
             }
             Record::Started {
                 process,
                 address,
                 data_centre,
-            } => self.start(Peer {
-                process: process.clone(),
-                address: *address,
-                data_centre: data_centre.clone(),
-            }),
+                after,
+            } => {
+                let peer = Peer {
+                    process: process.clone(),
+                    address: *address,
+                    data_centre: data_centre.clone(),
+                    offset,
+                };
+                self.start(peer, *after)
+            }
             Record::Lost { process } => match self.lost.insert(process.clone()) {
                 true => Effect::Applied,
                 false => Effect::Duplicate,
@@ -144,14 +160,24 @@
                 targets,
                 standbys,
             } => self.claim(offset, holder, targets, standbys),
-            Record::Standbys { targets, standbys } => self.name_standbys(targets, standbys),
+            Record::Standbys {
+                targets,
+                standbys,
+                after,
+            } => self.name_standbys(offset, targets, standbys, *after),
             Record::Release { targets } => self.release(targets),
             Record::Move {
                 service,
                 from,
                 epoch,
                 shares,
-            } => self.move_shares(service, from, *epoch, shares),
+                after,
+            } => {
+                if !self.use_contract(offset, from, *epoch, *after) {
+                    return Effect::Conflict;
+                }
+                self.move_shares(service, from, shares)
+            }
             Record::Intent {
                 target,
                 epoch,
@@ -206,20 +232,24 @@
         Effect::Applied
     }
 
-    fn start(&mut self, peer: Peer) -> Effect {
+    fn start(&mut self, peer: Peer, after: Offset) -> Effect {
         let host = peer.process.host.clone();
         if self.lost.contains(&peer.process) {
             return Effect::Conflict;
         }
-        let Some(earlier) = self.processes.insert(host, peer.clone()) else {
-            return Effect::Applied;
-        };
-        if earlier.process == peer.process {
-            return Effect::Duplicate;
-        }
-        if earlier.address == peer.address {
-            self.lost.insert(earlier.process);
+        if let Some(earlier) = self.processes.get(&host) {
+            if earlier.process == peer.process {
+                return Effect::Duplicate;
+            }
+            // The late record of an ended process would declare its running successor lost.
+            if earlier.offset > after {
+                return Effect::Conflict;
+            }
+            if earlier.address == peer.address {
+                self.lost.insert(earlier.process.clone());
+            }
         }
+        self.processes.insert(host, peer);
         Effect::Applied
     }
 
@@ -244,6 +274,7 @@
                 wait: contract::wait(current, holder, lost),
                 confirmed: false,
                 released: None,
+                changed: offset,
             };
             self.contracts.insert(target.clone(), contract);
             changed = true;
@@ -251,13 +282,37 @@
         Effect::from_parts(changed)
     }
 
-    fn name_standbys(&mut self, targets: &[(name::Target, Epoch)], standbys: &[Process]) -> Effect {
+    /// Tells whether a record of the holder may change its contract, and marks it as used.
+    ///
+    /// Each record is used at most once, whatever its effect: a repeated copy could otherwise undo
+    /// a later change, or succeed after its writer has read that the first copy was refused.
+    fn use_contract(
+        &mut self,
+        offset: Offset,
+        target: &name::Target,
+        epoch: Epoch,
+        after: Offset,
+    ) -> bool {
+        let contract = self.contracts.get_mut(target);
+        let current = contract
+            .filter(|c| c.epoch == epoch && c.released.is_none() && c.changed <= after)
+            .map(|c| c.changed = offset);
+        current.is_some()
+    }
+
+    fn name_standbys(
+        &mut self,
+        offset: Offset,
+        targets: &[(name::Target, Epoch)],
+        standbys: &[Process],
+        after: Offset,
+    ) -> Effect {
         let mut changed = false;
         for (target, epoch) in targets {
-            if let Some(contract) = self.contracts.get_mut(target)
-                && contract.epoch == *epoch
-                && contract.released.is_none()
-            {
+            if !self.use_contract(offset, target, *epoch, after) {
+                continue;
+            }
+            if let Some(contract) = self.contracts.get_mut(target) {
                 contract.standbys = standbys.to_vec();
                 contract.confirmed = true;
                 changed = true;
@@ -284,12 +339,8 @@
         &mut self,
         service: &name::Service,
         from: &name::Target,
-        epoch: Epoch,
         shares: &[(Share, name::Target)],
     ) -> Effect {
-        if !self.is_current(from, epoch) {
-            return Effect::Conflict;
-        }
         let Some(row) = self.table.services.get(service) else {
             return Effect::Invalid;
         };
@@ -368,7 +419,8 @@
     pub fn has_work(&self, target: &name::Target) -> bool {
         let row = self.table.target(target);
         row.is_some_and(|(_, _, row)| {
-            !self.targets_out.contains(target) && !self.data_centres_out.contains(&row.data_centre)
+            state(&self.targets, target) == State::In
+                && state(&self.data_centres, &row.data_centre) == State::In
         })
     }
 
@@ -419,12 +471,12 @@
 
     /// Returns the state of a host.
     pub fn host(&self, host: &name::Host) -> State {
-        state(self.hosts_out.contains(host))
+        state(&self.hosts, host)
     }
 
     /// Returns the state of a data centre.
     pub fn data_centre(&self, name: &name::DataCentre) -> State {
-        state(self.data_centres_out.contains(name))
+        state(&self.data_centres, name)
     }
 
     /// Returns the intent of a request.
@@ -475,18 +527,24 @@
     }
 }
 
-fn state(out: bool) -> State {
-    if out { State::Out } else { State::In }
+fn state<T: Ord>(marks: &BTreeMap<T, Mark>, name: &T) -> State {
+    marks.get(name).map(|mark| mark.state).unwrap_or_default()
 }
 
-fn set<T: Clone + Ord>(out: &mut BTreeSet<T>, name: &T, state: State) -> Effect {
-    let changed = match state {
-        State::In => out.remove(name),
-        State::Out => out.insert(name.clone()),
-    };
-    if changed {
-        Effect::Applied
-    } else {
-        Effect::Duplicate
+fn set<T: Clone + Ord>(
+    marks: &mut BTreeMap<T, Mark>,
+    name: &T,
+    state: State,
+    after: Offset,
+    offset: Offset,
+) -> Effect {
+    let current = marks.get(name);
+    if current.is_some_and(|mark| mark.offset > after) {
+        return Effect::Conflict;
+    }
+    if current.map(|mark| mark.state).unwrap_or_default() == state {
+        return Effect::Duplicate;
     }
+    marks.insert(name.clone(), Mark { state, offset });
+    Effect::Applied
 }
--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -25,6 +25,7 @@
     lease: Lease,
     held: BTreeMap<name::Target, Held>,
     claims: BTreeMap<record::Id, BTreeMap<name::Target, Option<Epoch>>>,
+    taken: BTreeSet<Epoch>,
     standbys: BTreeMap<record::Id, Renaming>,
 }
 
@@ -43,6 +44,7 @@
 /// A submitted change of standbys whose effect is not known yet.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 struct Renaming {
+    after: Offset,
     epochs: BTreeSet<Epoch>,
     standbys: Vec<Process>,
 }
@@ -55,6 +57,7 @@
             lease: Lease::default(),
             held: BTreeMap::new(),
             claims: BTreeMap::new(),
+            taken: BTreeSet::new(),
             standbys: BTreeMap::new(),
         }
     }
@@ -80,11 +83,14 @@
     }
 
     /// Returns those of the asked epochs that this process can't give a promise for, because it
-    /// has submitted a claim that would replace them.
+    /// has submitted a claim that replaces them and the log has not refused that claim.
+    ///
+    /// The epoch stays withheld after the claim took effect: the earlier holder may not have read
+    /// that yet.
     pub fn withheld(&self, asked: &[Epoch]) -> Vec<Epoch> {
         let claimed = |epoch: &Epoch| {
             let mut claims = self.claims.values().flat_map(BTreeMap::values);
-            claims.any(|previous| *previous == Some(*epoch))
+            self.taken.contains(epoch) || claims.any(|previous| *previous == Some(*epoch))
         };
         asked.iter().copied().filter(claimed).collect()
     }
@@ -105,18 +111,30 @@
     }
 
     /// Returns the record that names standbys for contracts and notes that it is submitted.
+    ///
+    /// The record confirms that this process's wait is over, so call this only for targets whose
+    /// wait has passed. A claim that replaces a confirmed contract does not inherit its wait.
     pub fn rename(
         &mut self,
         id: record::Id,
         targets: Vec<(name::Target, Epoch)>,
         standbys: Vec<Process>,
     ) -> Record {
+        let held = targets
+            .iter()
+            .filter_map(|(target, _)| self.held.get(target));
+        let after = held.map(|h| h.contract.changed).max().unwrap_or_default();
         let renaming = Renaming {
+            after,
             epochs: targets.iter().map(|(_, epoch)| *epoch).collect(),
             standbys: standbys.clone(),
         };
         self.standbys.insert(id, renaming);
-        Record::Standbys { targets, standbys }
+        Record::Standbys {
+            targets,
+            standbys,
+            after,
+        }
     }
 
     /// Stops sending work to a target in order to give its contract up.
@@ -135,7 +153,9 @@
         ledger: &Ledger,
         times: &Times,
     ) {
-        self.claims.remove(&entry.id);
+        if let Some(claim) = self.claims.remove(&entry.id) {
+            self.note_taken(claim, offset, ledger);
+        }
         self.standbys.remove(&entry.id);
         match &entry.record {
             Record::Claim { targets, .. } => {
@@ -153,10 +173,53 @@
                     self.refresh(target, ledger);
                 }
             }
+            Record::Move { from, .. } => self.refresh(from, ledger),
             _ => {}
         }
     }
 
+    /// Follows a ledger that was restored from a snapshot, without the records before it.
+    ///
+    /// Contracts that other processes claimed meanwhile are dropped. Contracts that this process
+    /// claimed meanwhile are not acted on, since the time of their claim is not known here.
+    pub fn restore(&mut self, ledger: &Ledger) {
+        let targets: Vec<name::Target> = self.held.keys().cloned().collect();
+        for target in &targets {
+            self.refresh(target, ledger);
+        }
+        let current = |target: &name::Target| ledger.contracts().get(target).map(|c| c.epoch);
+        let is_open = |claim: &BTreeMap<name::Target, Option<Epoch>>| {
+            claim.iter().any(|(t, previous)| current(t) == *previous)
+        };
+        let claims = std::mem::take(&mut self.claims);
+        let (open, decided) = claims.into_iter().partition(|(_, claim)| is_open(claim));
+        self.claims = open;
+        // Another claim may have followed on this process's own, so a refusal can't be inferred.
+        let decided: BTreeMap<record::Id, BTreeMap<_, _>> = decided;
+        let replaced = decided.into_values().flat_map(BTreeMap::into_values);
+        self.taken.extend(replaced.flatten());
+        let held = &self.held;
+        self.standbys.retain(|_, renaming| {
+            let mut contracts = held.values().map(|h| &h.contract);
+            contracts.any(|c| renaming.epochs.contains(&c.epoch) && c.changed <= renaming.after)
+        });
+    }
+
+    /// Notes the epochs that this process's claim at an offset has replaced.
+    fn note_taken(
+        &mut self,
+        claim: BTreeMap<name::Target, Option<Epoch>>,
+        offset: Offset,
+        ledger: &Ledger,
+    ) {
+        for (target, previous) in claim {
+            let contract = ledger.contracts().get(&target);
+            if contract.is_some_and(|c| c.epoch.0 == offset.0) {
+                self.taken.extend(previous);
+            }
+        }
+    }
+
     fn follow_claim(
         &mut self,
         now: Instant,
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -44,7 +44,8 @@
     pub record: Record,
 }
 
-/// A change of the shared state. Each is a compare-and-set on the version or epoch it names.
+/// A change of the shared state. Each is a compare-and-set on the version, epoch or offset that it
+/// names, so that a late or repeated copy has no effect.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Record {
     /// Replaces the table.
@@ -60,6 +61,8 @@
         name: name::DataCentre,
         /// Its new state.
         state: State,
+        /// Offset that the writer had applied. A later change of the same subject wins.
+        after: Offset,
     },
     /// Takes a host out of service or returns it.
     Host {
@@ -67,6 +70,8 @@
         name: name::Host,
         /// Its new state.
         state: State,
+        /// Offset that the writer had applied. A later change of the same subject wins.
+        after: Offset,
     },
     /// Takes a target out of service or returns it.
     Target {
@@ -74,6 +79,8 @@
         name: name::Target,
         /// Its new state.
         state: State,
+        /// Offset that the writer had applied. A later change of the same subject wins.
+        after: Offset,
     },
     /// Announces a new process. An earlier process of the same host and address has ended, since
     /// the new one could bind the address.
@@ -84,6 +91,8 @@
         address: SocketAddr,
         /// Data centre that it runs in.
         data_centre: name::DataCentre,
+        /// Offset that the writer had applied. A later change of the same subject wins.
+        after: Offset,
     },
     /// An operator's assertion that a process has ended for good.
     Lost {
@@ -105,6 +114,8 @@
         targets: Vec<(name::Target, Epoch)>,
         /// The new standbys.
         standbys: Vec<Process>,
+        /// Offset that the writer had applied. A later change of a contract wins.
+        after: Offset,
     },
     /// Gives contracts up. The holder has stopped sending work.
     Release {
@@ -121,6 +132,8 @@
         epoch: Epoch,
         /// What moves, and where to.
         shares: Vec<(Share, name::Target)>,
+        /// Offset that the writer had applied. A later change of the contract wins.
+        after: Offset,
     },
     /// Permits non-idempotent requests to run once.
     Intent {
--- /dev/null
+++ b/crates/core/tests/ownership.rs
@@ -0,0 +1,146 @@
+//! Faults of the ownership protocol that the model and a review found, one test each.
+
+mod scene;
+
+use ragwortrill_core::{
+    ledger::Effect,
+    name::{DataCentre, Target},
+    number::Offset,
+    record::{Id, Record, State},
+    time::Instant,
+    times::Times,
+};
+use scene::{Scene, entry, name, process, started, table};
+
+/// Guards against a promise to a holder that has not read yet that it was replaced.
+#[test]
+fn promise_stays_withheld_after_the_takeover() {
+    let mut scene = Scene::new();
+    let first = scene.claim("a", &["b"]);
+    scene.claim("b", &["a"]);
+    assert_eq!(scene.ownership("b").withheld(&[first]), [first]);
+}
+
+/// Guards against a standby that withholds its promise for good after the log refused its claim.
+#[test]
+fn promise_returns_after_a_refused_claim() {
+    let mut scene = Scene::new();
+    let first = scene.claim("a", &["b", "c"]);
+    let late = scene.submit_claim("b", &["a"]);
+    let second = scene.claim("c", &["a", "b"]);
+    assert_eq!(scene.ownership("b").withheld(&[first]), [first]);
+    assert_eq!(scene.append(&late), Effect::Conflict);
+    assert!(scene.ownership("b").withheld(&[first, second]).is_empty());
+}
+
+/// Guards against a second copy of a change of standbys that replaces a later change: its standby
+/// would take over after the short wait while the holder asks the others for promises.
+#[test]
+fn repeated_change_of_standbys_has_no_effect() {
+    let mut scene = Scene::new();
+    scene.claim("a", &["b"]);
+    let first = scene.rename("a", "c");
+    assert_eq!(scene.append(&first), Effect::Applied);
+    let second = scene.rename("a", "b");
+    assert_eq!(scene.append(&second), Effect::Applied);
+    assert_eq!(scene.append(&first), Effect::Conflict);
+    let contract = &scene.ledger().contracts()[&name::<Target>("t1")];
+    assert_eq!(contract.standbys, [process("b")]);
+}
+
+/// Guards against a second copy of a move that takes a slice from the holder it came back to.
+#[test]
+fn repeated_move_has_no_effect() {
+    let mut scene = Scene::new();
+    let (first, second) = scene.claim_both("a", "b");
+    let away = scene.shift("t1", first, "t2");
+    assert_eq!(scene.append(&away), Effect::Applied);
+    let back = scene.shift("t2", second, "t1");
+    assert_eq!(scene.append(&back), Effect::Applied);
+    assert_eq!(scene.append(&away), Effect::Conflict);
+    assert_eq!(scene.owner(), name::<Target>("t1"));
+}
+
+/// Guards against a move that was refused, so that its writer serves the slice again, and that
+/// takes effect by a second copy after the table changed.
+#[test]
+fn refused_move_stays_refused() {
+    let mut scene = Scene::new();
+    let (first, _) = scene.claim_both("a", "b");
+    let away = scene.shift("t1", first, "t2");
+    scene.replace_table(table(&["t1"]));
+    assert_eq!(scene.append(&away), Effect::Conflict);
+    scene.replace_table(table(&["t1", "t2"]));
+    assert_eq!(scene.append(&away), Effect::Conflict);
+    assert_eq!(scene.owner(), name::<Target>("t1"));
+}
+
+/// Guards against a start record that takes effect after its successor's and declares the
+/// successor lost, which would let an outsider take over after the short wait.
+#[test]
+fn late_start_does_not_end_its_successor() {
+    let mut scene = Scene::new();
+    let late = scene.entry(started("a", 1, Offset(0)));
+    let current = scene.entry(started("a", 2, Offset(0)));
+    assert_eq!(scene.append(&current), Effect::Applied);
+    assert_eq!(scene.append(&late), Effect::Conflict);
+    assert!(scene.ledger().lost().is_empty());
+}
+
+/// Guards against a new process that is not registered because its predecessor's record came
+/// between its read and its append.
+#[test]
+fn start_succeeds_after_reading_the_predecessor() {
+    let mut scene = Scene::new();
+    let first = scene.entry(started("a", 1, Offset(0)));
+    scene.append(&first);
+    let unaware = scene.entry(started("a", 2, Offset(0)));
+    assert_eq!(scene.append(&unaware), Effect::Conflict);
+    let after = scene.ledger().offset();
+    let second = scene.entry(started("a", 2, after));
+    assert_eq!(scene.append(&second), Effect::Applied);
+    assert_eq!(scene.ledger().lost().len(), 1);
+}
+
+/// Guards against a late copy of a command that undoes a later command of an operator.
+#[test]
+fn repeated_state_has_no_effect() {
+    let mut scene = Scene::new();
+    let northam: DataCentre = name("northam");
+    let change = |state, after| Record::DataCentre {
+        name: northam.clone(),
+        state,
+        after,
+    };
+    let after = scene.ledger().offset();
+    let out = scene.entry(change(State::Out, after));
+    assert_eq!(scene.append(&out), Effect::Applied);
+    let after = scene.ledger().offset();
+    let back = scene.entry(change(State::In, after));
+    assert_eq!(scene.append(&back), Effect::Applied);
+    assert_eq!(scene.append(&out), Effect::Conflict);
+    assert_eq!(scene.ledger().data_centre(&northam), State::In);
+}
+
+/// Guards against a process that skips its replacement by a snapshot and goes on acting.
+#[test]
+fn restored_ledger_ends_replaced_contracts() {
+    let mut scene = Scene::new();
+    scene.claim("a", &["b"]);
+    let mut paused = scene.ownership("a").clone();
+    let first = scene.epoch();
+    let mut claimer = scene.ownership("b").clone();
+    let record = claimer.claim(Id(100), vec![(name("t1"), Some(first))], Vec::new());
+    let claim = entry(Id(100), record);
+    scene.append(&claim);
+    paused.restore(scene.ledger());
+    claimer.restore(scene.ledger());
+    paused.prove(Instant(0));
+    assert_eq!(
+        paused.epoch(&name("t1"), Instant(1), &Times::default()),
+        None
+    );
+    assert!(paused.held().is_empty());
+    assert_eq!(claimer.withheld(&[first]), [first]);
+    assert!(!claimer.is_claiming(&name("t1")));
+}
