--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -5,6 +5,7 @@
 use ragwortrill_core::{
     ledger::Effect,
     name,
+    number::Offset,
     process::Process,
     record::{Record, State},
     report::{Force, Outcome, Status},
@@ -46,7 +47,9 @@
     ($($function:ident $record:ident $state:ident $what:literal;)*) => {
         $(pub(crate) fn $function(context: &Context) -> Result<Page, Error> {
             let state = State::$state;
-            set(context, |name| Record::$record { name, state }, $what)
+            // The daemon fills in the offset that it has read.
+            let after = Offset::default();
+            set(context, |name| Record::$record { name, state, after }, $what)
         })*
     };
 }
--- a/crates/cli/tests/cli/look.rs
+++ b/crates/cli/tests/cli/look.rs
@@ -8,7 +8,7 @@
 fn contract() -> Value {
     json!({
         "epoch": 31, "holder": "entry-1/5f", "standbys": ["entry-2/a", "entry-3/b"],
-        "wait": "None", "confirmed": true, "released": null,
+        "wait": "None", "confirmed": true, "released": null, "changed": 31,
     })
 }
 
@@ -64,80 +64,81 @@
         (
             "status --json",
             expect![[r#"
-        status 0
-        --- stdout
-        {
-          "data_centre": "north",
-          "data_centres": {
-            "north": "in",
-            "south": "out"
-          },
-          "hash": "00000000000000ff",
-          "hosts": [
-            {
-              "alive": true,
-              "data_centre": "north",
-              "differs": false,
-              "offset": 42,
-              "process": "entry-1/5f",
-              "state": "in"
-            },
-            {
-              "alive": false,
-              "data_centre": "south",
-              "differs": true,
-              "offset": null,
-              "process": "entry-2/a",
-              "state": "out"
-            }
-          ],
-          "offset": 42,
-          "process": "entry-1/5f",
-          "proof_age": "120ms",
-          "quarantine": [
-            "00000000000000aa"
-          ],
-          "targets": [
-            {
-              "contract": {
-                "confirmed": true,
-                "epoch": 31,
-                "holder": "entry-1/5f",
-                "released": null,
-                "standbys": [
-                  "entry-2/a",
-                  "entry-3/b"
-                ],
-                "wait": "None"
-              },
-              "data_centre": "north",
-              "load": {
-                "condition": "serving",
-                "late": 2,
-                "queued": 0,
-                "running": 3
-              },
-              "name": "orders-1",
-              "service": "orders",
-              "state": "in"
-            },
-            {
-              "contract": null,
-              "data_centre": "south",
-              "load": null,
-              "name": "orders-2",
-              "service": "orders",
-              "state": "out"
-            }
-          ],
-          "version": 6,
-          "warnings": [
-            "orders-2 has no holder; return data centre south"
-          ]
-        }
-        --- requests
-        GET /v1/status
-    "#]],
+                status 0
+                --- stdout
+                {
+                  "data_centre": "north",
+                  "data_centres": {
+                    "north": "in",
+                    "south": "out"
+                  },
+                  "hash": "00000000000000ff",
+                  "hosts": [
+                    {
+                      "alive": true,
+                      "data_centre": "north",
+                      "differs": false,
+                      "offset": 42,
+                      "process": "entry-1/5f",
+                      "state": "in"
+                    },
+                    {
+                      "alive": false,
+                      "data_centre": "south",
+                      "differs": true,
+                      "offset": null,
+                      "process": "entry-2/a",
+                      "state": "out"
+                    }
+                  ],
+                  "offset": 42,
+                  "process": "entry-1/5f",
+                  "proof_age": "120ms",
+                  "quarantine": [
+                    "00000000000000aa"
+                  ],
+                  "targets": [
+                    {
+                      "contract": {
+                        "changed": 31,
+                        "confirmed": true,
+                        "epoch": 31,
+                        "holder": "entry-1/5f",
+                        "released": null,
+                        "standbys": [
+                          "entry-2/a",
+                          "entry-3/b"
+                        ],
+                        "wait": "None"
+                      },
+                      "data_centre": "north",
+                      "load": {
+                        "condition": "serving",
+                        "late": 2,
+                        "queued": 0,
+                        "running": 3
+                      },
+                      "name": "orders-1",
+                      "service": "orders",
+                      "state": "in"
+                    },
+                    {
+                      "contract": null,
+                      "data_centre": "south",
+                      "load": null,
+                      "name": "orders-2",
+                      "service": "orders",
+                      "state": "out"
+                    }
+                  ],
+                  "version": 6,
+                  "warnings": [
+                    "orders-2 has no holder; return data centre south"
+                  ]
+                }
+                --- requests
+                GET /v1/status
+            "#]],
         ),
     ];
     for (line, expected) in cases {
--- a/crates/core/src/number.rs
+++ b/crates/core/src/number.rs
@@ -47,6 +47,11 @@
 }
 
 impl Offset {
+    /// Tells whether this offset stands before the first record.
+    pub fn is_zero(&self) -> bool {
+        self.0 == 0
+    }
+
     /// Returns the offset that follows this one.
     pub fn next(self) -> Self {
         Self(self.0 + 1)
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -61,7 +61,9 @@
         name: name::DataCentre,
         /// Its new state.
         state: State,
-        /// Offset that the writer had applied. A later change of the same subject wins.
+        /// Offset that the writer had applied. A later change of the same subject wins. The daemon
+        /// that takes an operator's change fills it in.
+        #[serde(default, skip_serializing_if = "Offset::is_zero")]
         after: Offset,
     },
     /// Takes a host out of service or returns it.
@@ -70,7 +72,9 @@
         name: name::Host,
         /// Its new state.
         state: State,
-        /// Offset that the writer had applied. A later change of the same subject wins.
+        /// Offset that the writer had applied. A later change of the same subject wins. The daemon
+        /// that takes an operator's change fills it in.
+        #[serde(default, skip_serializing_if = "Offset::is_zero")]
         after: Offset,
     },
     /// Takes a target out of service or returns it.
@@ -79,7 +83,9 @@
         name: name::Target,
         /// Its new state.
         state: State,
-        /// Offset that the writer had applied. A later change of the same subject wins.
+        /// Offset that the writer had applied. A later change of the same subject wins. The daemon
+        /// that takes an operator's change fills it in.
+        #[serde(default, skip_serializing_if = "Offset::is_zero")]
         after: Offset,
     },
     /// Announces a new process. An earlier process of the same host and address has ended, since
--- a/crates/platform/tests/codec.rs
+++ b/crates/platform/tests/codec.rs
@@ -29,6 +29,7 @@
     entry(Record::Host {
         name: host("h1"),
         state: State::Out,
+        after: Offset(2),
     })
 }
 
@@ -47,6 +48,7 @@
         Record::Host {
             name: host("h1"),
             state: State::Out,
+            after: Offset(4),
         },
         Record::Claim {
             holder: process(1),
@@ -57,6 +59,7 @@
             process: process(1),
             address: "127.0.0.1:80".parse().unwrap(),
             data_centre: "northam".parse().unwrap(),
+            after: Offset(5),
         },
         Record::Snapshot {
             at: Offset(9),
