Serve the operators' port: reports, changes, audit and history

Cause: the daemon served only health, readiness and metrics, so the command line had nothing to talk to.

Change: all endpoints of crates/cli/src/api.rs. A change is checked against a state whose log proof was sent after the change arrived, appended once by a client of the operators' server, and answered by its first effect in the log. Heartbeats' offsets and hashes give `in_force` and `differs`.

--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -33,6 +33,8 @@
     pub(crate) accepted: bool,
     /// Restart mark of the target.
     pub(crate) mark: Option<u64>,
+    /// Answers that arrived after their request's deadline.
+    pub(crate) late: u64,
 }
 
 impl Desk {
@@ -48,6 +50,7 @@
             granted: None,
             accepted: false,
             mark: None,
+            late: 0,
         }
     }
 
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -7,6 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
+    archive::Archive,
     contract::{self, Contract},
     key, name,
     number::{Epoch, Offset, Version},
@@ -37,6 +38,8 @@
     #[serde_as(as = "Vec<(_, _)>")]
     requests: BTreeMap<request::Id, Intent>,
     quarantine: BTreeMap<request::Fingerprint, Offset>,
+    #[serde(default)]
+    archive: Archive,
 }
 
 /// The latest process of a host.
@@ -103,7 +106,13 @@
             return Effect::Duplicate;
         }
         self.offset = offset;
-        let effect = self.change(offset, entry);
+        // A late copy of an operator's change must not undo a change that followed the first copy.
+        let effect = match self.archive.answer(entry.id) {
+            Some(_) => Effect::Duplicate,
+            None => self.change(offset, entry),
+        };
+        self.archive
+            .note(offset, entry, effect, self.version, &self.table);
         let seed = xxh3_64_with_seed(&offset.0.to_le_bytes(), self.hash);
         let seed = xxh3_64_with_seed(&entry.id.0.to_le_bytes(), seed);
         self.hash = xxh3_64_with_seed(&[effect as u8], seed);
@@ -422,6 +431,11 @@
         state(self.hosts_out.contains(host))
     }
 
+    /// Returns the state that operators gave a target.
+    pub fn target(&self, target: &name::Target) -> State {
+        state(self.targets_out.contains(target))
+    }
+
     /// Returns the state of a data centre.
     pub fn data_centre(&self, name: &name::DataCentre) -> State {
         state(self.data_centres_out.contains(name))
@@ -432,6 +446,11 @@
         self.requests.get(request)
     }
 
+    /// Returns the latest records that concern operators and the table's versions.
+    pub fn archive(&self) -> &Archive {
+        &self.archive
+    }
+
     /// Returns the barred fingerprints with the offset of the record that barred each.
     pub fn quarantine(&self) -> &BTreeMap<request::Fingerprint, Offset> {
         &self.quarantine
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod action;
 pub mod admission;
+pub mod agreement;
+pub mod archive;
 pub mod balance;
 pub mod choice;
 pub mod contract;
@@ -33,8 +35,10 @@
 pub mod retry;
 pub mod sheet;
 pub mod sketch;
+mod survey;
 pub mod table;
 mod tally;
 pub mod time;
 pub mod times;
 mod traffic;
+pub mod vet;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     action::Action,
+    agreement::Agreement,
     desk::Desk,
     event::{Arrival, Event, Finish, Message, Peer, Read, Ticket},
     ledger::{Effect, Ledger},
@@ -38,6 +39,7 @@
     pub(crate) ledger: Ledger,
     pub(crate) ownership: Ownership,
     pub(crate) view: View,
+    pub(crate) agreement: Agreement,
     pub(crate) desks: BTreeMap<name::Target, Desk>,
     pub(crate) tickets: BTreeMap<Ticket, Held>,
     pub(crate) running: BTreeMap<request::Id, Ticket>,
@@ -82,6 +84,7 @@
             config,
             ledger: Ledger::default(),
             view: View::default(),
+            agreement: Agreement::default(),
             desks: BTreeMap::new(),
             tickets: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -122,6 +125,7 @@
                 continue;
             }
             let effect = self.ledger.apply(*offset, entry);
+            self.agreement.apply(*offset, self.ledger.hash());
             self.follow(now, *offset, entry, effect, actions);
         }
         if self.ledger.offset() >= read.end {
@@ -157,7 +161,12 @@
         self.ownership
             .follow(now, offset, entry, &self.ledger, &self.config.times);
         match &entry.record {
-            Record::Started { process, .. } => self.view.expect(process, now),
+            Record::Started { process, .. } => {
+                self.view.expect(process, now);
+                let latest = self.ledger.processes().values().map(|peer| &peer.process);
+                let latest: BTreeSet<&Process> = latest.collect();
+                self.agreement.retain(|process| latest.contains(process));
+            }
             Record::Intent { requests, .. } => {
                 for request in requests {
                     self.registered(now, entry.id, *request, offset, actions);
@@ -206,8 +215,13 @@
         self.view.hear(&from, now);
         match message {
             Message::Heartbeat {
-                sent, epochs, lost, ..
+                sent,
+                offset,
+                hash,
+                epochs,
+                lost,
             } => {
+                self.agreement.show(&from, offset, hash);
                 self.peers_lost
                     .insert(from.clone(), lost.into_iter().collect());
                 let withheld = self.ownership.withheld(&epochs);
@@ -270,6 +284,11 @@
         &self.ownership
     }
 
+    /// Returns how this process's shared state compares with that of its peers.
+    pub fn agreement(&self) -> &Agreement {
+        &self.agreement
+    }
+
     /// Returns the identity and limits of this node.
     pub fn config(&self) -> &Config {
         &self.config
--- /dev/null
+++ b/crates/core/src/survey.rs
@@ -0,0 +1,166 @@
+//! Reports on a node's state for operators.
+
+mod key;
+
+use crate::{
+    ledger, name,
+    node::Node,
+    number::Offset,
+    process::Process,
+    record::State,
+    report::{Condition, Force, Hash, Host, Load, Status, Target},
+    table,
+    time::Instant,
+};
+
+impl Node {
+    /// Describes the system as this node sees it.
+    pub fn status(&self, now: Instant) -> Status {
+        let ledger = self.ledger();
+        let proof = self.ownership().lease().proof();
+        let names = ledger.table().data_centres.keys();
+        Status {
+            process: self.config().process.clone(),
+            data_centre: self.config().data_centre.clone(),
+            offset: ledger.offset(),
+            hash: Hash(ledger.hash()),
+            version: ledger.version(),
+            proof_age: proof.map(|proof| now.since(proof)),
+            data_centres: names.map(|n| (n.clone(), ledger.data_centre(n))).collect(),
+            hosts: self.survey_hosts(now),
+            targets: self.survey_targets(now),
+            quarantine: ledger.quarantine().keys().copied().collect(),
+            warnings: self.warnings(now),
+        }
+    }
+
+    fn survey_hosts(&self, now: Instant) -> Vec<Host> {
+        let own = &self.config().process;
+        let peers = self.ledger().processes().values();
+        let host = |peer: &ledger::Peer| Host {
+            process: peer.process.clone(),
+            data_centre: peer.data_centre.clone(),
+            state: self.ledger().host(&peer.process.host),
+            alive: peer.process == *own || self.is_alive(&peer.process, now),
+            offset: match peer.process == *own {
+                true => Some(self.ledger().offset()),
+                false => self.agreement().offset(&peer.process),
+            },
+            differs: self.agreement().differing().contains(&peer.process),
+        };
+        peers.map(host).collect()
+    }
+
+    fn is_alive(&self, process: &Process, now: Instant) -> bool {
+        self.hears(process, now) && !self.ledger().lost().contains(process)
+    }
+
+    fn survey_targets(&self, now: Instant) -> Vec<Target> {
+        let services = self.ledger().table().services.iter();
+        let rows =
+            services.flat_map(|(service, row)| row.targets.iter().map(move |t| (service, t)));
+        let target =
+            |(service, (name, row)): (&name::Service, (&name::Target, &table::Target))| Target {
+                name: name.clone(),
+                service: service.clone(),
+                data_centre: row.data_centre.clone(),
+                state: self.ledger().target(name),
+                contract: self.ledger().contracts().get(name).cloned(),
+                load: self.load_of(name, now),
+            };
+        rows.map(target).collect()
+    }
+
+    fn load_of(&self, target: &name::Target, now: Instant) -> Option<Load> {
+        let desk = self.desks.get(target)?;
+        Some(Load {
+            condition: match desk.is_lost(now, &self.config().times) {
+                true => Condition::Lost,
+                false => Condition::Serving,
+            },
+            running: desk.running.len() as u32,
+            queued: desk.queue.len() as u32,
+            late: desk.late,
+        })
+    }
+
+    /// Tells at which live daemons a record is not in force yet, as far as this node hears them.
+    pub fn force(&self, offset: Offset, now: Instant) -> Force {
+        let own = &self.config().process;
+        let peers = self.ledger().processes().values().map(|peer| &peer.process);
+        let live = peers.filter(|p| *p != own && self.is_alive(p, now));
+        let behind = live.filter(|p| self.agreement().offset(p) < Some(offset));
+        let behind: Vec<Process> = behind.cloned().collect();
+        match behind.is_empty() {
+            true => Force::Everywhere,
+            false => Force::Waiting(behind),
+        }
+    }
+
+    /// Lists conditions that need an operator, each with its remedy.
+    fn warnings(&self, now: Instant) -> Vec<String> {
+        let mut warnings = Vec::new();
+        let proof = self.ownership().lease().proof();
+        match proof.map(|proof| now.since(proof)) {
+            None => warnings.push(
+                "the log service has not answered since the start; check its address".to_owned(),
+            ),
+            Some(age) if age >= self.config().times.lease => warnings.push(format!(
+                "the log service has not answered for {} ms; restore it: changes, takeovers and \
+                 non-idempotent requests wait for it",
+                age.as_millis()
+            )),
+            Some(_) => {}
+        }
+        warnings.extend(self.agreement().differing().iter().map(|process| {
+            format!(
+                "{process} has another state at the same offset; restart one of the two daemons"
+            )
+        }));
+        warnings.extend(self.unheard(now));
+        warnings.extend(self.unserved(now));
+        warnings
+    }
+
+    fn unheard(&self, now: Instant) -> Vec<String> {
+        let peers = self.ledger().processes().values().map(|peer| &peer.process);
+        let missing = peers.filter(|process| {
+            **process != self.config().process
+                && !self.hears(process, now)
+                && !self.ledger().lost().contains(process)
+        });
+        let warning = |process: &Process| {
+            format!(
+                "{process} is not heard; check its host, and run 'ragwortrill host lost {}' if it \
+                 has ended for good",
+                process.host
+            )
+        };
+        missing.map(warning).collect()
+    }
+
+    fn unserved(&self, now: Instant) -> Vec<String> {
+        let services = self.ledger().table().services.values();
+        let targets = services.flat_map(|row| row.targets.keys());
+        let warning = |target: &name::Target| {
+            let contract = self.ledger().contracts().get(target);
+            let current = contract.filter(|c| c.released.is_none());
+            match current {
+                None => Some(format!(
+                    "{target} has no holder; check that a daemon in service reads the log"
+                )),
+                Some(_) if self.is_lost(target, now) => Some(format!(
+                    "{target} does not answer probes; repair it or drain it"
+                )),
+                Some(_) => None,
+            }
+        };
+        targets.filter_map(warning).collect()
+    }
+
+    fn is_lost(&self, target: &name::Target, now: Instant) -> bool {
+        let desk = self.desks.get(target);
+        desk.is_some_and(|desk| desk.is_lost(now, &self.config().times))
+            && self.ledger().target(target) == State::In
+    }
+}
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -346,7 +346,12 @@
         let head = self.tickets[&ticket].arrival.head.clone();
         match result {
             Finish::Answered(status) | Finish::Cut(status) => {
-                self.close(ticket);
+                if let Some(held) = self.close(ticket)
+                    && held.arrival.deadline < now
+                    && let Some(desk) = self.desks.get_mut(target)
+                {
+                    desk.late += 1;
+                }
                 if !head.idempotent {
                     self.ended.insert(head.request, status);
                     let requests = vec![(head.request, status)];
--- /dev/null
+++ b/crates/core/src/vet.rs
@@ -0,0 +1,114 @@
+//! Checks of operators' changes before they are appended to the log.
+
+use crate::{
+    archive::Answer,
+    name,
+    node::Node,
+    number::Version,
+    record::Record,
+    report::{Change, Conflict},
+    sheet::suggest,
+    table::Table,
+};
+
+/// What is to be done with an operator's change.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The log has the change; this is what it did.
+    Answered(Answer),
+    /// The table has a later version than the change's base.
+    Conflict(Box<Conflict>),
+    /// The change asks for something that does not exist or isn't allowed.
+    Invalid {
+        /// What is wrong.
+        title: String,
+        /// What the operator can do.
+        remedy: String,
+    },
+    /// The change may be appended.
+    Valid,
+}
+
+impl Verdict {
+    fn invalid(title: impl Into<String>, remedy: impl Into<String>) -> Self {
+        Self::Invalid {
+            title: title.into(),
+            remedy: remedy.into(),
+        }
+    }
+}
+
+impl Node {
+    /// Checks a change against the state. Conclusive only if the state has a later log proof than
+    /// the change's arrival; otherwise an earlier try of the change may be missing from it.
+    pub fn vet(&self, change: &Change) -> Verdict {
+        if let Some(answer) = self.ledger().archive().answer(change.id) {
+            return Verdict::Answered(answer);
+        }
+        if change.actor.trim().is_empty() || change.reason.trim().is_empty() {
+            return Verdict::invalid("the change has no actor or no reason", "state both");
+        }
+        match &change.record {
+            Record::Table { base, table } => self.vet_table(*base, table),
+            Record::DataCentre { name, .. } => {
+                let known = self.ledger().table().data_centres.keys();
+                vet_name("data centre", name.as_str(), known.map(|n| n.as_str()))
+            }
+            Record::Target { name, .. } => {
+                let services = self.ledger().table().services.values();
+                let known = services.flat_map(|row| row.targets.keys());
+                vet_name("target", name.as_str(), known.map(name::Target::as_str))
+            }
+            record if record.is_operators() => Verdict::Valid,
+            _ => Verdict::invalid(
+                "the record is of a kind that only daemons write",
+                "submit a table, data centre, host, target, lost process or quarantine",
+            ),
+        }
+    }
+
+    fn vet_table(&self, base: Version, table: &Table) -> Verdict {
+        if base < self.ledger().version() {
+            return Verdict::Conflict(Box::new(self.conflict()));
+        }
+        let rows = table.services.iter();
+        let changed = rows.filter_map(|(name, row)| {
+            let assignment = self.ledger().assignments().get(name)?;
+            let slices = assignment.slices.len();
+            (slices != row.slices as usize).then(|| {
+                format!(
+                    "services[{name}].slices: got {}, expected {slices}, which is fixed",
+                    row.slices
+                )
+            })
+        });
+        let changed: Vec<String> = changed.collect();
+        match changed.is_empty() {
+            true => Verdict::Valid,
+            false => Verdict::invalid(
+                changed.join("\n"),
+                "restore the number of slices, or add a service with another name",
+            ),
+        }
+    }
+
+    /// Describes the current table for a change that was edited from an old version.
+    pub fn conflict(&self) -> Conflict {
+        Conflict {
+            version: self.ledger().version(),
+            table: self.ledger().table().clone(),
+        }
+    }
+}
+
+fn vet_name<'a>(what: &str, name: &str, known: impl Iterator<Item = &'a str>) -> Verdict {
+    let known: Vec<&str> = known.collect();
+    if known.contains(&name) {
+        return Verdict::Valid;
+    }
+    let remedy = match suggest(name, known) {
+        Some(near) => format!("did you mean {near:?}?"),
+        None => format!("name a {what} of the table"),
+    };
+    Verdict::invalid(format!("the table has no {what} {name:?}"), remedy)
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{SocketAddr, TcpListener},
+    rc::Rc,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -28,7 +29,7 @@
     decide::{self, Outlet, Outlets},
     log_service,
     metrics::Metrics,
-    operators::{self, Ready},
+    operators::{self, Desk, Ready, Site},
     peers::Peers,
     probe,
     recent::Recent,
@@ -152,9 +153,15 @@
         threads.push(spawn_local("probe", async move || {
             probe::run(probe_receiver, prober).await;
         })?);
+        let site = Site {
+            shell: shell.clone(),
+            ready,
+            token: settings.operator_token.into(),
+            log: settings.log,
+        };
         let servers = vec![
-            serve_callers(callers, settings.workers, shell.clone())?,
-            serve_operators(operators, shell, ready)?,
+            serve_callers(callers, settings.workers, shell)?,
+            serve_operators(operators, site)?,
         ];
         Ok(Self {
             addresses,
@@ -254,17 +261,14 @@
     })
 }
 
-fn serve_operators(
-    listener: TcpListener,
-    shell: Shell,
-    ready: Ready,
-) -> Result<web_server::Handle> {
+fn serve_operators(listener: TcpListener, site: Site) -> Result<web_server::Handle> {
     start_server("operators", move || {
         let server = HttpServer::new(async move || {
+            let desk = Rc::new(Desk::new(site.clone()).await);
             App::new()
-                .state(shell.clone())
-                .state(ready.clone())
+                .state(desk)
                 .configure(operators::routes)
+                .default_service(web::to(operators::unknown))
         });
         Ok(server.workers(1).disable_signals().listen(listener)?.run())
     })
--- /dev/null
+++ b/crates/daemon/src/operators/change.rs
@@ -0,0 +1,225 @@
+//! Changes by operators.
+
+use ntex::{
+    http::Payload,
+    time::{Millis, sleep},
+    web::{HttpRequest, HttpResponse, types},
+};
+use ragwortrill_core::{
+    archive::Answer,
+    ledger::Effect,
+    number::Offset,
+    record::{Entry, Record},
+    report::{Change, Force, Outcome},
+    request::Run,
+    sheet,
+    time::{Instant, Span},
+    vet::Verdict,
+};
+use ragwortrill_platform::log::{Batch, Error};
+
+use crate::clock::wall_ms;
+
+use super::{
+    State, access,
+    read::{answer, look},
+    refusal::Refusal,
+};
+
+/// Largest body, in bytes. A table with 16,000 targets is about 2.5 MB.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Time in which the log must prove that this daemon's state is not older than the change.
+const PROOF: Span = Span::from_millis(1_500);
+
+/// Time from a change's arrival in which its effect must be known.
+const EFFECT: Span = Span::from_millis(3_500);
+
+/// Time from a change's arrival to its answer. The command line waits 5 s for an answer.
+const TOTAL: Span = Span::from_secs(4);
+
+/// Pause between two looks at the node's state.
+const PAUSE: Millis = Millis(20);
+
+pub(super) async fn submit(
+    desk: State,
+    request: HttpRequest,
+    types::Payload(payload): types::Payload,
+) -> HttpResponse {
+    let arrived = desk.site.shell.clock.now();
+    let outcome = async {
+        if let Err(refusal) = access::check(&request, &desk.site.token) {
+            drain(payload).await;
+            return Err(refusal);
+        }
+        let change = parse(&body(payload).await?)?;
+        run(&desk, change, arrived).await
+    };
+    answer(outcome.await)
+}
+
+/// Drops a body. The server resets a connection whose body was not read, and the reset may reach
+/// the client before the answer does.
+async fn drain(mut payload: Payload) {
+    let mut read = 0;
+    while let Some(Ok(part)) = payload.recv().await {
+        read += part.len();
+        if read > MAX_BODY_BYTES {
+            return;
+        }
+    }
+}
+
+async fn body(mut payload: Payload) -> Result<Vec<u8>, Refusal> {
+    let mut body = Vec::new();
+    while let Some(part) = payload.recv().await {
+        let broken = |_| Refusal::malformed("the body broke off", "repeat the request");
+        body.extend_from_slice(&part.map_err(broken)?);
+        if body.len() > MAX_BODY_BYTES {
+            return Err(Refusal::Large(MAX_BODY_BYTES));
+        }
+    }
+    Ok(body)
+}
+
+fn parse(body: &[u8]) -> Result<Change, Refusal> {
+    let remedy = "send a change of the manual's section on the operators' port";
+    serde_json::from_slice(body).map_err(|error| Refusal::malformed(error.to_string(), remedy))
+}
+
+/// Appends a change unless the log has it, and waits until its effect is known.
+///
+/// The state that decides has a log proof sent after the change arrived. So a refusal without an
+/// append is also true of earlier tries with the same id.
+async fn run(desk: &State, change: Change, arrived: Instant) -> Result<Outcome, Refusal> {
+    await_proof(desk, arrived).await?;
+    let (verdict, change) = look(desk, move |node| Ok((node.vet(&change), change))).await?;
+    let first = match verdict {
+        Verdict::Answered(first) => first,
+        Verdict::Conflict(conflict) => return Err(Refusal::Conflict(conflict)),
+        Verdict::Invalid { title, remedy } => return Err(Refusal::Invalid { title, remedy }),
+        Verdict::Valid => {
+            check_table(&change.record)?;
+            append(desk, &change, arrived).await?
+        }
+    };
+    conclude(desk, first, &change.record, arrived).await
+}
+
+async fn await_proof(desk: &State, arrived: Instant) -> Result<(), Refusal> {
+    loop {
+        let proof = look(desk, |node| Ok(node.ownership().lease().proof())).await?;
+        if proof.is_some_and(|sent| sent >= arrived) {
+            return Ok(());
+        }
+        if desk.site.shell.clock.now() >= arrived + PROOF {
+            let title = "the log service does not answer, so nothing was appended";
+            return Err(Refusal::unavailable(title, Run::NotRun));
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+fn check_table(record: &Record) -> Result<(), Refusal> {
+    let Record::Table { table, .. } = record else {
+        return Ok(());
+    };
+    let faults: Vec<String> = sheet::check(table).iter().map(|f| f.to_string()).collect();
+    match faults.is_empty() {
+        true => Ok(()),
+        false => Err(Refusal::Invalid {
+            title: faults.join("\n"),
+            remedy: "run 'ragwortrill table check FILE' and correct the file".to_owned(),
+        }),
+    }
+}
+
+async fn append(desk: &State, change: &Change, arrived: Instant) -> Result<Answer, Refusal> {
+    let entry = Entry {
+        id: change.id,
+        actor: change.actor.clone(),
+        reason: change.reason.clone(),
+        written_ms: wall_ms(),
+        record: change.record.clone(),
+    };
+    let mut batch = Batch::new();
+    batch.push(&entry).map_err(|error| Refusal::Invalid {
+        title: error.to_string(),
+        remedy: "make the change in smaller steps".to_owned(),
+    })?;
+    let appended = desk.log.append(&batch).await;
+    let result = if appended.is_ok() {
+        "written"
+    } else {
+        "failed"
+    };
+    desk.site.shell.metrics.appended(1, result);
+    match appended {
+        Ok(_) => {}
+        Err(error @ Error::TooLarge { .. }) => {
+            return Err(Refusal::Invalid {
+                title: error.to_string(),
+                remedy: "make the change in smaller steps".to_owned(),
+            });
+        }
+        Err(error) if error.may_have_taken_effect() => log::warn!("{error}"),
+        Err(error) => return Err(Refusal::unavailable(error.to_string(), Run::NotRun)),
+    }
+    await_effect(desk, change, arrived).await
+}
+
+async fn await_effect(desk: &State, change: &Change, arrived: Instant) -> Result<Answer, Refusal> {
+    let id = change.id;
+    loop {
+        let first = look(desk, move |node| Ok(node.ledger().archive().answer(id))).await;
+        if let Ok(Some(first)) = first {
+            return Ok(first);
+        }
+        if desk.site.shell.clock.now() >= arrived + EFFECT {
+            let title = "the log has not shown the change yet, and it may still do so";
+            return Err(Refusal::unavailable(title, Run::Unknown));
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+async fn conclude(
+    desk: &State,
+    first: Answer,
+    record: &Record,
+    arrived: Instant,
+) -> Result<Outcome, Refusal> {
+    match first.effect {
+        Effect::Applied | Effect::Duplicate => {}
+        Effect::Conflict if matches!(record, Record::Table { .. }) => {
+            let conflict = look(desk, |node| Ok(node.conflict())).await?;
+            return Err(Refusal::Conflict(Box::new(conflict)));
+        }
+        Effect::Conflict | Effect::Invalid => {
+            return Err(Refusal::Invalid {
+                title: "the state changed before the change took effect".to_owned(),
+                remedy: "run 'ragwortrill status' and decide again".to_owned(),
+            });
+        }
+    }
+    Ok(Outcome {
+        offset: first.offset,
+        effect: first.effect,
+        version: first.version,
+        in_force: await_force(desk, first.offset, arrived).await,
+    })
+}
+
+/// Waits until all live daemons show the record in their heartbeats, or the time is up.
+async fn await_force(desk: &State, offset: Offset, arrived: Instant) -> Force {
+    let clock = desk.site.shell.clock;
+    loop {
+        let now = clock.now();
+        let force = look(desk, move |node| Ok(node.force(offset, now))).await;
+        let force = force.unwrap_or_else(|_| Force::Waiting(vec![desk.site.shell.process.clone()]));
+        if force == Force::Everywhere || now >= arrived + TOTAL {
+            return force;
+        }
+        sleep(PAUSE).await;
+    }
+}
--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -1,6 +1,8 @@
 //! A whole system in one process: stand-ins of the platform and daemons as threads.
 #![allow(dead_code)]
 
+mod operator;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -19,6 +21,9 @@
 use ragwortrill_platform::log::Batch;
 use ragwortrill_standin::{log, target};
 
+#[allow(unused_imports)]
+pub use operator::{Operator, change};
+
 /// Data centres of the system, in the order in which hosts and targets are placed.
 pub const DATA_CENTRES: [&str; 3] = ["east", "north", "west"];
 
@@ -179,7 +184,7 @@
             operators: any,
             log: self.log.address(),
             secret: "a secret for tests".to_owned(),
-            operator_token: "a token for tests".to_owned(),
+            operator_token: "a-token-for-tests".to_owned(),
             workers: 1,
             drain_limit: Span::from_secs(10),
             times: Default::default(),
@@ -261,6 +266,22 @@
         call
     }
 
+    /// Describes a request to any path.
+    pub fn to(method: Method, path: &str) -> Self {
+        Self {
+            method,
+            path: path.to_owned(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Sets the body.
+    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
     fn new(method: Method, service: &str, path: &str, key: &str) -> Self {
         let key = ("ragwortrill-key".to_owned(), key.to_owned());
         Self {
