List all faults of the daemon's settings at once

Cause: the settings stopped at the first fault of the JSON decoder, without a range or remedy, and held the secrets in the text.

Change: the settings use the readers of the table file, which are public now. Secrets come from `secret_file` and `operator_token_file`, relative to the settings file; no message quotes them. New fields: `hosts`, `seeds`, `log_retention`, `snapshot_records`, `snapshot_percent`.

--- a/crates/core/src/sheet.rs
+++ b/crates/core/src/sheet.rs
@@ -41,8 +41,11 @@
 use crate::{number::Version, table::Table};
 
 pub use self::{
+    column::{Flag, Length, Number},
     diff::{Change, diff},
     fault::{Fault, suggest},
+    json::parse as parse_json,
+    row::Row,
 };
 
 /// A table file: the table and the version that it was edited from, if the file states one.
--- a/crates/core/src/sheet/column.rs
+++ b/crates/core/src/sheet/column.rs
@@ -3,26 +3,40 @@
 use crate::time::Span;
 
 /// A column of whole numbers.
-pub(crate) struct Number {
-    pub(crate) name: &'static str,
-    pub(crate) range: (u32, u32),
-    pub(crate) default: Option<u32>,
-    pub(crate) remedy: &'static str,
+#[derive(Clone, Copy, Debug)]
+pub struct Number {
+    /// Name of the column.
+    pub name: &'static str,
+    /// Smallest and largest accepted value.
+    pub range: (u32, u32),
+    /// Value of an absent column; `None` if the column is required.
+    pub default: Option<u32>,
+    /// What to do about a rejected value.
+    pub remedy: &'static str,
 }
 
 /// A column of spans of time.
-pub(crate) struct Length {
-    pub(crate) name: &'static str,
-    pub(crate) range: (Span, Span),
-    pub(crate) default: Option<Span>,
-    pub(crate) remedy: &'static str,
+#[derive(Clone, Copy, Debug)]
+pub struct Length {
+    /// Name of the column.
+    pub name: &'static str,
+    /// Smallest and largest accepted value.
+    pub range: (Span, Span),
+    /// Value of an absent column; `None` if the column is required.
+    pub default: Option<Span>,
+    /// What to do about a rejected value.
+    pub remedy: &'static str,
 }
 
 /// A column of true and false.
-pub(crate) struct Flag {
-    pub(crate) name: &'static str,
-    pub(crate) default: Option<bool>,
-    pub(crate) remedy: &'static str,
+#[derive(Clone, Copy, Debug)]
+pub struct Flag {
+    /// Name of the column.
+    pub name: &'static str,
+    /// Value of an absent column; `None` if the column is required.
+    pub default: Option<bool>,
+    /// What to do about a rejected value.
+    pub remedy: &'static str,
 }
 
 /// Methods without effect on the target (RFC 9110, section 9.2.1), apart from TRACE.
--- a/crates/core/src/sheet/fault.rs
+++ b/crates/core/src/sheet/fault.rs
@@ -21,7 +21,8 @@
 }
 
 impl Fault {
-    pub(crate) fn new(
+    /// Describes a fault. A long value is shortened.
+    pub fn new(
         field: impl Into<String>,
         value: impl fmt::Display,
         range: impl Into<String>,
--- a/crates/core/src/sheet/json.rs
+++ b/crates/core/src/sheet/json.rs
@@ -8,7 +8,7 @@
 use super::Fault;
 
 /// Parses a text. Returns `None` after noting a fault if the text is not JSON.
-pub(crate) fn parse(text: &str, faults: &RefCell<Vec<Fault>>) -> Option<Value> {
+pub fn parse(text: &str, faults: &RefCell<Vec<Fault>>) -> Option<Value> {
     let mut input = serde_json::Deserializer::from_str(text);
     let path = String::new();
     let value = Seed { path, faults }.deserialize(&mut input);
--- a/crates/core/src/sheet/row.rs
+++ b/crates/core/src/sheet/row.rs
@@ -16,7 +16,8 @@
 use crate::{name, time::Span};
 
 /// A JSON object with its path in the file.
-pub(crate) struct Row<'a> {
+#[derive(Debug)]
+pub struct Row<'a> {
     path: String,
     fields: Option<&'a Map<String, Value>>,
     known: RefCell<BTreeSet<&'static str>>,
@@ -24,7 +25,8 @@
 }
 
 impl<'a> Row<'a> {
-    pub(crate) fn new(path: String, value: &'a Value, faults: &'a RefCell<Vec<Fault>>) -> Self {
+    /// Wraps a value. One that is no object is noted as a fault.
+    pub fn new(path: String, value: &'a Value, faults: &'a RefCell<Vec<Fault>>) -> Self {
         let row = Self {
             path,
             fields: value.as_object(),
@@ -43,24 +45,25 @@
     }
 
     /// Returns the path of a field of this row.
-    pub(crate) fn path(&self, field: &str) -> String {
+    pub fn path(&self, field: &str) -> String {
         match self.path.as_str() {
             "" => field.to_owned(),
             path => format!("{path}.{field}"),
         }
     }
 
-    pub(crate) fn push(&self, fault: Fault) {
+    /// Notes a fault.
+    pub fn push(&self, fault: Fault) {
         self.faults.borrow_mut().push(fault);
     }
 
     /// Notes a fault of a field.
-    pub(crate) fn reject(&self, field: &str, value: &str, range: &str, remedy: &str) {
+    pub fn reject(&self, field: &str, value: &str, range: &str, remedy: &str) {
         self.push(Fault::new(self.path(field), value, range, remedy));
     }
 
     /// Returns a field's value and remembers that the field exists.
-    pub(crate) fn get(&self, field: &'static str) -> Option<&'a Value> {
+    pub fn get(&self, field: &'static str) -> Option<&'a Value> {
         self.known.borrow_mut().insert(field);
         self.fields?.get(field)
     }
@@ -86,7 +89,7 @@
     }
 
     /// Returns `None` after a fault, so that later rules skip the column.
-    pub(crate) fn number(&self, column: &Number) -> Option<u32> {
+    pub fn number(&self, column: &Number) -> Option<u32> {
         let (min, max) = column.range;
         let range = format!("a whole number from {min} to {max}");
         let read = |value: &Value| {
@@ -98,7 +101,7 @@
     }
 
     /// Returns `None` after a fault, so that later rules skip the column.
-    pub(crate) fn span(&self, column: &Length) -> Option<Span> {
+    pub fn span(&self, column: &Length) -> Option<Span> {
         let (min, max) = column.range;
         let range = format!("a text such as \"250ms\" from {min} to {max}");
         let read = |value: &Value| {
@@ -109,33 +112,29 @@
         self.convert(column.name, column.default, expected, read)
     }
 
-    pub(crate) fn flag(&self, column: &Flag) -> bool {
+    /// Reads true or false.
+    pub fn flag(&self, column: &Flag) -> bool {
         let expected = ("true or false", column.remedy);
         let flag = self.convert(column.name, column.default, expected, Value::as_bool);
         flag.unwrap_or_default()
     }
 
     /// Reads a text that has a type of its own.
-    pub(crate) fn text<T: FromStr>(
-        &self,
-        field: &'static str,
-        range: &str,
-        remedy: &str,
-    ) -> Option<T> {
+    pub fn text<T: FromStr>(&self, field: &'static str, range: &str, remedy: &str) -> Option<T> {
         self.convert(field, None, (range, remedy), |value| {
             value.as_str()?.parse().ok()
         })
     }
 
     /// Reads a name.
-    pub(crate) fn name<T: FromStr>(&self, field: &'static str) -> Option<T> {
+    pub fn name<T: FromStr>(&self, field: &'static str) -> Option<T> {
         let range = "a name of 1 to 63 of a-z, 0-9, '-' and '.'";
         self.text(field, range, "write a name in lower case")
     }
 
     /// Returns the rows of a list. Each is labelled by its name, or by its number if the name is
     /// missing, invalid or repeated.
-    pub(crate) fn rows(&self, field: &'static str) -> Option<Vec<Row<'a>>> {
+    pub fn rows(&self, field: &'static str) -> Option<Vec<Row<'a>>> {
         let Some(Value::Array(items)) = self.get(field) else {
             let expected = ("a list of rows", "write the rows in brackets: [{...}, ...]");
             self.convert::<()>(field, None, expected, |_| None);
@@ -164,7 +163,7 @@
     }
 
     /// Notes the fields that no reader asked for.
-    pub(crate) fn finish(&self) {
+    pub fn finish(&self) {
         let known = self.known.borrow();
         for field in self.fields.into_iter().flat_map(Map::keys) {
             if known.contains(field.as_str()) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,4 +26,4 @@
 pub use clock::Clock;
 pub use daemon::{Addresses, Daemon};
 pub use run::run;
-pub use settings::Settings;
+pub use settings::{Origins, Settings, Snapshots};
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,8 +1,14 @@
 //! The daemon's command line.
 
-use std::{fs, io::Write, path::PathBuf, thread, time::Duration};
+use std::{
+    fs,
+    io::Write,
+    path::{Path, PathBuf},
+    thread,
+    time::Duration,
+};
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, anyhow};
 use pico_args::Arguments;
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
@@ -63,11 +69,15 @@
     WRONG_USAGE
 }
 
-fn serve(path: &PathBuf, check: bool) -> Result<()> {
+fn serve(path: &Path, check: bool) -> Result<()> {
     let text = fs::read_to_string(path)
         .with_context(|| format!("settings {} can't be read", path.display()))?;
-    let settings: Settings = serde_json::from_str(&text)
-        .with_context(|| format!("settings {} are wrong", path.display()))?;
+    let directory = path.parent().unwrap_or(Path::new("."));
+    let settings = Settings::parse(&text, directory).map_err(|faults| {
+        let lines = faults.iter().map(|fault| format!("\n  {fault}"));
+        let lines = String::from_iter(lines);
+        anyhow!("settings {} are wrong:{lines}", path.display())
+    })?;
     if check {
         println!("settings are valid");
         return Ok(());
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,13 +1,38 @@
 //! Settings of a daemon.
+//!
+//! | Field | Values | Default |
+//! |---|---|---|
+//! | `host` | name | required |
+//! | `data_centre` | name | required |
+//! | `callers`, `peers`, `operators` | IP number and port to listen on, each another one | required |
+//! | `log` | IP number and port of the platform's log service | required |
+//! | `hosts` | IP number and port of the platform's host list | none |
+//! | `seeds` | list of other daemons' `peers` addresses | empty |
+//! | `secret_file` | file with the secret that all daemons share, 16 bytes or more | required |
+//! | `operator_token_file` | file with the token for changes, 16 bytes or more | required |
+//! | `workers` | 1 to 64 | 2 |
+//! | `drain_limit` | 1s to 1h | 60s |
+//! | `log_retention` | 1m to 8760h | 24h |
+//! | `snapshot_records` | 100 to 1000000 | 10000 |
+//! | `snapshot_percent` | 1 to 90 | 33 |
+//! | `times` | object with the time limits of the protocol | the defaults of `Times` |
 
-use std::net::SocketAddr;
+mod column;
+mod reader;
+mod secret;
+mod times;
 
-use ragwortrill_core::{name, time::Span, times::Times};
-use serde::Deserialize;
+use std::{cell::RefCell, net::SocketAddr, path::Path};
+
+use ragwortrill_core::{
+    name,
+    sheet::{self, Fault},
+    time::Span,
+    times::Times,
+};
 
 /// Settings of a daemon, read from a JSON file.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub struct Settings {
     /// Name of the host.
     pub host: name::Host,
@@ -26,20 +51,57 @@
     /// Secret that operators' changes need.
     pub operator_token: String,
     /// Threads that serve callers.
-    #[serde(default = "workers")]
     pub workers: usize,
     /// Longest time that a stopping daemon waits for requests to end.
-    #[serde(default = "drain_limit")]
     pub drain_limit: Span,
+    /// When snapshots are written.
+    pub snapshots: Snapshots,
+    /// Other daemons, asked for the state when the log service is down.
+    pub origins: Origins,
     /// Time limits of the protocol, the same at all daemons.
-    #[serde(default)]
     pub times: Times,
 }
 
-fn workers() -> usize {
-    2
+/// When snapshots of the shared state are written.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Snapshots {
+    /// Records after which a snapshot is due.
+    pub records: u64,
+    /// Time for which the log service keeps a record.
+    pub retention: Span,
+    /// Part of the retention after which a snapshot is due, in per cent.
+    pub percent: u32,
+}
+
+/// Where to find other daemons before the log has named them.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Origins {
+    /// Address of the platform's host list.
+    pub hosts: Option<SocketAddr>,
+    /// Addresses for links of some daemons.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Default for Snapshots {
+    fn default() -> Self {
+        Self {
+            records: 10_000,
+            retention: Span::from_secs(86_400),
+            percent: 33,
+        }
+    }
 }
 
-fn drain_limit() -> Span {
-    Span::from_secs(60)
+impl Settings {
+    /// Parses a file. Paths in it are relative to `directory`. An error lists all faults.
+    pub fn parse(text: &str, directory: &Path) -> Result<Self, Vec<Fault>> {
+        let faults = RefCell::default();
+        let value = sheet::parse_json(text, &faults);
+        let settings = value.and_then(|value| reader::read(&value, directory, &faults));
+        let faults = faults.into_inner();
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(faults),
+        }
+    }
 }
--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -187,6 +187,8 @@
             operator_token: "a-token-for-tests".to_owned(),
             workers: 1,
             drain_limit: Span::from_secs(10),
+            snapshots: Default::default(),
+            origins: Default::default(),
             times: Default::default(),
         };
         let daemon = Daemon::start(settings).expect("a daemon starts");
