--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -51,6 +51,8 @@
     pub(crate) keys: Sketch,
     /// Latest deadline of the requests that were sent.
     pub(crate) last_deadline: Instant,
+    /// Answers that arrived after their request's deadline.
+    pub(crate) late: u64,
     slots: u32,
     halved: Instant,
     probed: Option<Instant>,
@@ -99,6 +101,7 @@
             slices: BTreeMap::new(),
             keys: Sketch::new(SKETCH_KEYS),
             last_deadline: Instant::default(),
+            late: 0,
             slots: row.slots,
             halved: now,
             probed: None,
--- a/crates/core/src/report/status.rs
+++ b/crates/core/src/report/status.rs
@@ -130,4 +130,6 @@
     Lost,
     /// It serves at its full limit.
     Serving,
+    /// It has been slower than the other targets of its service for long.
+    Slow,
 }
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -474,6 +474,7 @@
         };
         match result {
             Finish::Answered(status) => {
+                self.count_late(now, target, ticket);
                 self.observe(now, target, Observation::Answered(busy), &head, busy);
                 self.quarantine.acquit(head.fingerprint);
                 self.end(ticket, status, actions);
@@ -529,6 +530,14 @@
         }
     }
 
+    fn count_late(&mut self, now: Instant, target: &name::Target, ticket: Ticket) {
+        let deadline = self.tickets.get(&ticket).map(|held| held.arrival.deadline);
+        let late = deadline.is_some_and(|deadline| deadline < now);
+        if let Some(desk) = self.desks.get_mut(target).filter(|_| late) {
+            desk.late += 1;
+        }
+    }
+
     /// Ends a request whose answer was passed on.
     fn end(&mut self, ticket: Ticket, status: u16, actions: &mut Vec<Action>) {
         let Some(held) = self.close(ticket) else {
