Run real nodes in virtual time and measure recovery

Adds standin::world: real nodes over a fake log (down, silent, slow, lost answers, repeated appends), links with delay, loss and cuts, pauses, clocks with drift, and targets with grants, freezes, cold starts and counts of runs that break an invariant. Adds the scenario recovery of the measure example, with static hashing and log-only leases side by side.

--- a/crates/standin/examples/measure/main.rs
+++ b/crates/standin/examples/measure/main.rs
@@ -4,6 +4,7 @@
 
 mod arguments;
 mod plot;
+mod recovery;
 
 use std::thread;
 
@@ -21,7 +22,7 @@
 type Special = (&'static str, fn(&Arguments) -> Result<()>);
 
 /// Scenarios with their own program.
-const SPECIAL: [Special; 0] = [];
+const SPECIAL: [Special; 1] = [("recovery", recovery::run)];
 
 fn main() -> Result<()> {
     let arguments = Arguments::parse()?;
--- /dev/null
+++ b/crates/standin/examples/measure/recovery.rs
@@ -0,0 +1,53 @@
+//! Scenario `recovery`: time without service after faults, side by side with baselines.
+
+use std::thread;
+
+use anyhow::Result;
+use ragwortrill_standin::recovery::{self, Fault, Outcome, POLICIES, Row};
+
+use crate::{THREADS, arguments::Arguments};
+
+/// Seeded faults of each kind, unless `--seeds` says otherwise.
+const FAULTS: u64 = 200;
+
+/// Runs each fault with each policy.
+pub fn run(arguments: &Arguments) -> Result<()> {
+    let seeds = if arguments.seeds > 1 {
+        arguments.seeds
+    } else {
+        FAULTS
+    };
+    let mut results = Vec::new();
+    for fault in Fault::ALL {
+        for (policy, kind) in POLICIES {
+            let one = |seed| recovery::run(fault, kind, seed);
+            results.push((fault.name(), policy, run_seeds(arguments.seed, seeds, &one)));
+        }
+    }
+    let rows: Vec<Row<'_>> = results
+        .iter()
+        .map(|(fault, policy, outcomes)| Row {
+            fault,
+            policy,
+            outcomes,
+        })
+        .collect();
+    match arguments.json {
+        true => println!("{}", recovery::json(&rows)),
+        false => print!("{}", recovery::table(&rows)),
+    }
+    Ok(())
+}
+
+fn run_seeds(first: u64, count: u64, one: &(impl Fn(u64) -> Outcome + Sync)) -> Vec<Outcome> {
+    let share = |thread: u64| (first + thread..first + count).step_by(THREADS);
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS as u64)
+            .map(|thread| scope.spawn(move || share(thread).map(one).collect::<Vec<_>>()))
+            .collect();
+        let joined = threads.into_iter().map(|thread| thread.join());
+        joined
+            .flat_map(|outcomes| outcomes.expect("a run panicked"))
+            .collect()
+    })
+}
--- /dev/null
+++ b/crates/standin/src/world/settings.rs
@@ -0,0 +1,158 @@
+//! Description of a world before it starts.
+
+use rand::{RngExt, rngs::Xoshiro256PlusPlus};
+
+use ragwortrill_core::{
+    name,
+    node::{Config, Node},
+    process::Process,
+    time::Span,
+    times::Times,
+};
+
+use super::{clock::Clock, process::Shell, site::Site};
+
+/// How requests find their target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Policy {
+    /// The core's contracts, leases and promises.
+    #[default]
+    Core,
+    /// The core without promises: a lease lasts only through reads of the log.
+    LogOnly,
+    /// Each entry hashes a key over the targets that answer it, without leases or a log.
+    Hashing,
+}
+
+/// Describes a world.
+#[derive(Clone, Debug)]
+pub struct Builder {
+    pub(super) daemons: usize,
+    pub(super) lookups: usize,
+    pub(super) orders: usize,
+    pub(super) loss_ppm: u32,
+    pub(super) drift: bool,
+    pub(super) policy: Policy,
+    pub(super) times: Times,
+    pub(super) checks: bool,
+    pub(super) service_time: Span,
+    pub(super) deadline: Span,
+    pub(super) table: bool,
+}
+
+impl Default for Builder {
+    fn default() -> Self {
+        Self {
+            daemons: 6,
+            lookups: 6,
+            orders: 3,
+            loss_ppm: 0,
+            drift: true,
+            policy: Policy::Core,
+            times: Times::default(),
+            checks: true,
+            service_time: Span::from_millis(5),
+            deadline: Span::from_secs(10),
+            table: true,
+        }
+    }
+}
+
+impl Builder {
+    /// Sets the number of daemons.
+    pub fn daemons(mut self, count: usize) -> Self {
+        self.daemons = count;
+        self
+    }
+
+    /// Sets the numbers of targets that are divided by key and that are not.
+    pub fn targets(mut self, lookups: usize, orders: usize) -> Self {
+        self.lookups = lookups;
+        self.orders = orders;
+        self
+    }
+
+    /// Sets the part of messages that links lose, in millionths.
+    pub fn loss_ppm(mut self, loss: u32) -> Self {
+        self.loss_ppm = loss;
+        self
+    }
+
+    /// Sets whether clocks run at different rates, up to the drift that the times state.
+    pub fn drift(mut self, drift: bool) -> Self {
+        self.drift = drift;
+        self
+    }
+
+    /// Sets how requests find their target.
+    pub fn policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// Sets whether targets check epochs.
+    pub fn checks(mut self, checks: bool) -> Self {
+        self.checks = checks;
+        self
+    }
+
+    /// Sets the time that a target needs for a request.
+    pub fn service_time(mut self, span: Span) -> Self {
+        self.service_time = span;
+        self
+    }
+
+    /// Sets the deadline of requests.
+    pub fn deadline(mut self, span: Span) -> Self {
+        self.deadline = span;
+        self
+    }
+
+    /// Sets the time limits of the protocol.
+    pub fn times(mut self, times: Times) -> Self {
+        self.times = times;
+        self
+    }
+
+    /// Sets whether the log has the table from the start.
+    pub fn table(mut self, table: bool) -> Self {
+        self.table = table;
+        self
+    }
+
+    pub(super) fn centres(&self) -> usize {
+        super::table::CENTRES.len()
+    }
+
+    pub(super) fn sites(&self) -> Vec<Site> {
+        let names = super::table::targets(self).into_iter();
+        let checks = self.checks;
+        names.map(|name| Site::new(name, checks)).collect()
+    }
+
+    pub(super) fn shells(&self, random: &mut Xoshiro256PlusPlus) -> Vec<Shell> {
+        let indices = 0..self.daemons;
+        indices
+            .map(|index| Shell::new(self.node(index, 1), self.clock(random)))
+            .collect()
+    }
+
+    pub(super) fn node(&self, index: usize, incarnation: u64) -> Node {
+        let host: name::Host = super::table::parse(&format!("h{index}"));
+        Node::new(Config {
+            process: Process { host, incarnation },
+            address: super::table::address(7_000 + index),
+            data_centre: super::table::centre(index),
+            times: self.times.clone(),
+        })
+    }
+
+    /// Two clocks differ by at most the stated drift, so each has at most half of it.
+    pub(super) fn clock(&self, random: &mut Xoshiro256PlusPlus) -> Clock {
+        let half = self.times.drift_ppm / 2 * u64::from(self.drift);
+        Clock {
+            start: random.random_range(1_000_000..1_000_000_000),
+            rate: 1_000_000 - half + random.random_range(0..=2 * half),
+        }
+    }
+}
