--- a/crates/standin/src/world/faults.rs
+++ b/crates/standin/src/world/faults.rs
@@ -64,10 +64,11 @@
 
     /// Starts a daemon again on its host, as a new process.
     pub fn restart(&mut self, index: usize) {
-        let incarnation = self.shells[index].incarnation + 1;
-        let node = self.settings.node(index, incarnation);
+        let run = self.shells[index].run + 1;
+        let node = self.settings.node(index, run);
         let clock = self.settings.clock(&mut self.random);
         self.shells[index] = Shell::new(node, clock);
+        self.shells[index].run = run;
         self.begin(index);
     }
 
--- a/crates/standin/src/world/perform.rs
+++ b/crates/standin/src/world/perform.rs
@@ -2,7 +2,7 @@
 
 use ragwortrill_core::{
     action::{Action, Start},
-    event::{self, Event, Finish, Grant, Message, Ticket},
+    event::{self, Event, Finish, Grant, Message, Probe, Ticket},
     name,
     number::Offset,
     time::{Instant, Span},
@@ -93,23 +93,38 @@
         let token = self.token(process);
         let silent = target.clone();
         self.on_after(PROBE_TIMEOUT, process, move |world| {
-            world.probed(process, token, silent, None);
+            world.probed(process, token, silent, Probe::Silent);
         });
         let (one, other) = (End::Daemon(process.index), End::Target(site));
         self.send(one, other, move |world| {
+            if world.sites[site].refuses() {
+                return world.answer_probe(process, token, target, site, Probe::Unreachable);
+            }
             let job = move |world: &mut Self| {
-                let mark = world.sites[site].mark;
-                world.send(other, one, move |world| {
-                    let job =
-                        move |world: &mut Self| world.probed(process, token, target, Some(mark));
-                    world.on(process, Box::new(job));
-                });
+                let start = world.sites[site].mark;
+                let answer = Probe::Answered { start, load: 0 };
+                world.answer_probe(process, token, target, site, answer);
             };
             world.at_site(site, Box::new(job));
         });
     }
 
-    fn probed(&mut self, process: Ref, token: u64, target: name::Target, answer: Option<u64>) {
+    fn answer_probe(
+        &mut self,
+        process: Ref,
+        token: u64,
+        target: name::Target,
+        site: usize,
+        answer: Probe,
+    ) {
+        let (one, other) = (End::Target(site), End::Daemon(process.index));
+        self.send(one, other, move |world| {
+            let job = move |world: &mut Self| world.probed(process, token, target, answer);
+            world.on(process, Box::new(job));
+        });
+    }
+
+    fn probed(&mut self, process: Ref, token: u64, target: name::Target, answer: Probe) {
         if self.take(process, token) {
             self.handle(process, Event::Probed { target, answer });
         }
--- a/crates/standin/src/world/process.rs
+++ b/crates/standin/src/world/process.rs
@@ -39,6 +39,8 @@
     pub(super) node: Node,
     pub(super) clock: Clock,
     pub(super) incarnation: u64,
+    /// Number of its run, from 0.
+    pub(super) run: u64,
     pub(super) alive: bool,
     pub(super) paused: bool,
     pub(super) paused_at: Instant,
@@ -64,6 +66,7 @@
     pub(super) fn new(node: Node, clock: Clock) -> Self {
         Self {
             incarnation: node.config().process.incarnation,
+            run: 0,
             node,
             clock,
             alive: true,
--- a/crates/standin/src/world/settings.rs
+++ b/crates/standin/src/world/settings.rs
@@ -133,11 +133,13 @@
     pub(super) fn shells(&self, random: &mut Xoshiro256PlusPlus) -> Vec<Shell> {
         let indices = 0..self.daemons;
         indices
-            .map(|index| Shell::new(self.node(index, 1), self.clock(random)))
+            .map(|index| Shell::new(self.node(index, 0), self.clock(random)))
             .collect()
     }
 
-    pub(super) fn node(&self, index: usize, incarnation: u64) -> Node {
+    /// Creates the node of a daemon's run, counted from 0. Incarnations are unique in the world.
+    pub(super) fn node(&self, index: usize, run: u64) -> Node {
+        let incarnation = (index as u64 + 1) * 0x1000 + run;
         let host: name::Host = super::table::parse(&format!("h{index}"));
         Node::new(Config {
             process: Process { host, incarnation },
--- a/crates/standin/src/world/site.rs
+++ b/crates/standin/src/world/site.rs
@@ -23,6 +23,8 @@
     pub checks: bool,
     /// False once it is lost.
     pub alive: bool,
+    /// True if its host is lost too, so that it refuses no connection.
+    pub(super) silent: bool,
     /// True while it does nothing but accept connections.
     pub frozen: bool,
     /// Number of its run, which changes when it starts again.
@@ -44,6 +46,7 @@
             name,
             checks,
             alive: true,
+            silent: false,
             frozen: false,
             mark: 1,
             epoch: Epoch(0),
@@ -54,6 +57,11 @@
         }
     }
 
+    /// Tells whether its host refuses connections because it does not run.
+    pub(super) fn refuses(&self) -> bool {
+        !self.alive && !self.silent
+    }
+
     pub(super) fn may_serve(&self, epoch: Epoch, now: Instant) -> bool {
         !self.checks || epoch >= self.epoch && now < self.granted_until
     }
@@ -89,10 +97,15 @@
         }
     }
 
-    /// Ends a target. Its connections break at once.
+    /// Ends a target with its host, so that no connection is reset.
     pub fn lose_target(&mut self, site: usize) {
+        self.end_target(site, true);
+    }
+
+    pub(super) fn end_target(&mut self, site: usize, silent: bool) {
         let target = &mut self.sites[site];
         target.alive = false;
+        target.silent = silent;
         target.frozen = false;
         target.inbox.clear();
         target.mark += 1;
--- a/crates/standin/src/world/work.rs
+++ b/crates/standin/src/world/work.rs
@@ -29,7 +29,8 @@
         call: usize,
     ) {
         let (one, other) = (End::Daemon(process.index), End::Target(site));
-        if !self.net.is_open(one, other) {
+        let silent = !self.sites[site].alive && self.sites[site].silent;
+        if silent || !self.net.is_open(one, other) {
             return self.on_after(CONNECT_TIMEOUT, process, move |world| {
                 world.finish(process, ticket, token, Finish::Unsent { lapsed: false });
             });
@@ -64,8 +65,7 @@
     ) {
         let leased = self.settings.policy != Policy::Hashing;
         if leased && !self.sites[site].may_serve(epoch, self.now) {
-            let result = Finish::Unsent { lapsed: false };
-            return self.report(process, ticket, token, site, result);
+            return self.report(process, ticket, token, site, Finish::Shed);
         }
         // The sender closed the connection, so the target finds it reset.
         if !self.is_pending(process, token) {
@@ -78,6 +78,9 @@
         }
         let span = self.sites[site].work(self.settings.service_time, self.now);
         self.after(span, move |world| {
+            if world.sites[site].mark != mark && world.sites[site].silent {
+                return;
+            }
             if world.sites[site].mark != mark {
                 return world.report(process, ticket, token, site, Finish::Broken);
             }
@@ -90,7 +93,7 @@
 
     fn crash(&mut self, site: usize) {
         self.tally.crashes += 1;
-        self.lose_target(site);
+        self.end_target(site, false);
         self.after(RESTART, move |world| world.restart_target(site));
     }
 
