--- a/crates/standin/src/target/stream.rs
+++ b/crates/standin/src/target/stream.rs
@@ -6,6 +6,7 @@
         Method, Request, Response, StatusCode,
         body::{Body, BoxedBodyStream, SizedStream},
     },
+    io::IoRef,
     util::Bytes,
 };
 use ragwortrill_core::time::Span;
@@ -13,9 +14,10 @@
 
 use super::{
     call::{Call, name, refuse, value},
+    extent::{Extent, range},
     site::Site,
+    slot::{Slot, enter},
     state::State,
-    work::{self, Slot},
 };
 use crate::reply;
 
@@ -31,15 +33,9 @@
     (offset.wrapping_mul(31).wrapping_add(content) % 251) as u8
 }
 
-/// Part of a resource, from `start` up to but not including `end`.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct Extent {
-    start: u64,
-    end: u64,
-}
-
 /// A download under way.
 struct Download {
+    io: Option<IoRef>,
     site: Arc<Site>,
     slot: Option<Slot>,
     content: u64,
@@ -67,7 +63,7 @@
         Ok(range) => range,
         Err(response) => return response,
     };
-    let (slot, time) = match work::enter(site, call).await {
+    let (slot, time) = match enter(site, call).await {
         Ok(entered) => entered,
         Err(refused) => return refuse(refused),
     };
@@ -113,47 +109,12 @@
     }
 }
 
-/// Reads the range, if it applies. One that is malformed, multiple or for another version of the
-/// resource does not.
-fn range(request: &Request, etag: &str, size: u64) -> Result<Option<Extent>, Response> {
-    let condition = reply::header(request, headers::IF_RANGE);
-    if condition.is_some_and(|condition| condition != etag) {
-        return Ok(None);
-    }
-    let Some((start, end)) =
-        reply::header(request, headers::RANGE).and_then(|text| parse(&text, size))
-    else {
-        return Ok(None);
-    };
-    if start < end.min(size) {
-        let end = end.min(size);
-        return Ok(Some(Extent { start, end }));
-    }
-    let mut response = reply::text(StatusCode::RANGE_NOT_SATISFIABLE, "nothing in that range");
-    let text = format!("bytes */{size}");
-    response
-        .headers_mut()
-        .insert(name("Content-Range"), value(text));
-    Err(response)
-}
-
-fn parse(text: &str, size: u64) -> Option<(u64, u64)> {
-    let (start, last) = text.strip_prefix("bytes=")?.split_once('-')?;
-    match (start, last) {
-        ("", last) => Some((size.saturating_sub(last.parse().ok()?), size)),
-        (start, "") => Some((start.parse().ok()?, u64::MAX)),
-        (start, last) => {
-            let (start, last): (u64, u64) = (start.parse().ok()?, last.parse().ok()?);
-            (start <= last).then_some((start, last.saturating_add(1)))
-        }
-    }
-}
-
 impl Download {
     fn new(site: &Arc<Site>, slot: Slot, content: u64, rest: Extent, request: &Request) -> Self {
         let fields = reply::query(request);
         let number = |name: &str| fields.get(name).and_then(|text| text.parse().ok());
         Self {
+            io: request.io().cloned(),
             site: site.clone(),
             slot: Some(slot),
             content,
@@ -172,19 +133,39 @@
             }
             return None;
         }
-        if self.sent > 0 {
-            self.pause().await;
-        }
-        self.site.thawed().await;
-        let broken = self.break_at.is_some_and(|at| self.sent >= at);
+        let gone = self.pause_or_gone().await;
+        let broken = gone || self.break_at.is_some_and(|at| self.sent >= at);
         let piece = match broken {
-            true => Err(Rc::new(io::Error::other("broken by request")) as Rc<dyn Error>),
+            true => Err(
+                Rc::new(io::Error::other("the caller has gone or asked for a break"))
+                    as Rc<dyn Error>,
+            ),
             false => Ok(self.take()),
         };
         Some((piece, self))
     }
 
+    /// Waits until the next chunk is due. True if the caller has gone, which ntex notices only when
+    /// there is something to write.
+    async fn pause_or_gone(&self) -> bool {
+        let gone = async {
+            match &self.io {
+                Some(io) => io.on_disconnect().await,
+                None => std::future::pending().await,
+            }
+        };
+        let gone = tokio::select! {
+            () = self.pause() => false,
+            () = gone => true,
+        };
+        self.site.thawed().await;
+        gone
+    }
+
     async fn pause(&self) {
+        if self.sent == 0 {
+            return;
+        }
         if self.interval > Span::ZERO {
             tokio::time::sleep(self.interval.as_duration()).await;
         }
