Fill in the known offset of moves and starts

The virtual world names operators' known offset, counts runs under an overtaken epoch by what commanded the target, and counts returning runs only where no lease tells owners apart.

--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -228,6 +228,7 @@
             from: target.clone(),
             epoch,
             shares,
+            after: self.ledger.offset(),
         };
         if let Some(handover) = self.desks.get_mut(target).and_then(|d| d.handover.as_mut()) {
             handover.submitted = Some(id);
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -171,6 +171,7 @@
             process: self.config.process.clone(),
             address: self.config.address,
             data_centre: self.config.data_centre.clone(),
+            after: self.ledger.offset(),
         };
         self.append("process started", record, actions);
     }
--- a/crates/standin/src/world/log.rs
+++ b/crates/standin/src/world/log.rs
@@ -4,7 +4,7 @@
     event::{Event, Read},
     ledger::Ledger,
     number::Offset,
-    record::{self, Entry, Record},
+    record::{self, Entry, Record, State},
     time::{Instant, Span},
 };
 
@@ -131,6 +131,16 @@
         self.after(APPEND, move |world| world.store(rows));
     }
 
+    /// Takes a data centre out or returns it, as an operator who knows the log's state now.
+    pub fn set_data_centre(&mut self, id: u128, name: &str, state: State) {
+        let record = Record::DataCentre {
+            name: table::parse(name),
+            state,
+            after: self.log.ledger.offset(),
+        };
+        self.operate(id, record);
+    }
+
     /// Changes how the log service fails. Open reads end.
     pub fn fail_log(&mut self, outage: Outage) {
         self.log.outage = outage;
--- a/crates/standin/src/world/perform.rs
+++ b/crates/standin/src/world/perform.rs
@@ -155,6 +155,7 @@
         let accepted = grant.epoch >= target.epoch;
         if accepted {
             target.epoch = grant.epoch;
+            target.commanded = target.commanded.max(grant.epoch);
             target.granted_until = now + grant.life;
         }
         accepted
--- a/crates/standin/src/world/site.rs
+++ b/crates/standin/src/world/site.rs
@@ -31,6 +31,8 @@
     pub mark: u64,
     /// Highest epoch that it has seen.
     pub epoch: Epoch,
+    /// Highest epoch of a run or accepted grant, whether it checks epochs or not.
+    pub(super) commanded: Epoch,
     /// When its grant ends.
     pub granted_until: Instant,
     /// When it is warm.
@@ -50,6 +52,7 @@
             frozen: false,
             mark: 1,
             epoch: Epoch(0),
+            commanded: Epoch(0),
             granted_until: Instant::default(),
             warm_at: Instant::default(),
             percent: 100,
--- a/crates/standin/src/world/tally.rs
+++ b/crates/standin/src/world/tally.rs
@@ -7,11 +7,11 @@
 pub struct Tally {
     /// Moments at which two processes could command the same target.
     pub double_owners: u64,
-    /// Runs of a key at a target after another one had taken it over.
+    /// Runs of a key at a target after another one had taken it over, without leases.
     pub returned_runs: u64,
     /// Second runs of requests that may run once.
     pub double_runs: u64,
-    /// Runs under an epoch that the log had replaced.
+    /// Runs under an epoch after the target was commanded under a later one.
     pub stale_runs: u64,
     /// Runs at a target that did not own the key by the log.
     pub foreign_runs: u64,
--- a/crates/standin/src/world/work.rs
+++ b/crates/standin/src/world/work.rs
@@ -107,14 +107,19 @@
         self.tally.false_refusals += u64::from(refused);
         self.tally.double_runs += u64::from(!call.idempotent && call.runs.len() > 1);
         let (service, key) = (call.service.clone(), call.key);
+        let target = &mut self.sites[site];
+        self.tally.stale_runs += u64::from(epoch < target.commanded);
+        target.commanded = target.commanded.max(epoch);
         let ledger = self.log.ledger();
         let name = &self.sites[site].name;
-        self.tally.stale_runs += u64::from(leased && !ledger.is_current(name, epoch));
         let by_key = ledger.table().services.get(&service);
         if by_key.is_some_and(|row| row.divided_by_key) {
             let foreign = ledger.owner(&service, key) != Some(name);
             self.tally.foreign_runs += u64::from(foreign && leased);
-            self.count_return(site, key, now);
+            // The core may move a key back soon, and foreign runs tell whether that was safe.
+            if !leased {
+                self.count_return(site, key, now);
+            }
         }
     }
 
