Let a daemon that hears nobody claim nothing

Cause: a daemon whose links to the others fail and that still reads the log found all holders silent and claimed all contracts. Where it was no standby its claim started the outsider's wait, which later claims inherit, so the whole system had no service for an hour after the links were back. Change: a process claims only while it hears at least half of the processes that sent it a message within the outsider's wait, and a live contract only if it has met any. After: the test passes; the daemon claims none of the contracts that it does not hold. Conclusion: with more than half of the daemons lost at once, operators have to assert their loss (host lost) before the others take over.

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -81,12 +81,16 @@
         if !self.is_reading(now) || !self.started || self.stopping.is_some() {
             return;
         }
+        let (met, heard) = self.census(now);
+        if heard < met / 2 {
+            return self.claimable.clear();
+        }
         let candidates = self.candidates(now);
         let mut due = Vec::new();
         let mut claimable = BTreeMap::new();
         for target in self.subjects() {
             let contract = self.ledger.contracts().get(&target);
-            if self.ownership.is_claiming(&target) || !self.is_claimable(now, contract) {
+            if self.ownership.is_claiming(&target) || !self.is_claimable(now, contract, met) {
                 continue;
             }
             let since = *self.claimable.get(&target).unwrap_or(&now);
@@ -108,6 +112,22 @@
         }
     }
 
+    /// Counts the other processes that sent a message within the outsider's wait, and those of
+    /// them that are heard now.
+    ///
+    /// A process that hears fewer than half of them is more likely cut off than the others are
+    /// lost. Its claims would end service that the others give: nobody could forward to it, and
+    /// claims of contracts that it is no standby of start the outsider's wait.
+    fn census(&self, now: Instant) -> (usize, usize) {
+        let memory = self.config.times.outsider_wait;
+        let met = self
+            .peers()
+            .filter(|p| self.view.has_met(&p.process, now, memory));
+        let met: Vec<&Peer> = met.collect();
+        let heard = met.iter().filter(|p| self.hears(&p.process, now)).count();
+        (met.len(), heard)
+    }
+
     /// Returns all targets that need a holder.
     fn subjects(&self) -> BTreeSet<name::Target> {
         let rows = self.ledger.table().services.values();
@@ -116,11 +136,14 @@
         named.chain(held).cloned().collect()
     }
 
-    fn is_claimable(&self, now: Instant, contract: Option<&Contract>) -> bool {
+    /// Tells whether a target has no live holder. A process that has met nobody yet cannot tell.
+    fn is_claimable(&self, now: Instant, contract: Option<&Contract>, met: usize) -> bool {
         contract.is_none_or(|contract| {
             contract.released.is_some()
                 || self.ledger.lost().contains(&contract.holder)
-                || contract.holder != self.config.process && !self.hears(&contract.holder, now)
+                || met > 0
+                    && contract.holder != self.config.process
+                    && !self.hears(&contract.holder, now)
         })
     }
 
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -78,7 +78,7 @@
         epochs.into_iter().collect()
     }
 
-    fn peers(&self) -> impl Iterator<Item = &Peer> {
+    pub(crate) fn peers(&self) -> impl Iterator<Item = &Peer> {
         let peers = self.ledger.processes().values();
         peers.filter(|p| {
             p.process != self.config.process && !self.ledger.lost().contains(&p.process)
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -12,12 +12,15 @@
 pub struct View {
     heard: BTreeMap<Process, Instant>,
     since: BTreeMap<Process, Instant>,
+    /// Last message of each process; a restart of the timeouts does not change it.
+    met: BTreeMap<Process, Instant>,
 }
 
 impl View {
     /// Notes a message from a process.
     pub fn hear(&mut self, process: &Process, now: Instant) {
         self.heard.insert(process.clone(), now);
+        self.met.insert(process.clone(), now);
         self.since.entry(process.clone()).or_insert(now);
     }
 
@@ -51,6 +54,13 @@
     pub fn retain(&mut self, keep: impl Fn(&Process) -> bool) {
         self.heard.retain(|process, _| keep(process));
         self.since.retain(|process, _| keep(process));
+        self.met.retain(|process, _| keep(process));
+    }
+
+    /// Tells whether a message of a process arrived within a span before `now`.
+    pub fn has_met(&self, process: &Process, now: Instant, span: Span) -> bool {
+        let met = self.met.get(process);
+        met.is_some_and(|met| now.since(*met) < span)
     }
 
     /// Tells whether a process was heard within a span before `now`.
--- /dev/null
+++ b/crates/standin/tests/cut_off.rs
@@ -0,0 +1,34 @@
+//! A daemon that loses its links and can still read the log.
+
+use ragwortrill_core::time::Span;
+use ragwortrill_standin::world::{Builder, End, World};
+
+fn cut_off() -> World {
+    let mut world = World::new(Builder::default(), 77);
+    world.run(Span::from_secs(15));
+    for other in 1..world.daemons() {
+        world.net.cut(End::Daemon(0), End::Daemon(other));
+    }
+    world
+}
+
+/// Guards against claims by the one process that nobody hears: it took all contracts, and those
+/// of which it was no standby had no service for the outsider's wait of an hour.
+#[test]
+fn a_daemon_that_hears_nobody_claims_nothing() {
+    let mut world = cut_off();
+    let before = world.holders();
+    world.run(Span::from_secs(6));
+    let own = |holders: &std::collections::BTreeMap<String, usize>| {
+        holders.values().filter(|holder| **holder == 0).count()
+    };
+    assert!(own(&world.holders()) <= own(&before));
+    world.net.join_all();
+    world.run(Span::from_secs(6));
+    let calls: Vec<usize> = (0..12).map(|key| world.call("lookup", key)).collect();
+    world.run(Span::from_secs(1));
+    let served = calls
+        .iter()
+        .filter(|call| world.calls()[**call].is_served());
+    assert_eq!(served.count(), 12);
+}
