--- a/crates/standin/src/measure/actions.rs
+++ b/crates/standin/src/measure/actions.rs
@@ -22,7 +22,12 @@
             Action::Crash(target, span) => self.crash(now, target, span),
             Action::Chill(target) => self.holders[target].target.chill(now),
             Action::Report(target, honesty) => self.holders[target].target.honesty = honesty,
-            Action::Drain(target) => self.take_out(now, &[target]),
+            Action::Drain(target) => {
+                self.take_out(now, &[target]);
+                if self.policy.impatient {
+                    self.restart(now, target);
+                }
+            }
             Action::Return(target) => self.take_back(&[target]),
             Action::Restart(target) => self.restart(now, target),
             Action::DataCentreOut(centre) => self.take_out(now, &self.targets_in(centre)),
@@ -42,12 +47,11 @@
             .iter()
             .map(|t| self.holders[*t].name.clone())
             .collect();
-        let owned = self
-            .planned
-            .slices
-            .iter()
-            .filter(|owner| names.contains(owner));
-        self.outcome.forced += owned.count() as u64;
+        if self.service.divided_by_key {
+            let owners = self.planned.slices.iter();
+            let owned = owners.filter(|owner| names.contains(owner));
+            self.outcome.forced += owned.count() as u64;
+        }
         for target in targets {
             self.holders[*target].out_since = Some(now);
         }
--- a/crates/standin/src/measure/control.rs
+++ b/crates/standin/src/measure/control.rs
@@ -189,7 +189,7 @@
             let lost = matches!(holder.health.state(), State::Frozen | State::Lost);
             let condition = match (holder.gone, holder.out_since.is_some()) {
                 (true, _) => Condition::Gone,
-                (_, true) => Condition::Leaves,
+                (_, true) if !self.policy.keeps_drained => Condition::Leaves,
                 _ if lost => Condition::Keeps,
                 _ => Condition::Takes,
             };
--- a/crates/standin/src/measure/policy.rs
+++ b/crates/standin/src/measure/policy.rs
@@ -46,6 +46,10 @@
     pub retries_all: bool,
     /// Planned restarts do not wait for running requests. Cuts answers on purpose.
     pub impatient: bool,
+    /// Targets that operators took out are not emptied. Sends them work on purpose.
+    pub keeps_drained: bool,
+    /// Broken requests are refused as not run. Makes refusals untrue on purpose.
+    pub refuses_broken: bool,
     /// Error of the forecast that moves are planned by, in per cent, if there is one.
     pub forecast_error: Option<u32>,
 }
@@ -68,6 +72,8 @@
             excess_slots: 0,
             retries_all: false,
             impatient: false,
+            keeps_drained: false,
+            refuses_broken: false,
             forecast_error: None,
         }
     }
@@ -176,6 +182,16 @@
                 impatient: true,
                 ..core()
             },
+            Self {
+                name: "broken-drains",
+                keeps_drained: true,
+                ..core()
+            },
+            Self {
+                name: "broken-refusals",
+                refuses_broken: true,
+                ..core()
+            },
         ]
     }
 
--- a/crates/standin/src/measure/serving.rs
+++ b/crates/standin/src/measure/serving.rs
@@ -327,6 +327,8 @@
             };
             if request.draw.idempotent || self.policy.retries_all {
                 self.retry(now, number, target, Refusal::Unreachable);
+            } else if self.policy.refuses_broken {
+                self.refuse(now, number, Refusal::Unreachable);
             } else {
                 request.over = true;
                 self.outcome.unknown += 1;
