Compare samples by load first and by latency only when it differs

Cost is now in flight over limit times latency, where latencies within 150% of the least count as equal; the load report breaks ties only; each answer carries the number of requests at its target.

The imbalance now counts targets in service that get no request.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -9,6 +9,9 @@
 /// A second copy is sent once the first has taken longer than this share of requests, in per mille.
 const HEDGE_QUANTILE: u32 = 950;
 
+/// Latencies within this many per cent of the least one count as equal.
+const ALIKE_PERCENT: u64 = 150;
+
 /// A target that may take a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Candidate {
@@ -35,10 +38,16 @@
         self.usable && self.in_flight < self.limit
     }
 
-    /// Expected time to an answer, up to a constant factor.
-    fn cost(&self) -> u64 {
+    /// Expected time to an answer, up to a constant factor, and the hint that breaks ties.
+    ///
+    /// Medians of few samples differ by chance, so latencies close to `least` count as equal.
+    fn cost(&self, least: u64) -> (u64, u64) {
+        let latency = match self.latency.0 * 100 <= least * ALIKE_PERCENT {
+            true => least,
+            false => self.latency.0,
+        };
         let turns = u64::from(self.in_flight + 1) * 1_000 / u64::from(self.limit.max(1));
-        turns.max(1_000) * self.latency.0.max(1) * self.factor_percent.max(1)
+        (turns * latency.max(1), self.factor_percent)
     }
 }
 
@@ -58,7 +67,9 @@
         let second = self
             .sample(candidates, [except, Some(first)])
             .unwrap_or(first);
-        let cost = |index: &usize| candidates[*index].cost();
+        let latencies = candidates.iter().filter(|c| c.usable).map(|c| c.latency.0);
+        let least = latencies.min().unwrap_or_default();
+        let cost = |index: &usize| candidates[*index].cost(least);
         let with_room = |index: &usize| candidates[*index].has_room();
         let sampled = [first, second];
         sampled
--- a/crates/standin/src/measure/control.rs
+++ b/crates/standin/src/measure/control.rs
@@ -68,7 +68,19 @@
         self.outcome.unavailable += slices as f64 * keys * SAMPLE.0 as f64 / 1e6;
     }
 
+    /// Targets in service count in the imbalance even if they get no request.
+    fn open_window(&mut self, now: Instant) {
+        let capacity = self.capacity_of_window();
+        let loads = &mut self.outcome.window(now, capacity).loads;
+        for (target, holder) in self.holders.iter().enumerate() {
+            if holder.out_since.is_none() && holder.target.is_up(now) {
+                loads.entry(target).or_default();
+            }
+        }
+    }
+
     pub(crate) fn tick(&mut self, now: Instant) {
+        self.open_window(now);
         if self.is_open(now) || !self.requests.is_empty() {
             self.agenda.add(now + TICK, Event::Tick);
         }
--- a/crates/standin/src/measure/outcome.rs
+++ b/crates/standin/src/measure/outcome.rs
@@ -151,7 +151,8 @@
             let total: u64 = window.loads.values().sum();
             Some(most as f64 * window.loads.len() as f64 / total.max(1) as f64)
         };
-        let ratios: Vec<f64> = self.windows.iter().filter_map(ratio).collect();
+        let full = self.windows.iter().filter(|window| window.requests > 0);
+        let ratios: Vec<f64> = full.filter_map(ratio).collect();
         ratios.iter().sum::<f64>() / ratios.len().max(1) as f64
     }
 }
--- a/crates/standin/src/measure/serving.rs
+++ b/crates/standin/src/measure/serving.rs
@@ -190,6 +190,11 @@
             return;
         };
         request.copies.remove(&id);
+        // Each answer carries the number of requests at its target.
+        let queue = &self.holders[target].queue;
+        if let Some(candidate) = self.views[request.draw.entry].get_mut(target) {
+            candidate.in_flight = (queue.running() + queue.waiting()) as u32;
+        }
         let arrived_back = now + self.hop_of(number, target);
         let Some(request) = self.requests.get_mut(&number) else {
             return;
