Judge the time that a waiting request still needs by recent speed

Requests that had waited were refused unless the 99th percentile of the service time was left, also where most would have ended in time; and the histogram noticed a slow target only after hundreds of requests.

A waiting request now starts if the 90th percentile is left, and both quantiles grow with the ratio of the recent mean to the long one.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -312,5 +312,5 @@
 
 fn is_late(estimate: &Estimate, now: Instant, waiting: &Waiting) -> bool {
     let budget = waiting.ticket.deadline.since(waiting.arrived);
-    now + estimate.allowance(budget) > waiting.ticket.deadline
+    now + estimate.least(budget) > waiting.ticket.deadline
 }
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -7,6 +7,11 @@
 
 /// Weight of a new sample in the mean is one part in this many.
 const WEIGHT: u64 = 32;
+/// The same for the mean over as many samples as the histogram remembers.
+const LONG_WEIGHT: u64 = 1_024;
+/// A request that has waited starts if this share of requests would end in its remaining time.
+/// At 990, requests that had room were refused; with the mean, overload made 3% late.
+const USUAL_PER_MILLE: u32 = 900;
 /// Samples between two computations of the tail, which scans the whole histogram.
 const REFRESH: u32 = 16;
 /// A gap this many times the mean gap means a stall; shorter ones are chance.
@@ -16,6 +21,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Estimate {
     mean: Span,
+    long_mean: Span,
+    usual: Span,
     tail: Span,
     samples: u32,
     histogram: Histogram,
@@ -25,15 +32,16 @@
 impl Estimate {
     /// Adds the service time of a finished request.
     pub(crate) fn record(&mut self, now: Instant, service: Span) {
-        self.mean = match self.samples {
-            0 => service,
-            _ => Span((self.mean.0 * (WEIGHT - 1) + service.0) / WEIGHT),
-        };
+        // The long mean begins as a plain average, so that the first sample does not dominate it.
+        let long_weight = u64::from(self.samples + 1).min(LONG_WEIGHT);
+        self.mean = average(self.mean, service, long_weight.min(WEIGHT));
+        self.long_mean = average(self.long_mean, service, long_weight);
         self.histogram.record(service);
         if self.samples.is_multiple_of(REFRESH) {
+            self.usual = self.histogram.quantile(USUAL_PER_MILLE).unwrap_or_default();
             self.tail = self.histogram.quantile(990).unwrap_or_default();
         }
-        self.samples = self.samples.wrapping_add(1).max(1);
+        self.samples = self.samples.saturating_add(1);
         self.progress = now;
     }
 
@@ -52,7 +60,20 @@
     ///
     /// At most half of the budget, so that a slow target still gets requests to be measured by.
     pub(crate) fn allowance(&self, budget: Span) -> Span {
-        self.tail.min(Span(budget.0 / 2))
+        self.recent(self.tail).min(Span(budget.0 / 2))
+    }
+
+    /// Returns the least time that a request which has waited must have left to be worth a slot.
+    pub(crate) fn least(&self, budget: Span) -> Span {
+        self.recent(self.usual).min(Span(budget.0 / 2))
+    }
+
+    /// Lengthens a quantile by how much slower the target is now than over all samples.
+    fn recent(&self, quantile: Span) -> Span {
+        match self.mean > self.long_mean {
+            true => quantile.scale(self.mean.0, self.long_mean.0.max(1)),
+            false => quantile,
+        }
     }
 
     /// Returns the mean service time, or zero without samples.
@@ -60,3 +81,7 @@
         self.mean
     }
 }
+
+fn average(mean: Span, sample: Span, weight: u64) -> Span {
+    Span((mean.0 * (weight - 1) + sample.0) / weight)
+}
