--- a/crates/standin/src/measure/control.rs
+++ b/crates/standin/src/measure/control.rs
@@ -37,6 +37,7 @@
             holder.target.sample(now);
             holder.queue.expire(now, &mut out);
             self.decisions.push((target, out));
+            self.depart_when_quiet(now, target);
         }
         if self.service.divided_by_key && self.is_open(now) {
             self.count_unavailable(now);
@@ -68,7 +69,19 @@
         self.outcome.unavailable += slices as f64 * keys * SAMPLE.0 as f64 / 1e6;
     }
 
+    /// Targets in service count in the imbalance even if they get no request.
+    fn open_window(&mut self, now: Instant) {
+        let capacity = self.capacity_of_window();
+        let loads = &mut self.outcome.window(now, capacity).loads;
+        for (target, holder) in self.holders.iter().enumerate() {
+            if holder.out_since.is_none() && holder.target.is_up(now) {
+                loads.entry(target).or_default();
+            }
+        }
+    }
+
     pub(crate) fn tick(&mut self, now: Instant) {
+        self.open_window(now);
         if self.is_open(now) || !self.requests.is_empty() {
             self.agenda.add(now + TICK, Event::Tick);
         }
@@ -189,7 +202,7 @@
             let lost = matches!(holder.health.state(), State::Frozen | State::Lost);
             let condition = match (holder.gone, holder.out_since.is_some()) {
                 (true, _) => Condition::Gone,
-                (_, true) => Condition::Leaves,
+                (_, true) if !self.policy.keeps_drained => Condition::Leaves,
                 _ if lost => Condition::Keeps,
                 _ => Condition::Takes,
             };
