--- a/crates/core/src/agreement.rs
+++ b/crates/core/src/agreement.rs
@@ -45,6 +45,12 @@
         Some(self.hashes[index.ok()?].1)
     }
 
+    /// Forgets the own hashes, because the state was replaced.
+    pub(crate) fn restart(&mut self) {
+        self.hashes.clear();
+        self.differing.clear();
+    }
+
     /// Drops peers that are no longer of interest.
     pub(crate) fn retain(&mut self, keep: impl Fn(&Process) -> bool) {
         self.shown.retain(|process, _| keep(process));
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -35,6 +35,7 @@
             self.send_heartbeats(now, actions);
             self.claim(now, actions);
             self.rename(now, actions);
+            self.snapshot(now, actions);
         }
         self.watch_targets(now, actions);
         self.hand_over(now, actions);
@@ -89,7 +90,7 @@
     }
 
     /// Returns the processes that may hold contracts: heard, in service, not known to be lost.
-    fn candidates(&self, now: Instant) -> Vec<&Peer> {
+    pub(crate) fn candidates(&self, now: Instant) -> Vec<&Peer> {
         let live = |p: &&Peer| {
             p.process == self.config.process && self.stopping.is_none()
                 || self.hears(&p.process, now)
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    key, name,
+    key,
+    ledger::Ledger,
+    name,
     number::{Epoch, Offset},
     process::Process,
     record::Entry,
@@ -20,6 +22,8 @@
     Tick,
     /// A read of the log ended.
     Read(Read),
+    /// A snapshot of the shared state was read, from the log or from a peer.
+    Restore(Box<Ledger>),
     /// A peer sent a message.
     Heard {
         /// The peer.
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -467,6 +467,15 @@
         self.slices.get(slice.0 as usize)
     }
 
+    /// Tells whether a target owns a share.
+    pub(crate) fn owns(&self, target: &name::Target, share: Share) -> bool {
+        match share {
+            Share::Key(key) => self.owner(key) == Some(target),
+            Share::Merge(key) => self.keys.get(&key) == Some(target),
+            Share::Slice(slice) => self.slices.get(slice.0 as usize) == Some(target),
+        }
+    }
+
     fn move_share(&mut self, share: Share, from: &name::Target, to: &name::Target) -> bool {
         match share {
             Share::Key(key) => {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -15,6 +15,7 @@
     process::Process,
     record::{self, Entry, Record},
     request,
+    snapshot::Schedule,
     time::Instant,
     times::Times,
 };
@@ -40,6 +41,7 @@
     pub(crate) ownership: Ownership,
     pub(crate) view: View,
     pub(crate) agreement: Agreement,
+    pub(crate) snapshots: Schedule,
     pub(crate) desks: BTreeMap<name::Target, Desk>,
     pub(crate) tickets: BTreeMap<Ticket, Held>,
     pub(crate) running: BTreeMap<request::Id, Ticket>,
@@ -85,6 +87,7 @@
             ledger: Ledger::default(),
             view: View::default(),
             agreement: Agreement::default(),
+            snapshots: Schedule::default(),
             desks: BTreeMap::new(),
             tickets: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -104,6 +107,7 @@
         match event {
             Event::Tick => self.tick(now, actions),
             Event::Read(read) => self.read(now, read, actions),
+            Event::Restore(ledger) => self.restore(now, *ledger, actions),
             Event::Heard { from, message } => self.hear(now, from, message, actions),
             Event::Arrive(arrival) => self.arrive(now, arrival, actions),
             Event::Finish { ticket, result } => self.finish(now, ticket, result, actions),
@@ -160,6 +164,7 @@
     ) {
         self.ownership
             .follow(now, offset, entry, &self.ledger, &self.config.times);
+        self.snapshots.follow(now, entry, self.started);
         match &entry.record {
             Record::Started { process, .. } => {
                 self.view.expect(process, now);
--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -180,6 +180,35 @@
         self.refresh(target, ledger);
     }
 
+    /// Follows a state that replaced the ledger without its records.
+    ///
+    /// A claim is decided if its target's epoch is another one than the claim names, because
+    /// epochs only grow. A contract that this process did not know to hold begins with its wait.
+    pub(crate) fn restore(&mut self, now: Instant, ledger: &Ledger, times: &Times) {
+        let epoch = |target: &name::Target| ledger.contracts().get(target).map(|c| c.epoch);
+        self.claims.retain(|_, targets| {
+            targets.retain(|target, previous| epoch(target) == *previous);
+            !targets.is_empty()
+        });
+        let current = ledger.contracts().values();
+        let named: BTreeMap<Epoch, &[Process]> =
+            current.map(|c| (c.epoch, c.standbys.as_slice())).collect();
+        self.standbys.retain(|_, renaming| {
+            let open = |epoch: &Epoch| {
+                let named = named.get(epoch);
+                named.is_some_and(|named| *named != renaming.standbys.as_slice())
+            };
+            renaming.epochs.iter().any(open)
+        });
+        for target in ledger.contracts().keys() {
+            let known = self.held.get(target).map(|held| held.epoch);
+            match epoch(target).filter(|epoch| known != Some(*epoch)) {
+                Some(epoch) => self.follow_claim(now, Offset(epoch.0), target, ledger, times),
+                None => self.refresh(target, ledger),
+            }
+        }
+    }
+
     fn refresh(&mut self, target: &name::Target, ledger: &Ledger) {
         let contract = ledger.contracts().get(target);
         let current = contract.filter(|c| c.holder == self.process && c.released.is_none());
--- /dev/null
+++ b/crates/core/src/recovery.rs
@@ -0,0 +1,107 @@
+//! Snapshots of a node: when they are written, and how one replaces the node's state.
+
+use crate::{
+    action::Action,
+    ledger::Ledger,
+    node::{Node, Phase},
+    number::Offset,
+    placement,
+    record::Record,
+    request::Refusal,
+    snapshot::{self, Policy},
+    time::{Instant, Span},
+};
+
+impl Node {
+    /// Lets the node write snapshots. Without a policy it writes none.
+    pub fn with_snapshots(mut self, policy: Policy) -> Self {
+        self.snapshots.policy = Some(policy);
+        self
+    }
+
+    /// Writes a snapshot if one is due and this process ranks first among the live ones.
+    pub(crate) fn snapshot(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if !self.started || self.stopping.is_some() || !self.is_reading(now) {
+            return;
+        }
+        self.snapshots.mark(now, self.ledger.offset());
+        if !self.snapshots.is_due(now, self.ledger.offset()) || !self.is_first(now) {
+            return;
+        }
+        let Ok(records) = snapshot::records(&self.ledger) else {
+            return;
+        };
+        if let Some(before) = self.forgettable(now) {
+            self.append("request ids expire", Record::Forget { before }, actions);
+        }
+        for record in records {
+            let id = self.next_entry();
+            self.snapshots.submit(id);
+            self.append_as(id, "snapshot is due", record, actions);
+        }
+    }
+
+    fn is_first(&self, now: Instant) -> bool {
+        let candidates = self.candidates(now);
+        let processes = candidates.iter().map(|peer| peer.process.clone());
+        placement::rank("snapshot", processes).first() == Some(&self.config.process)
+    }
+
+    /// Returns the offset before which no request id is within its window.
+    fn forgettable(&self, now: Instant) -> Option<Offset> {
+        let rows = self.ledger.table().services.values();
+        let window = rows.map(|row| row.id_window).max().unwrap_or(Span::ZERO);
+        self.snapshots
+            .before(now, self.config.times.outlast(window))
+    }
+
+    /// Replaces the state by a later one. The records between the two are not read.
+    pub(crate) fn restore(&mut self, now: Instant, ledger: Ledger, actions: &mut Vec<Action>) {
+        if ledger.offset() <= self.ledger.offset() {
+            return;
+        }
+        self.ledger = ledger;
+        self.snapshots.restore(self.ledger.offset());
+        self.agreement.restart();
+        self.agreement
+            .apply(self.ledger.offset(), self.ledger.hash());
+        for peer in self.ledger.processes().values() {
+            self.view.expect(&peer.process, now);
+        }
+        self.ownership
+            .restore(now, &self.ledger, &self.config.times);
+        self.reconcile(now);
+        self.drop_registering(actions);
+        self.drop_handovers();
+        self.route_waiting(now, actions);
+    }
+
+    /// Refuses requests whose intent may be among the records that were not read. They did not
+    /// run, but their ids may be taken.
+    fn drop_registering(&mut self, actions: &mut Vec<Action>) {
+        let held = self.tickets.iter();
+        let registering = held.filter(|(_, held)| matches!(held.phase, Phase::Registering(..)));
+        let registering: Vec<_> = registering.map(|(ticket, _)| *ticket).collect();
+        for ticket in registering {
+            for desk in self.desks.values_mut() {
+                desk.running.remove(&ticket);
+            }
+            self.refuse(ticket, Refusal::Duplicate, None, actions);
+        }
+    }
+
+    /// Ends moves that the new state shows as done.
+    fn drop_handovers(&mut self) {
+        let assignments = self.ledger.assignments();
+        for (target, desk) in &mut self.desks {
+            let owns = |share| {
+                let mut assignments = assignments.values();
+                assignments.any(|assignment| assignment.owns(target, share))
+            };
+            desk.handover.take_if(|handover| {
+                let mut shares = handover.shares.iter();
+                handover.submitted.is_some() && !shares.any(|(share, _)| owns(*share))
+            });
+        }
+    }
+}
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -9,5 +9,5 @@
     change::{Audit, Change, Conflict, Edition, Force, Outcome, Problem, Revision},
     owner::{Explanation, Owner},
     request::{Progress, Request},
-    status::{Condition, Hash, Host, Load, Status, Target},
+    status::{Condition, Hash, Health, Host, Load, Status, Target},
 };
--- a/crates/core/src/report/status.rs
+++ b/crates/core/src/report/status.rs
@@ -71,6 +71,25 @@
     pub warnings: Vec<String>,
 }
 
+/// Conditions that a daemon's metrics show.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Health {
+    /// Age of the latest log proof, or `None` if there was none.
+    pub proof_age: Option<Span>,
+    /// Peers with another state at the same offset.
+    pub differing: u64,
+    /// Processes that are not heard and not known to have ended.
+    pub unheard: u64,
+    /// Targets that no process holds.
+    pub unserved: u64,
+    /// Held targets in service that do not answer probes.
+    pub lost: u64,
+    /// Fingerprints that are barred.
+    pub quarantined: u64,
+    /// Targets that this process holds.
+    pub held: u64,
+}
+
 /// A host in a status report.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Host {
--- a/crates/core/src/survey.rs
+++ b/crates/core/src/survey.rs
@@ -8,7 +8,7 @@
     number::Offset,
     process::Process,
     record::State,
-    report::{Condition, Force, Hash, Host, Load, Status, Target},
+    report::{Condition, Force, Hash, Health, Host, Load, Status, Target},
     table,
     time::Instant,
 };
@@ -117,45 +117,62 @@
                 "{process} has another state at the same offset; restart one of the two daemons"
             )
         }));
-        warnings.extend(self.unheard(now));
-        warnings.extend(self.unserved(now));
+        warnings.extend(self.unheard(now).map(|process| {
+            format!(
+                "{process} is not heard; check its host, and run 'ragwortrill host lost {}' if it \
+                 has ended for good",
+                process.host
+            )
+        }));
+        warnings.extend(self.unserved().map(|target| {
+            format!("{target} has no holder; check that a daemon in service reads the log")
+        }));
+        let lost = self.desks.keys().filter(|target| self.is_lost(target, now));
+        warnings.extend(
+            lost.map(|target| format!("{target} does not answer probes; repair it or drain it")),
+        );
         warnings
     }
 
-    fn unheard(&self, now: Instant) -> Vec<String> {
+    /// Returns the conditions that metrics show.
+    pub fn health(&self, now: Instant) -> Health {
+        let proof = self.ownership().lease().proof();
+        let desks = self.desks.keys();
+        Health {
+            proof_age: proof.map(|proof| now.since(proof)),
+            differing: self.agreement().differing().len() as u64,
+            unheard: self.unheard(now).count() as u64,
+            unserved: self.unserved().count() as u64,
+            lost: desks.filter(|target| self.is_lost(target, now)).count() as u64,
+            quarantined: self.ledger().quarantine().len() as u64,
+            held: self.ownership().held().len() as u64,
+        }
+    }
+
+    /// Tells whether this process can serve: it reads the log, or hears a peer that did.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        let mut peers = self.ledger().processes().values();
+        self.ledger().version().0 > 0
+            && self.stopping.is_none()
+            && (self.is_reading(now) || peers.any(|peer| self.is_alive(&peer.process, now)))
+    }
+
+    fn unheard(&self, now: Instant) -> impl Iterator<Item = &Process> {
         let peers = self.ledger().processes().values().map(|peer| &peer.process);
-        let missing = peers.filter(|process| {
+        peers.filter(move |process| {
             **process != self.config().process
                 && !self.hears(process, now)
                 && !self.ledger().lost().contains(process)
-        });
-        let warning = |process: &Process| {
-            format!(
-                "{process} is not heard; check its host, and run 'ragwortrill host lost {}' if it \
-                 has ended for good",
-                process.host
-            )
-        };
-        missing.map(warning).collect()
+        })
     }
 
-    fn unserved(&self, now: Instant) -> Vec<String> {
+    fn unserved(&self) -> impl Iterator<Item = &name::Target> {
         let services = self.ledger().table().services.values();
         let targets = services.flat_map(|row| row.targets.keys());
-        let warning = |target: &name::Target| {
-            let contract = self.ledger().contracts().get(target);
-            let current = contract.filter(|c| c.released.is_none());
-            match current {
-                None => Some(format!(
-                    "{target} has no holder; check that a daemon in service reads the log"
-                )),
-                Some(_) if self.is_lost(target, now) => Some(format!(
-                    "{target} does not answer probes; repair it or drain it"
-                )),
-                Some(_) => None,
-            }
-        };
-        targets.filter_map(warning).collect()
+        targets.filter(|target| {
+            let contract = self.ledger().contracts().get(*target);
+            contract.is_none_or(|contract| contract.released.is_some())
+        })
     }
 
     fn is_lost(&self, target: &name::Target, now: Instant) -> bool {
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -464,7 +464,7 @@
         }
     }
 
-    fn refuse(
+    pub(crate) fn refuse(
         &mut self,
         ticket: Ticket,
         refusal: Refusal,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -111,7 +111,8 @@
             address: addresses.peers,
             data_centre: settings.data_centre.clone(),
             times: settings.times.clone(),
-        });
+        })
+        .with_snapshots(settings.snapshots.policy());
         let ready: Ready = Arc::new(AtomicBool::new(true));
         let (exit_sender, exit) = crossbeam_channel::bounded(1);
         let (log_sender, log_receiver) = mpsc::channel(RING);
@@ -143,7 +144,9 @@
             data_centre: settings.data_centre.clone(),
             recent,
         };
+        let origins = settings.origins;
         threads.push(spawn_local("peers", async move || {
+            ntex::rt::spawn(linker.clone().start_without_log(origins));
             tokio::select! {
                 () = accept(linker.clone(), peers) => {}
                 () = linker.clone().run(peer_receiver) => {}
--- a/crates/daemon/src/decide.rs
+++ b/crates/daemon/src/decide.rs
@@ -16,6 +16,7 @@
 use crate::{
     registry::Order,
     shell::{Inbound, Shell},
+    watch::Watch,
 };
 
 /// Interval between ticks of the node.
@@ -75,11 +76,13 @@
     let mut actions = Vec::new();
     let mut next = shell.clock.now();
     let mut version = node.ledger().version();
+    let mut watch = Watch::default();
     loop {
         let now = shell.clock.now();
         if now >= next {
             next = now + TICK;
             node.handle(now, Event::Tick, &mut actions);
+            watch.tick(now, &node, shell);
             outlets.flush();
         } else {
             match inbox.recv_timeout(next.since(now).as_duration()) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod log_service;
 mod metrics;
 mod operators;
+mod origins;
 mod peers;
 mod probe;
 mod problem;
@@ -22,6 +23,7 @@
 mod settings;
 mod shell;
 mod target;
+mod watch;
 
 pub use clock::Clock;
 pub use daemon::{Addresses, Daemon};
--- a/crates/daemon/src/log_service.rs
+++ b/crates/daemon/src/log_service.rs
@@ -10,11 +10,13 @@
 use ntex::time::{Millis, sleep};
 use ragwortrill_core::{
     event::{Event, Read},
+    ledger::Ledger,
     number::Offset,
     record::{self, Entry},
+    snapshot::Gather,
     time::Span,
 };
-use ragwortrill_platform::log::{Batch, Client, Page, Query};
+use ragwortrill_platform::log::{Batch, Client, Error, Page, Query};
 use tokio::sync::mpsc;
 
 use crate::{clock::wall_ms, recent::Recent, shell::Shell};
@@ -59,7 +61,12 @@
 ) {
     let client = Client::new(address, TIMEOUT).await;
     let mut from = Offset(1);
+    let mut gather = None;
     loop {
+        if gather.is_none() {
+            // A peer's state or records may have brought the node further.
+            from = from.max(shell.offset().next());
+        }
         let sent = shell.clock.now();
         let query = Query {
             from,
@@ -68,7 +75,24 @@
         };
         match client.read(query).await {
             Ok(page) => {
-                from = take(page, sent, from, &pending, &recent, &shell);
+                shell.found_log();
+                from = match &mut gather {
+                    None => take(page, sent, from, &pending, &recent, &shell),
+                    Some(parts) => match search(&page, from, parts) {
+                        (_, Some(ledger)) => {
+                            gather = None;
+                            restore(ledger, &shell)
+                        }
+                        (next, None) => next,
+                    },
+                };
+            }
+            Err(Error::Expired { from: lost, first }) => {
+                log::warn!(
+                    "records from {lost} to {first} have expired; a snapshot is read instead"
+                );
+                gather = Some(Gather::default());
+                from = first;
             }
             Err(error) => {
                 log::warn!("log service can't be read: {error}");
@@ -78,6 +102,46 @@
     }
 }
 
+/// Looks for a complete snapshot in a page. Returns the next offset to read.
+///
+/// The record after the snapshot's state is retained if its offset is not below the first one.
+fn search(page: &Page, from: Offset, parts: &mut Gather) -> (Offset, Option<Ledger>) {
+    let mut next = from;
+    for row in &page.records {
+        next = row.offset.next();
+        let entry = match row.entry() {
+            Ok(entry) => entry,
+            Err(error) => {
+                log::error!(offset = row.offset.0; "log record can't be read: {error}");
+                continue;
+            }
+        };
+        match parts.add(&entry) {
+            Some(Ok(ledger)) if ledger.offset().next() >= page.first => {
+                return (next, Some(ledger));
+            }
+            Some(Err(error)) => log::error!(offset = row.offset.0; "{error}"),
+            _ => {}
+        }
+    }
+    if next > page.end {
+        log::error!(
+            "the log has no complete snapshot from {} on; start a daemon that has the state",
+            page.first
+        );
+    }
+    (next, None)
+}
+
+/// Replaces the node's state. Returns the next offset to read.
+fn restore(ledger: Ledger, shell: &Shell) -> Offset {
+    let at = ledger.offset();
+    log::info!(offset = at.0; "state restored from a snapshot");
+    shell.metrics.restored();
+    shell.event(Event::Restore(Box::new(ledger)));
+    at.next()
+}
+
 fn take(
     page: Page,
     sent: ragwortrill_core::time::Instant,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -2,11 +2,11 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
-use ragwortrill_core::time::Span;
+use ragwortrill_core::{report::Health, time::Span};
 
 /// Counters and histograms of a daemon.
 #[derive(Debug)]
@@ -17,6 +17,20 @@
     refusals: Counter<u64>,
     frames: Counter<u64>,
     appends: Counter<u64>,
+    restored: Counter<u64>,
+    alarms: Alarms,
+}
+
+/// Gauges that operators watch.
+#[derive(Debug)]
+struct Alarms {
+    proof_age: Gauge<f64>,
+    differing: Gauge<u64>,
+    unheard: Gauge<u64>,
+    unserved: Gauge<u64>,
+    lost: Gauge<u64>,
+    quarantined: Gauge<u64>,
+    held: Gauge<u64>,
 }
 
 impl Metrics {
@@ -46,6 +60,11 @@
                 .u64_counter("ragwortrill.log.appends")
                 .with_description("Entries appended to the log, by result")
                 .build(),
+            restored: meter
+                .u64_counter("ragwortrill.snapshots.restored")
+                .with_description("Snapshots that replaced the state")
+                .build(),
+            alarms: Alarms::new(&meter),
             _provider: provider,
         })
     }
@@ -71,6 +90,23 @@
             .add(entries, &[KeyValue::new("result", result)]);
     }
 
+    pub(crate) fn restored(&self) {
+        self.restored.add(1, &[]);
+    }
+
+    /// Notes the node's conditions.
+    pub(crate) fn watch(&self, health: &Health) {
+        let alarms = &self.alarms;
+        let age = health.proof_age.map_or(-1.0, |age| age.0 as f64 / 1e6);
+        alarms.proof_age.record(age, &[]);
+        alarms.differing.record(health.differing, &[]);
+        alarms.unheard.record(health.unheard, &[]);
+        alarms.unserved.record(health.unserved, &[]);
+        alarms.lost.record(health.lost, &[]);
+        alarms.quarantined.record(health.quarantined, &[]);
+        alarms.held.record(health.held, &[]);
+    }
+
     /// Returns the Prometheus text page.
     pub(crate) fn page(&self) -> Vec<u8> {
         let mut page = Vec::new();
@@ -80,3 +116,43 @@
         page
     }
 }
+
+impl Alarms {
+    fn new(meter: &Meter) -> Self {
+        let count = |name, description| {
+            let gauge = meter.u64_gauge(name).with_description(description);
+            gauge.build()
+        };
+        Self {
+            proof_age: meter
+                .f64_gauge("ragwortrill.log.proof_age")
+                .with_unit("s")
+                .with_description("Age of the latest proof that no newer record exists, or -1")
+                .build(),
+            differing: count(
+                "ragwortrill.peers.differing",
+                "Peers with another state at the same offset",
+            ),
+            unheard: count(
+                "ragwortrill.peers.unheard",
+                "Processes that are not heard and not known to have ended",
+            ),
+            unserved: count(
+                "ragwortrill.targets.unserved",
+                "Targets that no process holds",
+            ),
+            lost: count(
+                "ragwortrill.targets.lost",
+                "Held targets in service that do not answer probes",
+            ),
+            quarantined: count(
+                "ragwortrill.quarantine.fingerprints",
+                "Fingerprints of requests that are barred",
+            ),
+            held: count(
+                "ragwortrill.targets.held",
+                "Targets that this process holds",
+            ),
+        }
+    }
+}
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -85,12 +85,9 @@
 
 async fn readiness(desk: State) -> HttpResponse {
     let site = &desk.site;
-    let has_table = site
-        .shell
-        .inspect(|node| node.ledger().version().0 > 0)
-        .await
-        .unwrap_or(false);
-    match has_table && site.ready.load(Ordering::Relaxed) {
+    let now = site.shell.clock.now();
+    let can_serve = site.shell.inspect(move |node| node.is_ready(now)).await;
+    match can_serve.unwrap_or(false) && site.ready.load(Ordering::Relaxed) {
         true => HttpResponse::Ok().body("ready\n"),
         false => HttpResponse::ServiceUnavailable().body("not ready\n"),
     }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -20,12 +20,13 @@
 
 use crate::{
     link::{Link, QUEUE},
+    origins,
     recent::Recent,
     serve,
     shell::Shell,
 };
 
-type Socket = WebSocketStream<TcpStream>;
+pub(crate) type Socket = WebSocketStream<TcpStream>;
 
 /// Reason why a link ended or could not be opened.
 #[derive(Debug, thiserror::Error)]
@@ -40,6 +41,10 @@
     NoHello,
     #[error("the peer is {0}, a later process than the one expected; wait for the log")]
     Other(Process),
+    #[error("the peer's state can't be used: {0}")]
+    State(#[from] ragwortrill_core::snapshot::Error),
+    #[error("the peer's state has another hash than announced; ask another daemon")]
+    Hash,
     #[error("the peer did not answer within {0} ms; check the network")]
     Silent(u64),
 }
@@ -105,21 +110,26 @@
         link: &Link,
         frames: mpsc::Receiver<Frame>,
     ) -> Result<(), Error> {
+        let (socket, hello) = self.dial(to.address).await?;
+        if hello.process != to.process {
+            return Err(Error::Other(hello.process));
+        }
+        self.exchange(socket, frames, link, &hello.process).await
+    }
+
+    /// Connects to an address and exchanges introductions.
+    pub(crate) async fn dial(&self, address: SocketAddr) -> Result<(Socket, Hello), Error> {
         let open = async {
-            let stream = TcpStream::connect(to.address).await?;
+            let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
-            let url = format!("ws://{}/", to.address);
+            let url = format!("ws://{address}/");
             let (mut socket, _) =
                 tokio_tungstenite::client_async_with_config(url, stream, Some(limits())).await?;
             self.introduce(&mut socket).await?;
             let hello = receive_hello(&mut socket).await?;
             Ok::<_, Error>((socket, hello))
         };
-        let (socket, hello) = within(open).await?;
-        if hello.process != to.process {
-            return Err(Error::Other(hello.process));
-        }
-        self.exchange(socket, frames, link, &hello.process).await
+        within(open).await
     }
 
     async fn introduce(&self, socket: &mut Socket) -> Result<(), Error> {
@@ -224,6 +234,9 @@
                 message,
             }),
             Frame::Records(records) => self.shell.event(Event::Read(received(records))),
+            Frame::Ask => {
+                ntex::rt::spawn(origins::answer(self.shell.clone(), link.clone()));
+            }
             Frame::Request(request) => {
                 let frames = link.streams().open(request.stream);
                 let shell = self.shell.clone();
@@ -251,7 +264,7 @@
 }
 
 /// Turns a peer's records into a read, whose proof is as old as the peer's.
-fn received(records: Records) -> Read {
+pub(crate) fn received(records: Records) -> Read {
     let age = records
         .age
         .unwrap_or(ragwortrill_core::time::Span(records.sent.0));
@@ -280,7 +293,7 @@
     Err(Error::NoHello)
 }
 
-async fn within<T>(open: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+pub(crate) async fn within<T>(open: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
     let limit = std::time::Duration::from_millis(OPEN_MS);
     match tokio::time::timeout(limit, open).await {
         Ok(result) => result,
--- a/crates/daemon/src/recent.rs
+++ b/crates/daemon/src/recent.rs
@@ -39,6 +39,11 @@
 impl Recent {
     pub(crate) fn push(&self, rows: &[(Offset, Entry)], sent: Instant, end: Offset) {
         let mut inner = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        // A reader skips records after it has restored a snapshot. A page has no gaps.
+        let last = inner.rows.back().map(|(offset, _)| offset.next());
+        if last.is_some_and(|next| rows.first().is_some_and(|(offset, _)| *offset != next)) {
+            inner.rows.clear();
+        }
         inner.rows.extend(rows.iter().cloned());
         let excess = inner.rows.len().saturating_sub(MAX_ROWS);
         inner.rows.drain(..excess);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -27,6 +27,7 @@
 use ragwortrill_core::{
     name,
     sheet::{self, Fault},
+    snapshot::Policy,
     time::Span,
     times::Times,
 };
@@ -92,6 +93,16 @@
     }
 }
 
+impl Snapshots {
+    /// Returns when a snapshot is due.
+    pub(crate) fn policy(&self) -> Policy {
+        Policy {
+            records: self.records,
+            interval: self.retention.scale(u64::from(self.percent), 100),
+        }
+    }
+}
+
 impl Settings {
     /// Parses a file. Paths in it are relative to `directory`. An error lists all faults.
     pub fn parse(text: &str, directory: &Path) -> Result<Self, Vec<Fault>> {
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     sync::{
         Arc, PoisonError, RwLock,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
@@ -45,6 +45,7 @@
     table: RwLock<Arc<Table>>,
     offset: AtomicU64,
     sequence: AtomicU64,
+    has_log: AtomicBool,
 }
 
 impl Shell {
@@ -98,6 +99,16 @@
         }
     }
 
+    /// Notes that the log service has answered a read.
+    pub(crate) fn found_log(&self) {
+        self.published.has_log.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether the log service has answered a read since the start.
+    pub(crate) fn has_log(&self) -> bool {
+        self.published.has_log.load(Ordering::Relaxed)
+    }
+
     /// Returns a number that is unique in this process.
     pub(crate) fn sequence(&self) -> u64 {
         self.published.sequence.fetch_add(1, Ordering::Relaxed)
--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -36,6 +36,7 @@
     daemons: usize,
     services: BTreeMap<name::Service, (table::Service, usize)>,
     target: target::Settings,
+    adjust: fn(&mut Settings),
 }
 
 /// A running system.
@@ -49,6 +50,7 @@
     /// The table that was applied.
     pub table: table::Table,
     entries: u128,
+    adjust: fn(&mut Settings),
 }
 
 /// An answer with its whole body.
@@ -108,6 +110,7 @@
             daemons: 3,
             services: BTreeMap::new(),
             target: target::Settings::default(),
+            adjust: |_| {},
         }
     }
 
@@ -129,6 +132,12 @@
         self
     }
 
+    /// Changes the settings of all daemons.
+    pub fn settings(mut self, adjust: fn(&mut Settings)) -> Self {
+        self.adjust = adjust;
+        self
+    }
+
     /// Starts the system and applies its table.
     pub fn start(self) -> System {
         let log = log::Server::start().expect("the log stand-in starts");
@@ -162,6 +171,7 @@
             daemons: Vec::new(),
             table: table.clone(),
             entries: 0,
+            adjust: self.adjust,
         };
         let base = Version(0);
         system.write(Record::Table { base, table });
@@ -175,8 +185,13 @@
 impl System {
     /// Starts a daemon on a new host.
     pub fn add_daemon(&mut self, number: usize) {
+        self.add_daemon_with(number, |_| {});
+    }
+
+    /// Starts a daemon on a new host with other settings.
+    pub fn add_daemon_with(&mut self, number: usize, adjust: impl FnOnce(&mut Settings)) {
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
-        let settings = Settings {
+        let mut settings = Settings {
             host: name(&format!("host-{number}")),
             data_centre: name(DATA_CENTRES[number % DATA_CENTRES.len()]),
             callers: any,
@@ -191,6 +206,8 @@
             origins: Default::default(),
             times: Default::default(),
         };
+        (self.adjust)(&mut settings);
+        adjust(&mut settings);
         let daemon = Daemon::start(settings).expect("a daemon starts");
         self.daemons.push(Some(daemon));
     }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -16,6 +16,9 @@
 /// Largest part of a body in one frame, in bytes.
 pub const CHUNK_BYTES: usize = 16 * 1024;
 
+/// Largest part of the shared state in one frame, in bytes.
+pub const STATE_BYTES: usize = 48 * 1024;
+
 /// Bytes of a body that may be sent before the receiver grants credit.
 pub const INITIAL_CREDIT_BYTES: u32 = 64 * 1024;
 
@@ -33,6 +36,10 @@
     Control(Message),
     /// Records that the receiver asked for.
     Records(Records),
+    /// Asks for the shared state.
+    Ask,
+    /// Part of the shared state that the receiver asked for.
+    State(State),
     /// A forwarded request.
     Request(Box<Request>),
     /// The request is routed here for good; the rest of its body may follow.
@@ -97,6 +104,22 @@
     pub rows: Vec<(Offset, Entry)>,
 }
 
+/// Part of the shared state at an offset.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct State {
+    /// Offset of the last record in the state.
+    pub at: Offset,
+    /// Hash of the state.
+    pub hash: u64,
+    /// Number of this part, from 0.
+    pub part: u32,
+    /// Number of parts.
+    pub parts: u32,
+    /// The encoded part.
+    #[serde(with = "serde_bytes")]
+    pub bytes: Vec<u8>,
+}
+
 /// A header of a request or an answer.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Header {
