--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -31,6 +31,7 @@
             self.send_heartbeats(now, actions);
             self.claim(now, actions);
             self.rename(now, actions);
+            self.snapshot(now, actions);
         }
         self.watch_targets(now, actions);
         self.check_health(now, actions);
--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -180,12 +180,16 @@
 
     /// Follows a ledger that was restored from a snapshot, without the records before it.
     ///
-    /// Contracts that other processes claimed meanwhile are dropped. Contracts that this process
-    /// claimed meanwhile are not acted on, since the time of their claim is not known here.
-    pub fn restore(&mut self, ledger: &Ledger) {
-        let targets: Vec<name::Target> = self.held.keys().cloned().collect();
-        for target in &targets {
-            self.refresh(target, ledger);
+    /// Contracts that other processes claimed meanwhile are dropped. The wait of a contract that
+    /// this process claimed meanwhile begins now, since the time of its claim is not known here.
+    pub fn restore(&mut self, now: Instant, ledger: &Ledger, times: &Times) {
+        let epoch = |target: &name::Target| ledger.contracts().get(target).map(|c| c.epoch);
+        for target in ledger.contracts().keys() {
+            let known = self.held.get(target).map(|held| held.epoch);
+            match epoch(target).filter(|epoch| known != Some(*epoch)) {
+                Some(epoch) => self.follow_claim(now, Offset(epoch.0), target, ledger, times),
+                None => self.refresh(target, ledger),
+            }
         }
         let current = |target: &name::Target| ledger.contracts().get(target).map(|c| c.epoch);
         let is_open = |claim: &BTreeMap<name::Target, Option<Epoch>>| {
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -137,8 +137,9 @@
     let record = claimer.claim(Id(100), vec![(name("t1"), Some(first))], Vec::new());
     let claim = entry(Id(100), record);
     scene.append(&claim);
-    paused.restore(scene.ledger());
-    claimer.restore(scene.ledger());
+    let times = Times::default();
+    paused.restore(Instant(0), scene.ledger(), &times);
+    claimer.restore(Instant(0), scene.ledger(), &times);
     paused.prove(Instant(0));
     assert_eq!(
         paused.epoch(&name("t1"), Instant(1), &Times::default()),
@@ -147,4 +148,10 @@
     assert!(paused.held().is_empty());
     assert_eq!(claimer.withheld(&[first]), [first]);
     assert!(!claimer.is_claiming(&name("t1")));
+    // The claimer waits in full from the moment when it learned of its claim.
+    let end = Instant(0) + times.short_wait();
+    claimer.prove(end);
+    let last = Instant(end.0 - 1);
+    assert_eq!(claimer.epoch(&name("t1"), last, &times), None);
+    assert!(claimer.epoch(&name("t1"), end, &times).is_some());
 }
--- a/crates/platform/tests/codec.rs
+++ b/crates/platform/tests/codec.rs
@@ -85,7 +85,9 @@
 #[test]
 fn entries_of_other_versions() {
     let id = "00000000000000000000000000000007";
-    let record = || cbor!({"Host" => {"name" => "h1", "state" => "out", "added" => 1}}).unwrap();
+    let record = || {
+        cbor!({"Host" => {"name" => "h1", "state" => "out", "after" => 2, "added" => 1}}).unwrap()
+    };
     let cases = [
         Foreign {
             name: "unknown fields at each level",
