Let forecast errors be common to the slices of a target

Independent errors of a hundred slices cancel out in a target's load, so the forecast experiment tested almost no error.

--- a/crates/standin/src/measure/control.rs
+++ b/crates/standin/src/measure/control.rs
@@ -243,10 +243,13 @@
         }
         let mut loads = self.load.expected(now + AHEAD);
         let mut random = Xoshiro256PlusPlus::seed_from_u64(self.seed ^ 0xf0ca);
-        for load in &mut loads {
-            let unit: f64 = StandardNormal.sample(&mut random);
-            let factor = (1.0 + unit * f64::from(error) / 100.0).max(0.0);
-            *load = (*load as f64 * factor) as u64;
+        // Slices that were distributed to the same target share their error: independent errors
+        // of a hundred slices would cancel out.
+        let units = (0..self.service.targets).map(|_| StandardNormal.sample(&mut random));
+        let units: Vec<f64> = units.collect();
+        for (slice, load) in loads.iter_mut().enumerate() {
+            let error = units[slice % units.len()] * f64::from(error) / 100.0;
+            *load = (*load as f64 * (1.0 + error).max(0.0)) as u64;
         }
         self.forecast = Some((now, loads));
     }
