Check the ownership protocol by breadth-first search

Cause: the protocol's safety rested on argument alone. Change: the example `model` explores bounded configurations over the core's own Ledger, Ownership, Lease and contract functions; each of 29 rules and assumptions can be left out and must then have a counterexample. Before: no check.

--- /dev/null
+++ b/crates/core/tests/model/log.rs
@@ -0,0 +1,139 @@
+//! The log service and the invariants of each append.
+
+use std::rc::Rc;
+
+use ragwortrill_core::{
+    ledger::{Effect, Ledger},
+    number::Offset,
+    record::{Entry, Record, State},
+};
+
+use super::{
+    rule::Rule,
+    world::{World, data_centre},
+};
+
+/// The log up to a record, with the ledger after it.
+pub(crate) struct Node {
+    pub(crate) offset: Offset,
+    pub(crate) entry: Rc<Entry>,
+    pub(crate) ledger: Ledger,
+    pub(crate) previous: Option<Rc<Node>>,
+    pub(crate) fault: Option<&'static str>,
+}
+
+impl Node {
+    /// Appends an entry, applies it by `Ledger::apply` and checks what it changed.
+    pub(crate) fn append(
+        world: &World,
+        previous: Option<&Rc<Self>>,
+        ledger: &Ledger,
+        entry: &Rc<Entry>,
+    ) -> Rc<Self> {
+        let offset = ledger.offset().next();
+        let mut after = ledger.clone();
+        let changed = alter(world, ledger, entry);
+        let entry = changed.map_or_else(|| Rc::clone(entry), Rc::new);
+        let effect = after.apply(offset, &entry);
+        let repeated = previous.is_some_and(|node| node.has(&entry));
+        Rc::new(Self {
+            offset,
+            fault: check(ledger, &after, &entry, effect, repeated),
+            entry,
+            ledger: after,
+            previous: previous.cloned(),
+        })
+    }
+
+    fn has(&self, entry: &Entry) -> bool {
+        self.entry.id == entry.id || self.previous.as_ref().is_some_and(|node| node.has(entry))
+    }
+
+    /// Returns the nodes after an offset, oldest first.
+    pub(crate) fn since(self: &Rc<Self>, offset: Offset) -> Vec<Rc<Self>> {
+        let mut nodes = Vec::new();
+        let mut next = Some(self);
+        while let Some(node) = next.filter(|node| node.offset > offset) {
+            nodes.push(Rc::clone(node));
+            next = node.previous.as_ref();
+        }
+        nodes.reverse();
+        nodes
+    }
+}
+
+/// Returns the entry as the log would take it without the compare-and-set of a left-out rule.
+fn alter(world: &World, ledger: &Ledger, entry: &Entry) -> Option<Entry> {
+    let mut changed = entry.clone();
+    let current = |target| ledger.contracts().get(target).map(|c| c.epoch);
+    match &mut changed.record {
+        Record::Claim { targets, .. } if world.lacks(Rule::COMPARE_AND_SET) => {
+            for (target, previous) in targets {
+                *previous = current(target);
+            }
+        }
+        Record::Intent { target, epoch, .. } if world.lacks(Rule::INTENT_EPOCH) => {
+            *epoch = current(target)?;
+        }
+        Record::Table { base, .. } if world.lacks(Rule::TABLE_VERSION) => *base = ledger.version(),
+        Record::Standbys { after, .. } if world.lacks(Rule::STANDBYS_ONCE) => *after = UNLIMITED,
+        Record::Move { after, .. } if world.lacks(Rule::MOVE_ONCE) => *after = UNLIMITED,
+        Record::Started { after, .. } if world.lacks(Rule::STARTED_ONCE) => *after = UNLIMITED,
+        Record::DataCentre { after, .. } if world.lacks(Rule::STATE_ONCE) => *after = UNLIMITED,
+        _ => return None,
+    }
+    Some(changed)
+}
+
+const UNLIMITED: Offset = Offset(u64::MAX);
+
+fn check(
+    before: &Ledger,
+    after: &Ledger,
+    entry: &Entry,
+    effect: Effect,
+    repeated: bool,
+) -> Option<&'static str> {
+    if after.version() < before.version() {
+        return Some("a table version decreased");
+    }
+    for (target, contract) in before.contracts() {
+        let next = after.contracts().get(target);
+        if next.is_none_or(|next| next.epoch < contract.epoch) {
+            return Some("an epoch decreased or a contract was lost");
+        }
+    }
+    let writer = |target| {
+        let contract = before.contracts().get(target);
+        contract.is_some_and(|c| c.holder.to_string() == entry.actor)
+    };
+    let moved = before.assignments() != after.assignments() && before.version().0 > 0;
+    match &entry.record {
+        Record::Move { from, .. } if !moved || writer(from) => {}
+        _ if moved => return Some("an assignment changed without its holder's move"),
+        _ => {}
+    }
+    match &entry.record {
+        Record::Intent { target, .. } if effect == Effect::Applied && !writer(target) => {
+            Some("an intent counts that the current holder did not write")
+        }
+        Record::Table { base, .. }
+            if effect == Effect::Applied && is_stale(before, *base, entry) =>
+        {
+            Some("an accepted table change was overwritten by one that had not seen it")
+        }
+        Record::DataCentre { .. } if repeated && state(before) != state(after) => {
+            Some("a repeated copy undid an operator's later change")
+        }
+        _ => None,
+    }
+}
+
+/// Tells whether a table was edited from an older version. Its reason names that version.
+fn is_stale(before: &Ledger, base: ragwortrill_core::number::Version, entry: &Entry) -> bool {
+    base != before.version() || entry.reason != before.version().to_string()
+}
+
+fn state(ledger: &Ledger) -> State {
+    ledger.data_centre(&data_centre())
+}
