--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -122,7 +122,12 @@
     fn change(&mut self, offset: Offset, entry: &Entry) -> Effect {
         match &entry.record {
             Record::Table { base, table } => self.replace_table(offset, entry.id, *base, table),
+            // A command refused as invalid would take effect by a second copy once a later table
+            // has its subject, so one that was written before the current table is refused.
             Record::DataCentre { name, state, after } => {
+                if self.table_offset > *after {
+                    return Effect::Conflict;
+                }
                 if !self.table.data_centres.contains_key(name) {
                     return Effect::Invalid;
                 }
@@ -132,6 +137,9 @@
                 set(&mut self.hosts, name, *state, *after, offset)
             }
             Record::Target { name, state, after } => {
+                if self.table_offset > *after {
+                    return Effect::Conflict;
+                }
                 if self.table.target(name).is_none() {
                     return Effect::Invalid;
                 }
