Refuse records after a gap

Cause: Ledger::apply took any later offset, so a reader that skipped a record differed from all others without notice. Change: an offset after the next one returns Effect::Missing and changes nothing. The new property gaps_are_refused checks it.

--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -93,6 +93,8 @@
     Conflict,
     /// The record asks for something that does not exist or isn't allowed.
     Invalid,
+    /// Records before this one were not applied yet, so it was not applied either.
+    Missing,
 }
 
 impl Effect {
@@ -107,10 +109,16 @@
 
 impl Ledger {
     /// Applies the record at the next offset. Offsets that were applied before have no effect.
+    ///
+    /// An offset after the next one returns [`Effect::Missing`] and changes nothing: a ledger that
+    /// skipped a record would differ from all others.
     pub fn apply(&mut self, offset: Offset, entry: &Entry) -> Effect {
         if offset <= self.offset {
             return Effect::Duplicate;
         }
+        if offset != self.offset.next() {
+            return Effect::Missing;
+        }
         self.offset = offset;
         let effect = self.change(offset, entry);
         let seed = xxh3_64_with_seed(&offset.0.to_le_bytes(), self.hash);
--- a/crates/core/tests/histories.rs
+++ b/crates/core/tests/histories.rs
@@ -90,6 +90,25 @@
     runner().run(&vec(record(), 1..40), check).unwrap();
 }
 
+/// Guards against a ledger that skips records and then differs from all others.
+#[test]
+fn gaps_are_refused() {
+    let strategy = (vec(record(), 2..40), 2..1_000_u64);
+    let check = |(records, skip): (Vec<Record>, u64)| {
+        let mut ledger = Ledger::default();
+        for entry in &entries(records) {
+            let next = ledger.offset().next();
+            let before = ledger.clone();
+            let effect = ledger.apply(Offset(ledger.offset().0 + skip), entry);
+            prop_assert_eq!(effect, Effect::Missing);
+            prop_assert_eq!(&ledger, &before);
+            prop_assert_ne!(ledger.apply(next, entry), Effect::Missing);
+        }
+        Ok(())
+    };
+    runner().run(&strategy, check).unwrap();
+}
+
 /// Guards against a second copy of an entry, at a later offset, that changes what the ledger shows.
 #[test]
 fn repeated_entries_change_nothing() {
