--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -96,6 +96,8 @@
     Conflict,
     /// The record asks for something that does not exist or isn't allowed.
     Invalid,
+    /// Records before this one were not applied yet, so it was not applied either.
+    Missing,
 }
 
 impl Effect {
@@ -110,10 +112,16 @@
 
 impl Ledger {
     /// Applies the record at the next offset. Offsets that were applied before have no effect.
+    ///
+    /// An offset after the next one returns [`Effect::Missing`] and changes nothing: a ledger that
+    /// skipped a record would differ from all others.
     pub fn apply(&mut self, offset: Offset, entry: &Entry) -> Effect {
         if offset <= self.offset {
             return Effect::Duplicate;
         }
+        if offset != self.offset.next() {
+            return Effect::Missing;
+        }
         self.offset = offset;
         // A late copy of an operator's change must not undo a change that followed the first copy.
         let effect = match self.archive.answer(entry.id) {
@@ -131,7 +139,12 @@
     fn change(&mut self, offset: Offset, entry: &Entry) -> Effect {
         match &entry.record {
             Record::Table { base, table } => self.replace_table(offset, entry.id, *base, table),
+            // A command refused as invalid would take effect by a second copy once a later table
+            // has its subject, so one that was written before the current table is refused.
             Record::DataCentre { name, state, after } => {
+                if self.table_offset > *after {
+                    return Effect::Conflict;
+                }
                 if !self.table.data_centres.contains_key(name) {
                     return Effect::Invalid;
                 }
@@ -141,6 +154,9 @@
                 set(&mut self.hosts, name, *state, *after, offset)
             }
             Record::Target { name, state, after } => {
+                if self.table_offset > *after {
+                    return Effect::Conflict;
+                }
                 if self.table.target(name).is_none() {
                     return Effect::Invalid;
                 }
