--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -1,6 +1,11 @@
 //! Fake of the platform's host list, with a list and faults that are set at run time.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::Instant,
+};
 
 use ntex::http::{Method, Request, Response, StatusCode};
 use ragwortrill_core::time::Span;
@@ -46,12 +51,21 @@
 impl Server {
     /// Starts a host list.
     pub fn start(list: Vec<Host>) -> io::Result<Self> {
+        Self::serve(server::listen()?, list)
+    }
+
+    /// Starts a host list on an address of the loopback interface.
+    pub fn start_at(address: SocketAddr, list: Vec<Host>) -> io::Result<Self> {
+        Self::serve(TcpListener::bind(address)?, list)
+    }
+
+    fn serve(listener: TcpListener, list: Vec<Host>) -> io::Result<Self> {
         let state = State {
             faults: Faults::default(),
             lists: vec![(Instant::now(), list)],
         };
         let site = Arc::new(Site(Watched::new(state)));
-        let server = server::Server::start(server::listen()?, site.clone())?;
+        let server = server::Server::start(listener, site.clone())?;
         Ok(Self { server, site })
     }
 
--- a/crates/standin/src/log/server.rs
+++ b/crates/standin/src/log/server.rs
@@ -1,6 +1,6 @@
 use std::{
     io,
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -29,8 +29,17 @@
 impl Server {
     /// Starts an empty log service.
     pub fn start() -> io::Result<Self> {
+        Self::serve(server::listen()?)
+    }
+
+    /// Starts an empty log service on an address of the loopback interface.
+    pub fn start_at(address: SocketAddr) -> io::Result<Self> {
+        Self::serve(TcpListener::bind(address)?)
+    }
+
+    fn serve(listener: TcpListener) -> io::Result<Self> {
         let site = Arc::new(Site(Watched::new(Store::default())));
-        let server = server::Server::start(server::listen()?, site.clone())?;
+        let server = server::Server::start(listener, site.clone())?;
         Ok(Self { server, site })
     }
 
--- a/crates/standin/src/target/server.rs
+++ b/crates/standin/src/target/server.rs
@@ -20,12 +20,25 @@
 impl Server {
     /// Starts a cold target.
     pub fn start(name: name::Target, settings: Settings) -> io::Result<Self> {
+        Self::serve(server::listen()?, name, settings)
+    }
+
+    /// Starts a cold target on an address of the loopback interface.
+    pub fn start_at(
+        address: SocketAddr,
+        name: name::Target,
+        settings: Settings,
+    ) -> io::Result<Self> {
+        Self::serve(TcpListener::bind(address)?, name, settings)
+    }
+
+    fn serve(listener: TcpListener, name: name::Target, settings: Settings) -> io::Result<Self> {
         let site = Arc::new(Site {
             name,
             state: Watched::new(State::new(settings)),
             owner: Mutex::new(None),
         });
-        let server = server::Server::start(server::listen()?, site.clone())?;
+        let server = server::Server::start(listener, site.clone())?;
         Ok(Self {
             address: server.address(),
             server: Some(server),
