--- a/crates/standin/src/log/server.rs
+++ b/crates/standin/src/log/server.rs
@@ -1,4 +1,9 @@
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::Duration,
+};
 
 use ragwortrill_core::number::Offset;
 use ragwortrill_platform::log::{Batch, Bounds, Query, Receipt, Row};
@@ -15,8 +20,17 @@
 impl Server {
     /// Starts an empty log service.
     pub fn start() -> io::Result<Self> {
+        Self::serve(server::listen()?)
+    }
+
+    /// Starts an empty log service on an address of the loopback interface.
+    pub fn start_at(address: SocketAddr) -> io::Result<Self> {
+        Self::serve(TcpListener::bind(address)?)
+    }
+
+    fn serve(listener: TcpListener) -> io::Result<Self> {
         let site = Arc::new(Site(Watched::new(Store::default())));
-        let server = server::Server::start(server::listen()?, site.clone())?;
+        let server = server::Server::start(listener, site.clone())?;
         Ok(Self { server, site })
     }
 
