Wake requests that wait for a connection to their target

The client's pool opens one connection to a host at a time and lets other requests wait. With the limit 0 (none), ntex 3.12 checks `acquired < limit` before it wakes a waiting request and so never wakes it. The stuck request also held up the move of its slice, so that other requests for the slice were refused after their deadline.

The limit is now the largest number in place of 0.

--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -27,6 +27,11 @@
 /// is not sent long after the check of the lease.
 const CONNECT_TIMEOUT: Millis = Millis(40);
 
+/// Limit of the client's pool. Admission bounds the requests, so the pool must not. With the limit
+/// 0, which stands for none, ntex 3.12 never wakes a request that waits while another one opens a
+/// connection.
+const CONNECTIONS: usize = usize::MAX;
+
 thread_local! {
     /// Clients of this thread. An ntex client belongs to its thread.
     static CLIENTS: RefCell<BTreeMap<SocketAddr, Client>> = const { RefCell::new(BTreeMap::new()) };
@@ -41,7 +46,7 @@
         .disable_redirects()
         .disable_timeout()
         .no_default_headers()
-        .connector::<Connector>(Connector::new().limit(0))
+        .connector::<Connector>(Connector::new().limit(CONNECTIONS))
         .build(SharedCfg::new("targets").add(io))
         .await
         .map_err(|_| Finish::Unsent { lapsed: false })?;
