Answer with the run unknown once a request's deadline has passed

A request whose target gave no answer kept its caller waiting without limit. The entry now answers 504 with the run `unknown` and the request's id 100 ms after the deadline. The 100 ms leave time to the node's own refusal, which states that the request did not run. A non-idempotent request runs on and its answer is kept; an idempotent one is dropped.

Seen with the demo: a caller that hung for minutes got its problem document after 10.1 s to 10.7 s with a deadline of 10 s (debug build on a machine with a load above 20).

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -6,6 +6,7 @@
         Payload, StatusCode,
         body::{Body, SizedStream},
     },
+    time::Millis,
     util::dyn_rc_error,
     web::{self, HttpRequest, HttpResponse, HttpResponseBuilder},
 };
@@ -35,6 +36,9 @@
 /// Longest deadline that a caller may ask for.
 const MAX_DEADLINE: Span = Span::from_secs(3_600);
 
+/// Time after the deadline that is left to a refusal that states that the request did not run.
+const REFUSAL_TIME: Span = Span::from_millis(100);
+
 /// Longest key or idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 1_024;
 
@@ -65,19 +69,34 @@
     response
 }
 
-/// Decides a request. A non-idempotent one runs to its end even if its caller goes away.
+/// Decides a request, and answers with a problem document once its deadline has passed.
+///
+/// A non-idempotent request runs to its end even if its caller goes away or the deadline passes;
+/// its answer is kept. An idempotent one is cancelled.
 async fn answer(shell: &Shell, mut request: Request, origin: Origin) -> HttpResponse {
     let id = request.head.request;
+    let left = origin.deadline.since(shell.clock.now()) + REFUSAL_TIME;
+    let limit = ntex::time::sleep(Millis(left.as_millis().min(u64::from(u32::MAX)) as u32));
     let decision = if request.head.idempotent {
-        drive::run(shell, &mut request, origin, async || ()).await
+        tokio::select! {
+            decision = drive::run(shell, &mut request, origin, async || ()) => Some(decision),
+            () = limit => None,
+        }
     } else {
-        let shell = shell.clone();
-        let run = async move { drive::run(&shell, &mut request, origin, async || ()).await };
-        match ntex::rt::spawn(run).await {
-            Ok(decision) => decision,
-            Err(_) => return HttpResponse::InternalServerError().finish(),
+        let owned = shell.clone();
+        let run = async move { drive::run(&owned, &mut request, origin, async || ()).await };
+        tokio::select! {
+            decision = ntex::rt::spawn(run) => match decision {
+                Ok(decision) => Some(decision),
+                Err(_) => return HttpResponse::InternalServerError().finish(),
+            },
+            () = limit => None,
         }
     };
+    let Some(decision) = decision else {
+        shell.metrics.refused("late-answer");
+        return Problem::late(id).response();
+    };
     match decision {
         Decision::Answered(answer) => respond(id, answer),
         Decision::Refused {
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -75,6 +75,19 @@
         }
     }
 
+    /// Describes a request whose deadline passed before its answer came.
+    pub(crate) fn late(request: request::Id) -> Self {
+        Self {
+            kind: format!("{TYPE}late-answer"),
+            title: "The deadline passed before the answer came",
+            status: StatusCode::GATEWAY_TIMEOUT.as_u16(),
+            detail: "the request may have run; repeat it with the same Idempotency-Key".to_owned(),
+            run: Run::Unknown,
+            request: Some(request),
+            retry_after: None,
+        }
+    }
+
     /// Creates the HTTP answer.
     pub(crate) fn response(&self) -> HttpResponse {
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
