Add the demo

It runs stand-ins and one daemon per data centre as threads, sends lookups, orders and downloads from six callers, drains a target and takes a data centre out and back. It fails if an order ran twice, a request ran at the wrong target, or an answer was cut. The first two are judged by what target stand-ins counted, against the log's state at the start of each run; the third by what callers received.

A test shows that each of the three makes it fail: a download that breaks off, an order sent to its target past the daemons, and a lookup sent to a target that does not own its key.

--- /dev/null
+++ b/crates/daemon/examples/demo/plan.rs
@@ -0,0 +1,80 @@
+//! What a run does, and when.
+
+use std::{fmt, time::Duration};
+
+use ragwortrill_core::record::{Record, State};
+
+use super::Fault;
+use crate::harness::{DATA_CENTRES, name};
+
+/// Describes a run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Number of daemons, spread over the data centres.
+    pub daemons: usize,
+    /// Misbehaviour that the results must show.
+    pub fault: Option<Fault>,
+    /// How long callers send requests.
+    pub length: Duration,
+    /// Seed of the callers' choices.
+    pub seed: u64,
+}
+
+/// State of a run under way.
+#[derive(Clone, Debug)]
+pub struct Progress {
+    /// The operator's change that was just made.
+    pub change: Option<String>,
+    /// Time since the start.
+    pub elapsed: Duration,
+    /// Requests sent so far.
+    pub requests: u64,
+}
+
+/// An operator's change.
+pub struct Change {
+    /// Time since the start.
+    pub at: Duration,
+    /// The record to write.
+    pub record: Record,
+}
+
+impl Plan {
+    /// Returns the operator's changes in order of time.
+    pub(super) fn changes(&self) -> Vec<Change> {
+        let target = |state| Record::Target {
+            name: name("lookup-0"),
+            state,
+        };
+        let data_centre = |state| Record::DataCentre {
+            name: name(DATA_CENTRES[1]),
+            state,
+        };
+        let change = |tenths, record| Change {
+            at: self.length * tenths / 10,
+            record,
+        };
+        vec![
+            change(1, target(State::Out)),
+            change(3, target(State::In)),
+            change(5, data_centre(State::Out)),
+            change(8, data_centre(State::In)),
+        ]
+    }
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let action = |state: &State| match state {
+            State::In => "returned",
+            State::Out => "out",
+        };
+        match &self.record {
+            Record::Target { name, state } => write!(f, "target {name} {}", action(state)),
+            Record::DataCentre { name, state } => {
+                write!(f, "data centre {name} {}", action(state))
+            }
+            record => write!(f, "{record:?}"),
+        }
+    }
+}
--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -4,6 +4,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -36,7 +37,7 @@
 /// A running system.
 pub struct System {
     /// The log service.
-    pub log: log::Server,
+    pub log: Arc<log::Server>,
     /// All targets by name.
     pub targets: BTreeMap<name::Target, target::Server>,
     /// Daemons; a lost one is `None`.
@@ -126,7 +127,7 @@
 
     /// Starts the system and applies its table.
     pub fn start(self) -> System {
-        let log = log::Server::start().expect("the log stand-in starts");
+        let log = Arc::new(log::Server::start().expect("the log stand-in starts"));
         let mut targets = BTreeMap::new();
         let mut table = table::Table::default();
         for data_centre in DATA_CENTRES {
@@ -262,11 +263,15 @@
     }
 
     fn new(method: Method, service: &str, path: &str, key: &str) -> Self {
-        let key = ("ragwortrill-key".to_owned(), key.to_owned());
+        Self::direct(method, &format!("/s/{service}{path}")).header("ragwortrill-key", key)
+    }
+
+    /// Describes a request that names neither service nor key.
+    pub fn direct(method: Method, path: &str) -> Self {
         Self {
             method,
-            path: format!("/s/{service}{path}"),
-            headers: vec![key],
+            path: path.to_owned(),
+            headers: Vec::new(),
             body: Bytes::new(),
         }
     }
@@ -278,15 +283,24 @@
     }
 }
 
-/// Sends a request to an address and reads the whole answer.
+/// Sends a request to an address on a new connection and reads the whole answer.
 pub async fn send(address: SocketAddr, call: &Call) -> Reply {
-    let client = Client::builder()
+    send_by(&client().await, address, call).await
+}
+
+/// Creates a caller's client, which keeps its connections.
+pub async fn client() -> Client {
+    Client::builder()
         .disable_timeout()
         .response_payload_limit(usize::MAX)
         .response_payload_timeout(Millis::ZERO)
         .build(ntex::SharedCfg::new("caller"))
         .await
-        .expect("a client without TLS can be built");
+        .expect("a client without TLS can be built")
+}
+
+/// Sends a request to an address by a client and reads the whole answer.
+pub async fn send_by(client: &Client, address: SocketAddr, call: &Call) -> Reply {
     let mut request = client.request(
         call.method.clone(),
         format!("http://{address}{}", call.path),
--- a/crates/standin/src/log/server.rs
+++ b/crates/standin/src/log/server.rs
@@ -59,8 +59,13 @@
 
     /// Returns the retained records, regardless of faults.
     pub fn rows(&self) -> Vec<Row> {
+        self.rows_from(Offset(0))
+    }
+
+    /// Returns the retained records from an offset on, as many as fit into an answer.
+    pub fn rows_from(&self, from: Offset) -> Vec<Row> {
         let query = Query {
-            from: Offset(0),
+            from,
             max: u32::MAX,
             wait_ms: 0,
         };
