Refuse as unknown what may have run before

Cause: an idempotent request whose connection broke, or whose link to the holder broke, waited for another attempt; when its deadline passed first it was refused as not run, although the first attempt may have run. Change: a held request notes that an attempt may have run; a refusal as not run becomes 'the connection broke', whose outcome is unknown.

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -70,6 +70,8 @@
     pub(crate) phase: Phase,
     /// The intent in the log, once the request is registered and until it is sent.
     pub(crate) intent: Option<Intent>,
+    /// True if it may have run: it was sent, and how that ended is not known.
+    pub(crate) sent: bool,
 }
 
 /// A registration of a request in the log.
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -13,7 +13,7 @@
     number::Offset,
     quarantine::Standing,
     record::{Entry, Record},
-    request::{self, Refusal},
+    request::{self, Refusal, Run},
     retry::Budget,
     table,
     time::{Instant, Span},
@@ -34,6 +34,7 @@
             arrival,
             phase,
             intent: None,
+            sent: false,
         };
         self.tickets.insert(ticket, held);
         self.route(now, ticket, actions);
@@ -502,6 +503,7 @@
                 // It was sent, so that its intent must stay.
                 if let Some(held) = self.tickets.get_mut(&ticket) {
                     held.intent = None;
+                    held.sent = true;
                 }
                 self.suspend(now, ticket, target, actions);
             }
@@ -584,7 +586,12 @@
                 self.route(now, ticket, actions);
             }
             Finish::Refused { refusal, .. } => self.refuse(ticket, refusal, None, actions),
-            _ => self.wait_again(ticket),
+            result => {
+                if let Some(held) = self.tickets.get_mut(&ticket) {
+                    held.sent |= !matches!(result, Finish::Unsent { .. });
+                }
+                self.wait_again(ticket);
+            }
         }
     }
 
@@ -677,6 +684,12 @@
         actions: &mut Vec<Action>,
     ) {
         let held = self.close(ticket);
+        let may_have_run = held.as_ref().is_some_and(|held| held.sent);
+        // An earlier attempt may have run, which a refusal as not run would deny.
+        let refusal = match refusal.run() {
+            Run::NotRun if may_have_run => Refusal::Broken,
+            _ => refusal,
+        };
         let unsent = held.filter(|held| !matches!(held.phase, Phase::Running(_, _)));
         if let Some(held) = unsent
             && let Some(intent) = held.intent
