Explore longer rows of claims and releases in the model

Cause: 12 steps were too few for three claims followed by their waits. Change: four ticks instead of six and 15, 14 and 18 steps for the three long histories.

--- a/crates/core/tests/model/configuration.rs
+++ b/crates/core/tests/model/configuration.rs
@@ -150,14 +150,14 @@
         name: "claims in a row",
         outsider: true,
         claimers: &[1, 2],
-        ticks: 6,
-        depth: 12,
+        ticks: 4,
+        depth: 15,
         left: Left { claims: 3, ..NONE },
         ..BASE
     };
     let releases = Bounds {
         name: "releases in a row",
-        ticks: 4,
+        depth: 14,
         left: Left {
             claims: 3,
             releases: 2,
@@ -170,7 +170,8 @@
         name: "no standbys",
         candidates: 1,
         claimers: &[0, 1],
-        depth: 14,
+        ticks: 6,
+        depth: 18,
         rates: ALL_RATES,
         ..outsider.clone()
     };
