--- a/crates/cli/src/submit.rs
+++ b/crates/cli/src/submit.rs
@@ -86,6 +86,10 @@
             "the state changed in the meantime",
             "run 'ragwortrill status' and decide again",
         )),
+        Effect::Missing => Err(Error::refused(
+            "the daemon has not read the records before the change",
+            "run 'ragwortrill status', and ask a daemon that reads the log",
+        )),
         Effect::Invalid => Err(Error::refused(
             "the change names something that does not exist or isn't allowed",
             "run 'ragwortrill table show' and correct the name",
--- a/crates/daemon/examples/demo/plan.rs
+++ b/crates/daemon/examples/demo/plan.rs
@@ -45,10 +45,12 @@
         let target = |state| Record::Target {
             name: name("lookup-0"),
             state,
+            after: Default::default(),
         };
         let data_centre = |state| Record::DataCentre {
             name: name(DATA_CENTRES[1]),
             state,
+            after: Default::default(),
         };
         let change = |tenths, record| Change {
             at: self.length * tenths / 10,
@@ -70,8 +72,8 @@
             State::Out => "out",
         };
         match &self.record {
-            Record::Target { name, state } => write!(f, "target {name} {}", action(state)),
-            Record::DataCentre { name, state } => {
+            Record::Target { name, state, .. } => write!(f, "target {name} {}", action(state)),
+            Record::DataCentre { name, state, .. } => {
                 write!(f, "data centre {name} {}", action(state))
             }
             record => write!(f, "{record:?}"),
--- a/crates/daemon/src/operators/change.rs
+++ b/crates/daemon/src/operators/change.rs
@@ -206,7 +206,7 @@
             let conflict = look(desk, |node| Ok(node.conflict())).await?;
             return Err(Refusal::Conflict(Box::new(conflict)));
         }
-        Effect::Conflict | Effect::Invalid => {
+        Effect::Conflict | Effect::Invalid | Effect::Missing => {
             return Err(Refusal::Invalid {
                 title: "the state changed before the change took effect".to_owned(),
                 remedy: "run 'ragwortrill status' and decide again".to_owned(),
