Deliver whole answers, visibly broken ones, or the rest of a download

Five faults shown by the new tests of the daemon's answers:

- After a body that broke off, ntex writes an error page of 188 bytes into the same answer, which could complete an announced length.
The entry and the target stand-in now close the connection first.
- A body shorter than its announced length ended without an error.
It is now broken, except for HEAD, 204 and 304.
- A caller that left during an answer was not noticed while the body had no part: ntex looks at the connection only between parts, and a holder looked at its link only between parts.
Both now wait for either.
The holder cancels idempotent work at the target; the answer of other work is read to its end and kept.
- A download with a strong ETag that broke off stayed broken.
The entry now asks the key's present owner for the rest by Range and If-Range, at most 3 times, and breaks the answer if the validator has changed.
- Each thread kept any number of connections to a target.
A thread now keeps (connections - 2 * slots - 4) / threads of them and closes the others with their request.
Since admission bounds the running requests by the slots, all threads together stay below the target's limit.

The stand-in now announces the length of a download asked for by HEAD.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -6,6 +6,7 @@
         Payload, StatusCode,
         body::{Body, SizedStream},
     },
+    io::IoRef,
     time::Millis,
     util::dyn_rc_error,
     web::{self, HttpRequest, HttpResponse, HttpResponseBuilder},
@@ -26,6 +27,7 @@
     drive::{self, Decision, Origin},
     exchange::{Answer, Error, Request, read_prefix},
     problem::{self, Problem},
+    resume::Template,
     shell::Shell,
     target::is_end_to_end,
 };
@@ -50,6 +52,7 @@
 ) -> HttpResponse {
     let shell: Shell = (*shell).clone();
     let arrived = shell.clock.now();
+    let io = request.io().cloned();
     let response = match parse(&shell, &request, payload).await {
         Ok((request, deadline)) => {
             let origin = Origin {
@@ -57,7 +60,7 @@
                 forwarded: false,
                 known: Offset::default(),
             };
-            answer(&shell, request, origin).await
+            answer(&shell, request, origin, &io).await
         }
         Err(problem) => {
             shell.metrics.refused("malformed");
@@ -73,9 +76,16 @@
 ///
 /// A non-idempotent request runs to its end even if its caller goes away or the deadline passes;
 /// its answer is kept. An idempotent one is cancelled.
-async fn answer(shell: &Shell, mut request: Request, origin: Origin) -> HttpResponse {
+async fn answer(
+    shell: &Shell,
+    mut request: Request,
+    origin: Origin,
+    io: &Option<IoRef>,
+) -> HttpResponse {
     let id = request.head.request;
-    let left = origin.deadline.since(shell.clock.now()) + REFUSAL_TIME;
+    let span = origin.deadline.since(shell.clock.now());
+    let template = Template::new(shell, &request, span);
+    let left = span + REFUSAL_TIME;
     let limit = ntex::time::sleep(Millis(left.as_millis().min(u64::from(u32::MAX)) as u32));
     let decision = if request.head.idempotent {
         tokio::select! {
@@ -98,7 +108,10 @@
         return Problem::late(id).response();
     };
     match decision {
-        Decision::Answered(answer) => respond(id, answer),
+        Decision::Answered(mut answer) => {
+            template.into_iter().for_each(|t| t.follow(&mut answer));
+            respond(id, answer, io.clone())
+        }
         Decision::Refused {
             refusal,
             retry_after,
@@ -117,14 +130,29 @@
     }
 }
 
-fn respond(id: Id, answer: Answer) -> HttpResponse {
+fn respond(id: Id, answer: Answer, io: Option<IoRef>) -> HttpResponse {
     let mut response = builder(id, answer.status, &answer.headers);
+    // ntex looks at the connection only when the body has a part, which may take long.
+    let gone = Box::pin(disconnection(io.clone()));
+    let parts = answer.body.take_until(gone).inspect(move |part| {
+        if let (Err(_), Some(io)) = (part, &io) {
+            // ntex would write an error page after the body, which could complete its length.
+            io.terminate();
+        }
+    });
     match answer.length {
         Some(length) => {
-            let parts = answer.body.map(|part| part.map_err(dyn_rc_error::<Error>));
+            let parts = parts.map(|part| part.map_err(dyn_rc_error::<Error>));
             response.body(Body::from_message(SizedStream::new(length, parts)))
         }
-        None => response.streaming(answer.body),
+        None => response.streaming(parts),
+    }
+}
+
+async fn disconnection(io: Option<IoRef>) {
+    match io {
+        Some(io) => io.on_disconnect().await,
+        None => std::future::pending().await,
     }
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -95,6 +95,7 @@
             incarnation: incarnation(),
         };
         let (inbox, events) = crossbeam_channel::bounded(INBOX);
+        let (probe_sender, probe_receiver) = mpsc::channel(RING);
         let shell = Shell {
             clock: Clock::start(),
             inbox: inbox.clone(),
@@ -104,6 +105,9 @@
             metrics: Arc::new(Metrics::new()?),
             process: process.clone(),
             published: Arc::default(),
+            checks: probe_sender.downgrade(),
+            // The callers' workers, and the thread of the links.
+            senders: settings.workers + 1,
         };
         let node = Node::new(Config {
             process: process.clone(),
@@ -115,7 +119,6 @@
         let (exit_sender, exit) = crossbeam_channel::bounded(1);
         let (log_sender, log_receiver) = mpsc::channel(RING);
         let (peer_sender, peer_receiver) = mpsc::channel(RING);
-        let (probe_sender, probe_receiver) = mpsc::channel(RING);
         let unready = ready.clone();
         let outlets = Outlets {
             log: Outlet::new(log_sender),
--- a/crates/daemon/src/decide.rs
+++ b/crates/daemon/src/decide.rs
@@ -9,6 +9,7 @@
     name,
     node::Node,
     record::Entry,
+    request,
     time::Span,
 };
 use tokio::sync::mpsc;
@@ -21,13 +22,20 @@
 /// Interval between ticks of the node.
 const TICK: Span = Span::from_millis(20);
 
-/// Order to the thread that probes targets.
+/// Order to the thread that uses the control side of targets.
 #[derive(Debug)]
 pub(crate) struct Check {
     pub(crate) target: name::Target,
     pub(crate) address: std::net::SocketAddr,
-    /// The grant to send, or `None` for a probe.
-    pub(crate) grant: Option<Grant>,
+    pub(crate) task: Task,
+}
+
+/// What the control side of a target is used for.
+#[derive(Debug)]
+pub(crate) enum Task {
+    Cancel(request::Id),
+    Grant(Grant),
+    Probe,
 }
 
 /// Rings from the deciding thread to the others.
@@ -114,7 +122,7 @@
             Action::Probe { target, address } => self.probes.push(Check {
                 target,
                 address,
-                grant: None,
+                task: Task::Probe,
             }),
             Action::Grant {
                 target,
@@ -123,7 +131,7 @@
             } => self.probes.push(Check {
                 target,
                 address,
-                grant: Some(grant),
+                task: Task::Grant(grant),
             }),
             Action::Start(start) => {
                 shell.registry.order(start.ticket, Order::Start(start));
--- a/crates/daemon/src/drive.rs
+++ b/crates/daemon/src/drive.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     answers::Kept,
-    exchange::{Answer, Passage, Request},
+    exchange::{Answer, Passage, Request, run_on},
     forward,
     registry::Order,
     shell::Shell,
@@ -157,22 +157,12 @@
         self.shell.registry.close(self.ticket);
     }
 
-    fn answered(&mut self, request: &Request, answer: Answer, local: bool) -> Decision {
+    fn answered(&mut self, request: &Request, mut answer: Answer, local: bool) -> Decision {
         self.done = true;
         let keep = local && !request.head.idempotent;
-        let id = request.head.request;
-        let passage = Passage::new(self.shell, self.ticket, id, &answer, keep);
-        let Answer {
-            status,
-            headers,
-            length,
-            body,
-        } = answer;
-        Decision::Answered(Answer {
-            status,
-            headers,
-            length,
-            body: passage.follow(body),
-        })
+        let passage = Passage::new(self.shell, self.ticket, request, &mut answer, keep);
+        let body = passage.follow(answer.body);
+        answer.body = if keep { run_on(body) } else { body };
+        Decision::Answered(answer)
     }
 }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{pin::Pin, task::Context, task::Poll};
 
-use futures_util::Stream;
+use futures_util::{Stream, StreamExt, stream};
 use ntex::{http::Payload, util::Bytes};
 use ragwortrill_core::{
     event::{Event, Finish, Head, Ticket},
@@ -10,15 +10,20 @@
     time::Instant,
 };
 use ragwortrill_wire::Header;
+use tokio::sync::mpsc;
 
 use crate::{
     answers::{Kept, MAX_BODY_BYTES},
     shell::Shell,
+    target::Running,
 };
 
 /// Largest first part of a request's body, kept so that the request can be sent again, in bytes.
 pub(crate) const PREFIX_BYTES: usize = 16 * 1024;
 
+/// Parts of a body that wait for a caller while the body is read to its end.
+const RUN_ON_PARTS: usize = 4;
+
 /// Reason why a body ended early.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub(crate) enum Error {
@@ -57,6 +62,8 @@
     pub(crate) headers: Vec<Header>,
     pub(crate) length: Option<u64>,
     pub(crate) body: Parts,
+    /// The request at its target, if this process sent it there.
+    pub(crate) running: Option<Running>,
 }
 
 /// Reads the first part of a body, so that small requests can be sent again.
@@ -81,6 +88,7 @@
     /// Bytes of the body that are still to come, if the answer said how many there are.
     missing: Option<u64>,
     kept: Option<Kept>,
+    running: Option<Running>,
     done: bool,
 }
 
@@ -89,16 +97,18 @@
     pub(crate) fn new(
         shell: &Shell,
         ticket: Ticket,
-        request: request::Id,
-        answer: &Answer,
+        request: &Request,
+        answer: &mut Answer,
         keep: bool,
     ) -> Self {
+        let has_body = request.method != "HEAD" && !matches!(answer.status, 204 | 304);
         Self {
             shell: shell.clone(),
             ticket,
-            request,
+            request: request.head.request,
             status: answer.status,
-            missing: answer.length,
+            missing: if has_body { answer.length } else { Some(0) },
+            running: answer.running.take(),
             kept: keep.then(|| Kept {
                 headers: answer.headers.clone(),
                 body: Some(Vec::new()),
@@ -115,6 +125,11 @@
         })
     }
 
+    /// Tells whether the body has ended before its announced length.
+    fn is_short(&self) -> bool {
+        !self.done && self.missing.is_some_and(|missing| missing > 0)
+    }
+
     fn see(&mut self, bytes: &Bytes) {
         self.keep(bytes);
         if let Some(missing) = self.missing.as_mut() {
@@ -148,6 +163,7 @@
         if result == Finish::Cut(self.status) {
             self.forget_body();
         }
+        self.running.take().into_iter().for_each(Running::finish);
         if let Some(kept) = self.kept.take() {
             self.shell.answers.keep(self.request, kept);
         }
@@ -163,6 +179,10 @@
     fn drop(&mut self) {
         // A body that is known to be empty is never polled.
         let whole = self.missing == Some(0);
+        if !whole && !self.done {
+            // The caller left. An idempotent request is cancelled at its target.
+            drop(self.running.take());
+        }
         self.end(match whole {
             true => Finish::Answered(self.status),
             false => Finish::Cut(self.status),
@@ -184,6 +204,10 @@
         match &next {
             Poll::Ready(Some(Ok(bytes))) => self.passage.see(bytes),
             Poll::Ready(Some(Err(_))) => self.passage.end(Finish::Cut(status)),
+            Poll::Ready(None) if self.passage.is_short() => {
+                self.passage.end(Finish::Cut(status));
+                return Poll::Ready(Some(Err(Error::Broken)));
+            }
             Poll::Ready(None) => self.passage.end(Finish::Answered(status)),
             Poll::Pending => {}
         }
@@ -191,6 +215,22 @@
     }
 }
 
+/// Reads a body to its end even if nobody takes its parts any more.
+pub(crate) fn run_on(mut body: Parts) -> Parts {
+    let (sender, receiver) = mpsc::channel(RUN_ON_PARTS);
+    ntex::rt::spawn(async move {
+        let mut open = true;
+        while let Some(part) = body.next().await {
+            if open {
+                open = sender.send(part).await.is_ok();
+            }
+        }
+    });
+    Box::pin(stream::unfold(receiver, async |mut receiver| {
+        receiver.recv().await.map(|part| (part, receiver))
+    }))
+}
+
 /// Returns the time left until a deadline, in milliseconds and at least 1.
 pub(crate) fn remaining_ms(now: Instant, deadline: Instant) -> u64 {
     deadline.since(now).as_millis().max(1)
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -158,6 +158,7 @@
             headers,
             length,
             body: Box::pin(stream::unfold(Some(self), next_part)),
+            running: None,
         }
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod problem;
 mod recent;
 mod registry;
+mod resume;
 mod run;
 mod serve;
 mod settings;
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -2,11 +2,18 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use ragwortrill_core::{event::Event, time::Span};
+use ragwortrill_core::{
+    event::{self, Event},
+    name, request,
+    time::Span,
+};
 use ragwortrill_platform::target::{Client, Grant};
 use tokio::sync::mpsc;
 
-use crate::{decide::Check, shell::Shell};
+use crate::{
+    decide::{Check, Task},
+    shell::Shell,
+};
 
 /// Time allowed for a probe or a grant. A target answers a probe in about 6 ms.
 const TIMEOUT: Span = Span::from_millis(250);
@@ -25,42 +32,45 @@
         };
         let shell = shell.clone();
         ntex::rt::spawn(async move {
-            let event = match check.grant {
-                Some(_) => grant(check, &client).await,
-                None => probe(check, &client).await,
-            };
-            shell.event(event);
+            match check.task {
+                Task::Cancel(request) => cancel(&check, request, &client).await,
+                Task::Grant(order) => shell.event(grant(check.target, order, &client).await),
+                Task::Probe => shell.event(probe(check.target, &client).await),
+            }
         });
     }
 }
 
-async fn probe(check: Check, client: &Client) -> Event {
+/// Cancels a request whose caller has left. The target may have ended it already.
+async fn cancel(check: &Check, request: request::Id, client: &Client) {
+    if let Err(error) = client.cancel(request).await {
+        log::debug!(target_name = check.target.as_str(); "cancellation failed: {error}");
+    }
+}
+
+async fn probe(target: name::Target, client: &Client) -> Event {
     let load = client.load().await;
     if let Err(error) = &load {
-        log::debug!(target_name = check.target.as_str(); "probe failed: {error}");
+        log::debug!(target_name = target.as_str(); "probe failed: {error}");
     }
     Event::Probed {
-        target: check.target,
+        target,
         answer: load.ok().map(|load| load.start_id),
     }
 }
 
-async fn grant(check: Check, client: &Client) -> Event {
-    let grant = check.grant.map(|grant| Grant {
-        epoch: grant.epoch,
-        ttl_ms: grant.life.as_millis(),
-    });
-    let epoch = grant.map(|grant| grant.epoch).unwrap_or_default();
-    let result = match grant {
-        Some(grant) => client.grant(grant).await.map_err(|error| error.to_string()),
-        None => Err("there is no grant to send".to_owned()),
+async fn grant(target: name::Target, order: event::Grant, client: &Client) -> Event {
+    let grant = Grant {
+        epoch: order.epoch,
+        ttl_ms: order.life.as_millis(),
     };
+    let result = client.grant(grant).await;
     if let Err(error) = &result {
-        log::debug!(target_name = check.target.as_str(); "grant failed: {error}");
+        log::debug!(target_name = target.as_str(); "grant failed: {error}");
     }
     Event::Granted {
-        target: check.target,
-        epoch,
+        target,
+        epoch: order.epoch,
         accepted: result.is_ok(),
     }
 }
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -183,7 +183,19 @@
         if !open {
             return;
         }
-        match answer.body.next().await {
+        let part = tokio::select! {
+            // A held part must not hide that the caller has left.
+            frame = frames.recv() => {
+                match frame {
+                    Some(Frame::Credit { bytes, .. }) => credit += i64::from(bytes),
+                    Some(Frame::Abort { .. }) | None => open = false,
+                    Some(_) => {}
+                }
+                continue;
+            }
+            part = answer.body.next() => part,
+        };
+        match part {
             Some(Ok(bytes)) => {
                 credit -= bytes.len() as i64;
                 open = send_chunks(link, stream, &bytes, false).await;
@@ -198,13 +210,6 @@
                 return;
             }
         }
-        while let Ok(frame) = frames.try_recv() {
-            match frame {
-                Frame::Credit { bytes, .. } => credit += i64::from(bytes),
-                Frame::Abort { .. } => open = false,
-                _ => {}
-            }
-        }
     }
 }
 
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -11,7 +11,11 @@
 use crossbeam_channel::{Sender, TrySendError};
 use ragwortrill_core::{event::Event, node::Node, number::Offset, process::Process, table::Table};
 
-use crate::{answers::Answers, clock::Clock, link::Link, metrics::Metrics, registry::Registry};
+use tokio::sync::mpsc;
+
+use crate::{
+    answers::Answers, clock::Clock, decide::Check, link::Link, metrics::Metrics, registry::Registry,
+};
 
 /// Capacity of the ring to the thread that decides.
 pub(crate) const INBOX: usize = 16_384;
@@ -37,6 +41,10 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) process: Process,
     pub(crate) published: Arc<Published>,
+    /// Ring to the control side of targets. The deciding thread keeps it open.
+    pub(crate) checks: mpsc::WeakSender<Check>,
+    /// Number of threads that send requests to targets.
+    pub(crate) senders: usize,
 }
 
 /// State that the deciding thread publishes for the others.
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -1,6 +1,11 @@
 //! Requests sent to targets.
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use futures_util::{StreamExt, stream};
 use ntex::{
@@ -17,8 +22,10 @@
 use ragwortrill_core::{action::Start, event::Finish};
 use ragwortrill_platform::{headers, target};
 use ragwortrill_wire::Header;
+use tokio::sync::mpsc;
 
 use crate::{
+    decide::{Check, Task},
     exchange::{Answer, Error, Parts, Request, remaining_ms},
     shell::Shell,
 };
@@ -32,14 +39,80 @@
 /// connection.
 const CONNECTIONS: usize = usize::MAX;
 
+/// Connections to a target that the control side may use.
+const CONTROL_CONNECTIONS: usize = 4;
+
 thread_local! {
     /// Clients of this thread. An ntex client belongs to its thread.
-    static CLIENTS: RefCell<BTreeMap<SocketAddr, Client>> = const { RefCell::new(BTreeMap::new()) };
+    static POOLS: RefCell<BTreeMap<SocketAddr, Rc<Pool>>> = const { RefCell::new(BTreeMap::new()) };
+}
+
+/// Connections of this thread to a target.
+struct Pool {
+    client: Client,
+    /// Requests of this thread that the target runs.
+    running: Cell<usize>,
+}
+
+/// A request that was sent to its target. Dropped before `finish`, it is cancelled there.
+pub(crate) struct Running {
+    pool: Rc<Pool>,
+    checks: mpsc::WeakSender<Check>,
+    /// The cancellation, if the request may be cancelled.
+    cancellation: Option<Check>,
 }
 
-async fn client(address: SocketAddr) -> Result<Client, Finish> {
-    if let Some(client) = CLIENTS.with_borrow(|clients| clients.get(&address).cloned()) {
-        return Ok(client);
+impl Running {
+    fn new(shell: &Shell, start: &Start, request: &Request, pool: Rc<Pool>) -> Self {
+        pool.running.set(pool.running.get() + 1);
+        Self {
+            pool,
+            checks: shell.checks.clone(),
+            cancellation: request.head.idempotent.then(|| Check {
+                target: start.target.clone(),
+                address: start.address,
+                task: Task::Cancel(request.head.request),
+            }),
+        }
+    }
+
+    /// Notes that the target has ended the request.
+    pub(crate) fn finish(mut self) {
+        self.cancellation = None;
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.pool.running.set(self.pool.running.get() - 1);
+        if let Some(check) = self.cancellation.take()
+            && let Some(checks) = self.checks.upgrade()
+            && checks.try_send(check).is_err()
+        {
+            log::debug!("a cancellation is dropped: the ring is full");
+        }
+    }
+}
+
+/// Returns how many connections to a target this thread may keep open between requests.
+///
+/// Admission bounds the running requests of all threads by the slots. A thread opens a connection
+/// that it keeps only while fewer than this number of its requests run, so it never has more of
+/// them. The other connections are closed with their request. Together there are thus at most
+/// `senders * kept + slots`, and once more the slots for connections that are being closed.
+fn kept(shell: &Shell, request: &Request) -> usize {
+    let table = shell.table();
+    let row = table.services.get(&request.head.service);
+    let left = row.map_or(0, |row| {
+        let used = 2 * row.slots as usize + CONTROL_CONNECTIONS;
+        (row.connections as usize).saturating_sub(used)
+    });
+    left / shell.senders
+}
+
+async fn pool(address: SocketAddr) -> Result<Rc<Pool>, Finish> {
+    if let Some(pool) = POOLS.with_borrow(|pools| pools.get(&address).cloned()) {
+        return Ok(pool);
     }
     let io = IoConfig::new().set_connect_timeout(CONNECT_TIMEOUT);
     let client = Client::builder()
@@ -50,8 +123,12 @@
         .build(SharedCfg::new("targets").add(io))
         .await
         .map_err(|_| Finish::Unsent { lapsed: false })?;
-    CLIENTS.with_borrow_mut(|clients| clients.insert(address, client.clone()));
-    Ok(client)
+    let pool = Rc::new(Pool {
+        client,
+        running: Cell::new(0),
+    });
+    // Another request may have created a pool while this one waited.
+    Ok(POOLS.with_borrow_mut(|pools| pools.entry(address).or_insert(pool).clone()))
 }
 
 /// Sends a request to its target and returns the head of the answer.
@@ -60,12 +137,13 @@
     start: &Start,
     request: &mut Request,
 ) -> Result<Answer, Finish> {
-    let client = client(start.address).await?;
+    let pool = pool(start.address).await?;
     let method = Method::from_bytes(request.method.as_bytes());
     let method = method.map_err(|_| Finish::Unsent { lapsed: false })?;
     let url = format!("http://{}{}", start.address, request.path);
     let now = shell.clock.now();
-    let mut call = client
+    let mut call = pool
+        .client
         .request(method, url)
         .address(start.address)
         .no_decompress()
@@ -78,10 +156,14 @@
     for header in &request.headers {
         call = call.header(header.name.as_str(), header.value.as_slice());
     }
+    if pool.running.get() >= kept(shell, request) {
+        call = call.force_close();
+    }
     // The last check before the send: the lease may have ended since the decision.
     if shell.clock.now() >= start.until {
         return Err(Finish::Unsent { lapsed: true });
     }
+    let running = Running::new(shell, start, request, pool);
     let sent = if request.more {
         let rest = request.rest.take().ok_or(Finish::Broken)?;
         let prefix = stream::iter([Ok::<Bytes, Error>(request.prefix.clone())]);
@@ -91,7 +173,13 @@
     } else {
         call.send_body(request.prefix.clone()).await
     };
-    sent.map(answer).map_err(|error| failure(&error))
+    match sent {
+        Ok(response) => Ok(answer(response, running)),
+        Err(error) => {
+            running.finish();
+            Err(failure(&error))
+        }
+    }
 }
 
 /// Tells whether a failed request may have reached its target.
@@ -106,7 +194,7 @@
     }
 }
 
-fn answer(response: ClientResponse) -> Answer {
+fn answer(response: ClientResponse, running: Running) -> Answer {
     let headers: Vec<Header> = response
         .headers()
         .iter()
@@ -128,6 +216,7 @@
         headers,
         length,
         body,
+        running: Some(running),
     }
 }
 
--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -10,6 +10,7 @@
 
 use ntex::{client::Client, http::Method, time::Millis, util::Bytes};
 use ragwortrill_core::{
+    ledger::Ledger,
     name,
     number::Version,
     record::{self, Entry, Record},
@@ -32,6 +33,7 @@
     daemons: usize,
     services: BTreeMap<name::Service, (table::Service, usize)>,
     target: target::Settings,
+    workers: usize,
 }
 
 /// A running system.
@@ -44,6 +46,7 @@
     pub daemons: Vec<Option<Daemon>>,
     /// The table that was applied.
     pub table: table::Table,
+    workers: usize,
     entries: u128,
 }
 
@@ -104,9 +107,16 @@
             daemons: 3,
             services: BTreeMap::new(),
             target: target::Settings::default(),
+            workers: 1,
         }
     }
 
+    /// Sets the number of threads of each daemon that serve callers.
+    pub fn workers(mut self, count: usize) -> Self {
+        self.workers = count;
+        self
+    }
+
     /// Sets the number of daemons.
     pub fn daemons(mut self, count: usize) -> Self {
         self.daemons = count;
@@ -157,6 +167,7 @@
             targets,
             daemons: Vec::new(),
             table: table.clone(),
+            workers: self.workers,
             entries: 0,
         };
         let base = Version(0);
@@ -181,7 +192,7 @@
             log: self.log.address(),
             secret: "a secret for tests".to_owned(),
             operator_token: "a token for tests".to_owned(),
-            workers: 1,
+            workers: self.workers,
             drain_limit: Span::from_secs(10),
             times: Default::default(),
         };
@@ -210,6 +221,19 @@
         daemon.addresses().callers
     }
 
+    /// Number of the daemon that holds a target, by the log.
+    pub fn holder(&self, target: &name::Target) -> usize {
+        let mut ledger = Ledger::default();
+        for row in self.log.rows() {
+            ledger.apply(row.offset, &row.entry().expect("the log has valid entries"));
+        }
+        let contract = ledger.contracts().get(target).expect("the target is held");
+        let number = contract.holder.host.as_str().strip_prefix("host-");
+        number
+            .and_then(|number| number.parse().ok())
+            .expect("hosts are numbered")
+    }
+
     /// Ends a daemon at once, as if its host had failed.
     pub fn lose(&mut self, daemon: usize) {
         if let Some(daemon) = self.daemons[daemon].take() {
@@ -255,6 +279,11 @@
         Self::new(Method::GET, service, path, key)
     }
 
+    /// Describes a HEAD request for a key.
+    pub fn head_of(service: &str, path: &str, key: &str) -> Self {
+        Self::new(Method::HEAD, service, path, key)
+    }
+
     /// Describes a POST request for a key.
     pub fn post(service: &str, path: &str, key: &str, body: impl Into<Bytes>) -> Self {
         let mut call = Self::new(Method::POST, service, path, key);
@@ -276,6 +305,14 @@
         }
     }
 
+    /// Writes the request as text without a body.
+    pub fn head(&self) -> String {
+        let headers = self.headers.iter();
+        let headers: String = headers.map(|(n, v)| format!("{n}: {v}\r\n")).collect();
+        let Self { method, path, .. } = self;
+        format!("{method} {path} HTTP/1.1\r\nhost: test\r\ncontent-length: 0\r\n{headers}\r\n")
+    }
+
     /// Adds a header.
     pub fn header(mut self, name: &str, value: &str) -> Self {
         self.headers.push((name.to_owned(), value.to_owned()));
@@ -283,6 +320,18 @@
     }
 }
 
+/// Sends a request without a body and leaves once a condition holds.
+pub async fn send_and_leave(address: SocketAddr, call: &Call, condition: impl Future) {
+    let mut socket = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("the daemon accepts connections");
+    let head = call.head();
+    tokio::io::AsyncWriteExt::write_all(&mut socket, head.as_bytes())
+        .await
+        .expect("the daemon reads the request");
+    condition.await;
+}
+
 /// Sends a request to an address on a new connection and reads the whole answer.
 pub async fn send(address: SocketAddr, call: &Call) -> Reply {
     send_by(&client().await, address, call).await
--- a/crates/standin/src/target/stream.rs
+++ b/crates/standin/src/target/stream.rs
@@ -1,4 +1,4 @@
-use std::{error::Error, io, rc::Rc, sync::Arc};
+use std::{error::Error, io, rc::Rc, sync::Arc, time::Duration};
 
 use futures_util::stream;
 use ntex::{
@@ -31,6 +31,9 @@
     (offset.wrapping_mul(31).wrapping_add(content) % 251) as u8
 }
 
+/// Time for which a broken download waits, so that its last bytes are sent.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
+
 /// Part of a resource, from `start` up to but not including `end`.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Extent {
@@ -48,6 +51,7 @@
     chunk: u64,
     interval: Span,
     break_at: Option<u64>,
+    io: Option<ntex::io::IoRef>,
 }
 
 type Piece = Result<Bytes, Rc<dyn Error>>;
@@ -104,7 +108,9 @@
     }
     let length = download.rest.end - download.rest.start;
     if request.method() == Method::HEAD {
-        return response.content_length(length).finish();
+        // An empty body would announce the length 0.
+        let nothing = stream::empty::<Piece>();
+        return response.body(SizedStream::new(length, nothing));
     }
     let pieces = Box::pin(stream::unfold(download, Download::next));
     match reply::query(request).get("chunked") {
@@ -162,6 +168,7 @@
             chunk: number("chunk").unwrap_or(CHUNK_BYTES).max(1),
             interval: Span::from_millis(number("interval_ms").unwrap_or(0)),
             break_at: number("break_at"),
+            io: request.io().cloned(),
         }
     }
 
@@ -177,6 +184,11 @@
         }
         self.site.thawed().await;
         let broken = self.break_at.is_some_and(|at| self.sent >= at);
+        if let (true, Some(io)) = (broken, &self.io) {
+            // ntex would write an error page after the body, which could complete its length.
+            tokio::time::sleep(FLUSH_TIME).await;
+            io.terminate();
+        }
         let piece = match broken {
             true => Err(Rc::new(io::Error::other("broken by request")) as Rc<dyn Error>),
             false => Ok(self.take()),
