Count the life of a grant on the target's own clock

Cause: a grant that arrived while a target was frozen began its life at the resume, so that the target served keys which had moved away. Change: a load report shows the target's clock, a grant names such a moment, and its life counts from there. Figures: grants_that_arrive_in_a_freeze has a case with a life shorter than the freeze, which the earlier fake accepted.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -140,6 +140,7 @@
                 let grant = Grant {
                     epoch: desk.epoch,
                     life: times.grant,
+                    from_ms: desk.clock_ms(),
                 };
                 actions.push(Action::Grant {
                     target,
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -58,6 +58,7 @@
     probed: Option<Instant>,
     granted: Option<Instant>,
     start: Option<u64>,
+    clock_ms: u64,
 }
 
 /// Requests that were in flight when a connection to their target broke.
@@ -107,6 +108,7 @@
             probed: None,
             granted: None,
             start: None,
+            clock_ms: 0,
         }
     }
 
@@ -148,7 +150,12 @@
 
     /// Notes an answer to a probe.
     pub(crate) fn answer(&mut self, now: Instant, answer: Probe) {
-        let Probe::Answered { start, load } = answer else {
+        let Probe::Answered {
+            start,
+            load,
+            clock_ms,
+        } = answer
+        else {
             let observation = match answer {
                 Probe::Unreachable => Observation::Unreachable,
                 _ => Observation::Silent,
@@ -160,6 +167,7 @@
             self.granted = None;
         }
         self.start = Some(start);
+        self.clock_ms = clock_ms;
         let load_percent = load * 100 / self.slots.max(1);
         self.health.observe(now, Observation::Probed(start));
         let report = hint::Report {
@@ -183,6 +191,11 @@
         }
     }
 
+    /// Returns the target's own clock as its latest answer showed it, in milliseconds.
+    pub(crate) fn clock_ms(&self) -> u64 {
+        self.clock_ms
+    }
+
     /// Returns the mark of the target's last restart.
     pub(crate) fn start(&self) -> Option<u64> {
         self.start
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -71,6 +71,8 @@
         start: u64,
         /// Requests that it runs or that wait there, as it says.
         load: u32,
+        /// Its own monotonic clock, in milliseconds.
+        clock_ms: u64,
     },
     /// No answer came in time.
     Silent,
@@ -223,6 +225,8 @@
 pub struct Grant {
     /// Epoch of the holder.
     pub epoch: Epoch,
-    /// Time from its receipt after which the target serves nothing.
+    /// Time after `from_ms` from which the target serves nothing.
     pub life: Span,
+    /// Moment on the target's own clock that its latest answer to a probe showed, in milliseconds.
+    pub from_ms: u64,
 }
--- a/crates/platform/src/target/message.rs
+++ b/crates/platform/src/target/message.rs
@@ -6,8 +6,13 @@
 pub struct Grant {
     /// Epoch of the granting holder's contract.
     pub epoch: Epoch,
-    /// Time for which the target may serve, in milliseconds from receipt.
+    /// Time for which the target may serve, in milliseconds from `from_ms`.
     pub ttl_ms: u64,
+    /// Moment on the target's own clock that one of its load reports showed, in milliseconds.
+    ///
+    /// A grant that waited in a buffer while the target was frozen has no more life left than one
+    /// that was received at once.
+    pub from_ms: u64,
 }
 
 /// Answer to a grant with an epoch that is too low.
@@ -26,6 +31,8 @@
     pub waiting: u32,
     /// Number drawn at each cold start.
     pub start_id: u64,
+    /// The target's monotonic clock, in milliseconds. It goes on while the target is frozen.
+    pub clock_ms: u64,
 }
 
 /// Whether a cancellation found its request.
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -315,6 +315,7 @@
         let grant = target::Grant {
             epoch: Epoch(5),
             ttl_ms: 1_500,
+            from_ms: 0,
         };
         let stale = answering(answer("409 Conflict", b"{\"highest\": 9}"));
         let client = target::Client::new(stale, PATIENT).await;
--- a/crates/standin/src/target/control.rs
+++ b/crates/standin/src/target/control.rs
@@ -50,7 +50,7 @@
         return reply::json(StatusCode::CONFLICT, &Stale { highest });
     }
     let life = Span::from_millis(grant.ttl_ms).as_duration();
-    state.grant(grant.epoch, Instant::now() + life);
+    state.grant(grant.epoch, state.at(grant.from_ms) + life);
     Response::new(StatusCode::NO_CONTENT)
 }
 
--- a/crates/standin/src/target/state.rs
+++ b/crates/standin/src/target/state.rs
@@ -1,4 +1,7 @@
-use std::{collections::BTreeMap, time::Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use ragwortrill_core::{number::Epoch, time::Span};
 use ragwortrill_platform::target::{Load, Refused};
@@ -17,6 +20,8 @@
     /// Highest epoch ever received, for the counters only.
     highest_ever: Epoch,
     grant: Option<(Epoch, Instant)>,
+    /// Start of the clock in load reports.
+    clock: Instant,
     started: Instant,
     /// Requests left until the target counts as warm.
     cold_left: u32,
@@ -36,6 +41,7 @@
             highest: Epoch(0),
             highest_ever: Epoch(0),
             grant: None,
+            clock: Instant::now(),
             started: Instant::now(),
             cold_left: 0,
             present: BTreeMap::new(),
@@ -89,6 +95,12 @@
         epoch.is_some_and(|epoch| epoch < self.highest_ever)
     }
 
+    /// Returns a moment that the clock in load reports showed. It is not in the future.
+    pub(crate) fn at(&self, clock_ms: u64) -> Instant {
+        let moment = self.clock + Duration::from_millis(clock_ms);
+        moment.min(Instant::now())
+    }
+
     pub(crate) fn grant(&mut self, epoch: Epoch, end: Instant) {
         self.counts.grants += 1;
         self.grant = Some((epoch, end));
@@ -176,6 +188,7 @@
             running: self.counts.running as u32,
             waiting: self.counts.waiting as u32,
             start_id: self.start_id,
+            clock_ms: self.clock.elapsed().as_millis() as u64,
         }
     }
 
@@ -184,10 +197,15 @@
     }
 
     pub(crate) fn report(&self, now: Instant) -> Load {
-        match self.settings.report {
+        let load = match self.settings.report {
             Report::Exact => self.load(),
             Report::Fixed(load) => load,
             Report::Lagging(lag) => self.history.at(now, lag).unwrap_or(self.load()),
+        };
+        // Reports lag or mislead about the load, not about the clock that answers the request.
+        Load {
+            clock_ms: self.load().clock_ms,
+            ..load
         }
     }
 }
--- a/crates/standin/src/target/stream.rs
+++ b/crates/standin/src/target/stream.rs
@@ -1,4 +1,4 @@
-use std::{error::Error, io, rc::Rc, sync::Arc};
+use std::{error::Error, io, rc::Rc, sync::Arc, time::Duration};
 
 use futures_util::stream;
 use ntex::{
@@ -33,6 +33,9 @@
     (offset.wrapping_mul(31).wrapping_add(content) % 251) as u8
 }
 
+/// Time for which a broken download waits, so that its last bytes are sent.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
+
 /// A download under way.
 struct Download {
     io: Option<IoRef>,
@@ -100,7 +103,9 @@
     }
     let length = download.rest.end - download.rest.start;
     if request.method() == Method::HEAD {
-        return response.content_length(length).finish();
+        // An empty body would announce the length 0.
+        let nothing = stream::empty::<Piece>();
+        return response.body(SizedStream::new(length, nothing));
     }
     let pieces = Box::pin(stream::unfold(download, Download::next));
     match reply::query(request).get("chunked") {
@@ -135,6 +140,11 @@
         }
         let gone = self.pause_or_gone().await;
         let broken = gone || self.break_at.is_some_and(|at| self.sent >= at);
+        if let (true, Some(io)) = (broken, &self.io) {
+            // ntex would write an error page after the body, which could complete its length.
+            tokio::time::sleep(FLUSH_TIME).await;
+            io.terminate();
+        }
         let piece = match broken {
             true => Err(
                 Rc::new(io::Error::other("the caller has gone or asked for a break"))
--- a/crates/standin/src/world/perform.rs
+++ b/crates/standin/src/world/perform.rs
@@ -102,7 +102,11 @@
             }
             let job = move |world: &mut Self| {
                 let start = world.sites[site].mark;
-                let answer = Probe::Answered { start, load: 0 };
+                let answer = Probe::Answered {
+                    start,
+                    load: 0,
+                    clock_ms: Span(world.now.0).as_millis(),
+                };
                 world.answer_probe(process, token, target, site, answer);
             };
             world.at_site(site, Box::new(job));
@@ -156,7 +160,8 @@
         if accepted {
             target.epoch = grant.epoch;
             target.commanded = target.commanded.max(grant.epoch);
-            target.granted_until = now + grant.life;
+            let from = Instant(Span::from_millis(grant.from_ms).0).min(now);
+            target.granted_until = from + grant.life;
         }
         accepted
     }
--- a/crates/standin/tests/failure.rs
+++ b/crates/standin/tests/failure.rs
@@ -134,6 +134,7 @@
         let grant = |epoch, ttl: Span| Grant {
             epoch: Epoch(epoch),
             ttl_ms: ttl.as_millis(),
+            from_ms: 0,
         };
         client.grant(grant(5, AGES)).await.unwrap();
         client.grant(grant(5, Span::ZERO)).await.unwrap();
@@ -147,30 +148,49 @@
     });
 }
 
-/// Guards against a fake that is kinder than a target: the life of a grant that arrives in a freeze
-/// counts from the resume, however late that is.
+/// Guards against a grant that begins its life anew at the end of a freeze: its holder has given
+/// the target's keys to others by then.
 #[test]
 fn grants_that_arrive_in_a_freeze() {
-    run(async {
-        let server = start(Settings::default());
-        server.freeze();
-        let client = Client::new(server.address(), PATIENT).await;
-        let sent = rt::spawn(async move {
-            let (epoch, ttl_ms) = (Epoch(5), AGES.as_millis());
-            client.grant(Grant { epoch, ttl_ms }).await
+    struct Case {
+        life: Span,
+        status: u16,
+    }
+    let cases = [
+        Case {
+            life: AGES,
+            status: 200,
+        },
+        // Shorter than the freeze, which lasts longer than an impatient client waits.
+        Case {
+            life: Span::from_millis(1),
+            status: 409,
+        },
+    ];
+    for Case { life, status } in cases {
+        run(async move {
+            let server = start(Settings::default());
+            server.freeze();
+            let client = Client::new(server.address(), PATIENT).await;
+            let grant = Grant {
+                epoch: Epoch(5),
+                ttl_ms: life.as_millis(),
+                from_ms: 0,
+            };
+            let sent = rt::spawn(async move { client.grant(grant).await });
+            let impatient = Client::new(server.address(), IMPATIENT).await;
+            impatient.load().await.unwrap_err();
+            assert!(!sent.is_finished());
+            server.resume();
+            sent.await.unwrap().unwrap();
+            let caller = Caller::new(server.address()).await;
+            let answer = caller
+                .send("GET", "/", &[(EPOCH_HEADER, "5")], b"")
+                .await
+                .unwrap();
+            assert_eq!(answer.status, status);
         });
-        let impatient = Client::new(server.address(), IMPATIENT).await;
-        impatient.load().await.unwrap_err();
-        assert!(!sent.is_finished());
-        server.resume();
-        sent.await.unwrap().unwrap();
-        let caller = Caller::new(server.address()).await;
-        let answer = caller
-            .send("GET", "/", &[(EPOCH_HEADER, "5")], b"")
-            .await
-            .unwrap();
-        assert_eq!(answer.status, 200);
-    });
+    }
 }
 
 /// Guards against a crash that lets work, connections or memory survive.
@@ -262,6 +282,7 @@
             let grant = |epoch| Grant {
                 epoch: Epoch(epoch),
                 ttl_ms: AGES.as_millis(),
+                from_ms: 0,
             };
             let client = Client::new(server.address(), PATIENT).await;
             client.grant(grant(5)).await.unwrap();
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -36,6 +36,7 @@
     Grant {
         epoch: Epoch(epoch),
         ttl_ms: ttl.as_millis(),
+        from_ms: u64::MAX / 2_000,
     }
 }
 
@@ -323,6 +324,7 @@
         running: 9,
         waiting: 9,
         start_id: 9,
+        clock_ms: 0,
     };
     let cases = [
         Reported {
