Promise for epochs whose released contracts were claimed

Cause: an epoch is the offset of a claim that may name many targets. A standby that claimed one of them after its release withheld its promise for the epoch for good, so the holder of the others lost its lease 1.5 s into an outage of the log. Change: only claims that have to wait withhold the promise. A claim without a wait follows on a release, and the releasing holder no longer acts there.

--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    contract::Contract,
+    contract::{Contract, Wait},
     lease::Lease,
     ledger::Ledger,
     name,
@@ -206,6 +206,9 @@
     }
 
     /// Notes the epochs that this process's claim at an offset has replaced.
+    ///
+    /// A claim without a wait followed on a release, so that the earlier holder no longer acts
+    /// there. It may hold other targets under the same epoch and needs promises for them.
     fn note_taken(
         &mut self,
         claim: BTreeMap<name::Target, Option<Epoch>>,
@@ -214,7 +217,8 @@
     ) {
         for (target, previous) in claim {
             let contract = ledger.contracts().get(&target);
-            if contract.is_some_and(|c| c.epoch.0 == offset.0) {
+            let taken = |c: &Contract| c.epoch.0 == offset.0 && c.wait != Wait::None;
+            if contract.is_some_and(taken) {
                 self.taken.extend(previous);
             }
         }
