Begin moves and releases only when the log has just answered

Cause: moves and voluntary releases were begun for up to 750 ms after the last proof. In an outage that began meanwhile their keys had no service until the log returned, since work ends before the record is submitted. Change: both begin within 60 ms after a read that showed no newer record; a move that is not submitted when the log stops to answer is given up. Conclusion: a record submitted in the last milliseconds before an outage can still cost its keys the outage.

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -193,7 +193,7 @@
 
     /// Starts to give up one contract that another daemon is better placed to hold.
     pub(crate) fn yield_contracts(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.stopping.is_none() && self.is_reading(now) && now >= self.next_yield {
+        if self.stopping.is_none() && self.has_answered(now) && now >= self.next_yield {
             self.next_yield = now + YIELD_INTERVAL;
             if let Some(target) = self.misplaced(now) {
                 self.stop_sending(now, &target, actions);
--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -38,7 +38,7 @@
 impl Node {
     /// Plans and submits moves for the services whose targets this process holds.
     pub(crate) fn hand_over(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if now >= self.next_plan {
+        if now >= self.next_plan && self.has_answered(now) {
             self.next_plan = now + self.config.times.heartbeat;
             self.plan_moves(now, actions);
         }
@@ -49,9 +49,6 @@
     }
 
     fn plan_moves(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if !self.is_reading(now) {
-            return;
-        }
         let rows = self.ledger.table().services.iter();
         let rows: Vec<name::Service> = rows
             .filter(|(_, row)| row.divided_by_key)
@@ -218,6 +215,9 @@
             true => self.has_ended(now, target, desk),
             false => now >= self.earliest_move(target, desk) && !self.runs_moving(desk, handover),
         };
+        if !desk.is_lost() && !self.is_reading(now) {
+            return self.resume_shares(now, target, actions);
+        }
         let Some(service) = self.service_of(target).filter(|_| ready) else {
             return;
         };
@@ -241,6 +241,14 @@
         );
     }
 
+    /// Gives up a move that is not submitted, because the log does not answer.
+    fn resume_shares(&mut self, now: Instant, target: &name::Target, actions: &mut Vec<Action>) {
+        if let Some(desk) = self.desks.get_mut(target) {
+            desk.handover = None;
+        }
+        self.route_waiting(now, actions);
+    }
+
     /// Tells whether a lost target can no longer serve anything that was sent to it.
     fn has_ended(&self, now: Instant, target: &name::Target, desk: &Desk) -> bool {
         let times = &self.config.times;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -18,10 +18,13 @@
     record::{self, Entry, Record},
     request,
     retry::Budget,
-    time::Instant,
+    time::{Instant, Span},
     times::Times,
 };
 
+/// Age up to which an answer of the log counts as of now: three ticks of the daemon.
+const FRESH_ANSWER: Span = Span::from_millis(60);
+
 /// Identity and limits of a node.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -60,6 +63,8 @@
     pub(crate) next_heartbeat: Instant,
     pub(crate) next_plan: Instant,
     pub(crate) next_yield: Instant,
+    /// When a read of the log last showed that no record is newer than those applied.
+    pub(crate) answered: Option<Instant>,
     pub(crate) ticked: Instant,
 }
 
@@ -121,6 +126,7 @@
             next_heartbeat: Instant::default(),
             next_plan: Instant::default(),
             next_yield: Instant::default(),
+            answered: None,
             ticked: Instant::default(),
             config,
         }
@@ -156,6 +162,7 @@
         }
         if self.ledger.offset() >= read.end {
             self.ownership.prove(read.sent);
+            self.answered = Some(now);
         }
         if !self.started && self.ownership.lease().proof().is_some() {
             self.announce(actions);
@@ -303,6 +310,15 @@
         self.ownership.lease().is_recent(now, span)
     }
 
+    /// Tells whether the log answered a moment ago.
+    ///
+    /// Work ends before the record of a move or a release is submitted and stays without a place
+    /// until the record is read, so that none may be submitted late in an outage of the log.
+    pub(crate) fn has_answered(&self, now: Instant) -> bool {
+        let answered = self.answered;
+        self.is_reading(now) && answered.is_some_and(|at| now.since(at) < FRESH_ANSWER)
+    }
+
     pub(crate) fn tell(&self, to: &Process, message: Message, actions: &mut Vec<Action>) {
         if let Some(to) = self.peer(to) {
             actions.push(Action::Tell { to, message });
