Keep golden files of whole sessions

The end of each file has the number, size and first bytes of each kind of frame. Forwarded requests are no control messages and are not shown.

--- a/crates/standin/src/world/log.rs
+++ b/crates/standin/src/world/log.rs
@@ -5,6 +5,7 @@
     ledger::Ledger,
     number::Offset,
     record::{self, Entry, Record, State},
+    table::Table,
     time::{Instant, Span},
 };
 
@@ -141,6 +142,17 @@
         self.operate(id, record);
     }
 
+    /// Applies the table with an edit, as an operator who knows the table's version now.
+    pub fn edit_table(&mut self, id: u128, edit: impl FnOnce(&mut Table)) {
+        let base = self.log.ledger.version();
+        let mut table = match base.0 {
+            0 => table::table(&self.settings),
+            _ => self.log.ledger.table().clone(),
+        };
+        edit(&mut table);
+        self.operate(id, Record::Table { base, table });
+    }
+
     /// Changes how the log service fails. Open reads end.
     pub fn fail_log(&mut self, outage: Outage) {
         self.log.outage = outage;
--- /dev/null
+++ b/crates/standin/tests/story/mod.rs
@@ -0,0 +1,165 @@
+//! Writes a session down: frames, records and answers in order of time.
+
+use std::{cell::RefCell, collections::BTreeMap, fmt::Write, rc::Rc};
+
+use ragwortrill_core::{
+    event::Message,
+    process::Process,
+    record::Record,
+    time::{Instant, Span},
+};
+use ragwortrill_standin::world::World;
+use ragwortrill_wire::{Frame, decode, encode};
+
+/// Step after which new records and answers are written down.
+const STEP: Span = Span::from_millis(1);
+/// Longest text of a record.
+const RECORD_CHARS: usize = 200;
+
+/// Messages between nodes so far.
+#[derive(Default)]
+struct Frames {
+    lines: Vec<String>,
+    last: BTreeMap<(String, String, &'static str), String>,
+    counts: BTreeMap<&'static str, (u64, u64)>,
+    first: BTreeMap<&'static str, String>,
+}
+
+/// A session and its text.
+pub struct Story {
+    pub world: World,
+    frames: Rc<RefCell<Frames>>,
+    text: String,
+    records: usize,
+    answers: usize,
+}
+
+impl Story {
+    /// Starts to write a world down.
+    pub fn new(mut world: World) -> Self {
+        let frames = Rc::new(RefCell::new(Frames::default()));
+        let tap = frames.clone();
+        world.watch(Box::new(move |now, from, to, message| {
+            tap.borrow_mut().note(now, from, to, message);
+        }));
+        let records = world.log.entries().len();
+        let text = String::new();
+        Self {
+            world,
+            frames,
+            text,
+            records,
+            answers: 0,
+        }
+    }
+
+    /// Runs for a time in milliseconds.
+    pub fn run(&mut self, heading: &str, millis: u64) {
+        let _ = writeln!(self.text, "\n# {heading}");
+        let end = self.world.now() + Span::from_millis(millis);
+        while self.world.now() < end {
+            self.world.run(STEP);
+            for line in std::mem::take(&mut self.frames.borrow_mut().lines) {
+                self.text.push_str(&line);
+            }
+            self.note_records();
+            self.note_answers();
+        }
+    }
+
+    /// Returns the text, with a summary of all frames.
+    pub fn text(&self) -> String {
+        let mut text = self.text.trim_start().to_owned();
+        let frames = self.frames.borrow();
+        let _ = writeln!(text, "\n# all frames");
+        for (kind, (count, bytes)) in &frames.counts {
+            let first = &frames.first[kind];
+            let _ = writeln!(
+                text,
+                "{kind}: {count} frames, {bytes} bytes, the first {first}"
+            );
+        }
+        text
+    }
+
+    fn note_records(&mut self) {
+        let now = millis(self.world.now());
+        for (index, entry) in self
+            .world
+            .log
+            .entries()
+            .iter()
+            .enumerate()
+            .skip(self.records)
+        {
+            let record = describe(&entry.record);
+            let (actor, reason) = (&entry.actor, &entry.reason);
+            let offset = index + 1;
+            let _ = writeln!(
+                self.text,
+                "{now} log {offset}: {actor}: {record} ({reason})"
+            );
+        }
+        self.records = self.world.log.entries().len();
+    }
+
+    fn note_answers(&mut self) {
+        let calls = self.world.calls().iter().enumerate();
+        let mut answers: Vec<_> = calls
+            .filter_map(|(number, call)| Some((call.answer?, number, call)))
+            .filter(|((at, _), _, _)| at.0 + STEP.0 > self.world.now().0)
+            .collect();
+        answers.sort_by_key(|((at, _), number, _)| (*at, *number));
+        for ((at, answer), number, call) in answers {
+            let (now, service, runs) = (millis(at), &call.service, call.runs.len());
+            let attempt = call.sent;
+            let _ = writeln!(
+                self.text,
+                "{now} caller: {service} {number}, attempt {attempt}: {answer:?}, runs {runs}"
+            );
+            self.answers += 1;
+        }
+    }
+}
+
+impl Frames {
+    /// Sends a message through the codec and writes it down unless it repeats the one before.
+    fn note(&mut self, now: Instant, from: &Process, to: &Process, message: &Message) {
+        let bytes = encode(&Frame::Control(message.clone())).expect("the frame is small enough");
+        let decoded = decode(&bytes).expect("the frame is valid");
+        assert_eq!(decoded, Frame::Control(message.clone()));
+        let (kind, text) = match message {
+            Message::Heartbeat { epochs, .. } => ("heartbeat", format!("holds {epochs:?}")),
+            Message::Promise {
+                asked, withheld, ..
+            } => ("promise", format!("asked {asked:?}, withheld {withheld:?}")),
+            Message::Fetch { offset, .. } => ("fetch", format!("after {offset}")),
+        };
+        let count = self.counts.entry(kind).or_default();
+        count.0 += 1;
+        count.1 += bytes.len() as u64;
+        let first = || bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+        self.first.entry(kind).or_insert_with(first);
+        let key = (from.to_string(), to.to_string(), kind);
+        if self.last.get(&key) != Some(&text) {
+            let line = format!("{} {from} -> {to}: {kind} {text}\n", millis(now));
+            self.lines.push(line);
+            self.last.insert(key, text);
+        }
+    }
+}
+
+fn describe(record: &Record) -> String {
+    let text = match record {
+        Record::Table { base, table } => {
+            let slots = table.services.values().next().map_or(0, |row| row.slots);
+            format!("Table from version {base}, {slots} slots")
+        }
+        other => format!("{other:?}"),
+    };
+    text.chars().take(RECORD_CHARS).collect()
+}
+
+fn millis(now: Instant) -> String {
+    format!("{:>9.3} ms", now.0 as f64 / 1e3)
+}
