--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -85,11 +85,11 @@
 /// Planner of one service's moves.
 #[derive(Clone, Debug)]
 pub struct Plan {
-    settings: Settings,
-    pace: Pace,
-    moved: BTreeMap<Share, Instant>,
+    pub(crate) settings: Settings,
+    pub(crate) pace: Pace,
+    pub(crate) moved: BTreeMap<Share, Instant>,
     leaving: BTreeMap<name::Target, (Instant, usize)>,
-    exceeded: Option<Instant>,
+    pub(crate) exceeded: Option<Instant>,
 }
 
 impl Default for Settings {
@@ -214,112 +214,7 @@
         }
     }
 
-    /// Moves the fewest shares that bring each target's load under the bound.
-    fn level<'a>(
-        &mut self,
-        now: Instant,
-        view: &'a View,
-        tally: &mut Tally<'a>,
-        moves: &mut Vec<Move>,
-    ) {
-        let mean = tally.mean();
-        let bound = mean * self.settings.bound_percent / 100;
-        let is_over = |tally: &Tally| tally.highest().is_some_and(|t| tally.level(t, 0) > bound);
-        if !is_over(tally) {
-            self.exceeded = None;
-            return;
-        }
-        let since = *self.exceeded.get_or_insert(now);
-        if now.since(since) < self.settings.lasting {
-            return;
-        }
-        let mut from = tally.highest();
-        while let Some(source) = from.filter(|t| tally.level(t, 0) > bound) {
-            while self.pace.has_move()
-                && tally.level(source, 0) > mean * self.settings.aim_percent / 100
-            {
-                let Some((item, to)) = self.best(now, view, tally, moves, source) else {
-                    return;
-                };
-                self.pace.take_move();
-                self.add(now, tally, moves, item, source, to);
-            }
-            from = tally.highest().filter(|_| self.pace.has_move());
-        }
-    }
-
-    /// Finds the share to take from `source`: the smallest that suffices alone, or else the
-    /// largest that its receiver has room for, or else the one that lowers the maximum most.
-    fn best<'a>(
-        &self,
-        now: Instant,
-        view: &'a View,
-        tally: &Tally<'a>,
-        moves: &[Move],
-        source: &name::Target,
-    ) -> Option<((Share, u64), &'a name::Target)> {
-        let mean = tally.mean();
-        let aim = mean * self.settings.aim_percent / 100;
-        // Only targets below the mean receive: what a higher one got would have to move again.
-        let to = tally.lowest(0, |name| {
-            name != source && tally.level(name, 0) < mean && self.bears(now, tally, name)
-        })?;
-        let highest = tally.level(source, 0);
-        let gain = |load: u64| {
-            let after = tally.level_less(source, load).max(tally.level(to, load));
-            highest.saturating_sub(after)
-        };
-        let mut items = self.items(view, tally, moves, source);
-        // With many small slices, none is worth the cost of a move by itself.
-        let usual = tally.level(source, 0) / (items.len() as u64).max(1) / 2;
-        let worth = (mean * self.settings.cost_per_mille / 1_000)
-            .min(usual)
-            .max(1);
-        items.retain(|(_, load)| gain(*load) >= worth);
-        let fits = |load: u64| tally.level(to, load) <= aim;
-        let suffices = |load: u64| tally.level_less(source, load) <= aim;
-        let rank = |(share, load): &(Share, u64)| match (fits(*load), suffices(*load)) {
-            (true, true) => (2, u64::MAX - load, *share),
-            (true, false) => (1, *load, *share),
-            (false, _) => (0, gain(*load), *share),
-        };
-        let item = items.into_iter().max_by_key(rank)?;
-        Some((item, to))
-    }
-
-    /// Returns what may move from a target: shares that have not moved lately and hot keys.
-    fn items(
-        &self,
-        view: &View,
-        tally: &Tally,
-        moves: &[Move],
-        source: &name::Target,
-    ) -> Vec<(Share, u64)> {
-        let hot = self.hot(tally);
-        let apart = &view.assignment.keys;
-        let hot_keys = view.keys.iter().filter(|(key, load)| {
-            let owner = view.assignment.owner(**key);
-            **load >= hot && owner == Some(source) && !apart.contains_key(*key)
-        });
-        let hot_keys = hot_keys.map(|(key, load)| (Share::Key(*key), *load));
-        let mut items = view.owned(source);
-        items.extend(hot_keys);
-        items.retain(|(share, _)| {
-            !self.moved.contains_key(share) && !moves.iter().any(|m| m.share == *share)
-        });
-        items
-    }
-
-    fn bears(&self, now: Instant, tally: &Tally, name: &name::Target) -> bool {
-        let most = tally.mean() * self.settings.receive_percent / 100;
-        self.pace.unsettled(now, name) < tally.weighted(name, most)
-    }
-
-    fn hot(&self, tally: &Tally) -> u64 {
-        tally.mean_load() * self.settings.hot_key_percent / 100
-    }
-
-    fn add<'a>(
+    pub(crate) fn add<'a>(
         &mut self,
         now: Instant,
         tally: &mut Tally<'a>,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod latency;
 pub mod lease;
 pub mod ledger;
+mod level;
 pub mod name;
 pub mod number;
 mod pace;
--- a/crates/standin/src/measure.rs
+++ b/crates/standin/src/measure.rs
@@ -4,6 +4,7 @@
 mod agenda;
 mod control;
 pub mod deployment;
+mod ending;
 mod load;
 mod moves;
 pub mod outcome;
