--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod latency;
 pub mod lease;
 pub mod ledger;
+mod level;
 pub mod member;
 pub mod name;
 pub mod node;
