Let the platform example run its parts in separate processes

Cause: an outage of the log or of one data centre can't be shown while one process runs all stand-ins.

Change: each part of the example is optional, and targets can be limited to a data centre.

--- a/crates/standin/examples/platform.rs
+++ b/crates/standin/examples/platform.rs
@@ -1,6 +1,12 @@
 //! The platform of a sample system as one process: log service, host list and all targets.
 
-use std::{fs, net::SocketAddr, path::PathBuf, thread, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    thread,
+    time::Duration,
+};
 
 use anyhow::{Context, Result, anyhow};
 use pico_args::Arguments;
@@ -13,13 +19,14 @@
 const HELP: &str = "\
 Runs stand-ins of the log service, the host list and a table's targets until it is ended.
 
-Usage: platform --table FILE --log ADDRESS [--hosts ADDRESS] [--late TARGET]
+Usage: platform [OPTIONS]
 
 Options:
-  --table FILE     Table whose targets are started
-  --log ADDRESS    Address of the log service
-  --hosts ADDRESS  Address of the host list, which is empty
-  --late TARGET    Target that takes twice its service's deadline for each request
+  --log ADDRESS       Start the log service
+  --hosts ADDRESS     Start the host list, which is empty
+  --table FILE        Start the targets of a table
+  --data-centre NAME  Start only the targets in this data centre
+  --late TARGET       Target that takes twice its service's deadline for each request
 ";
 
 /// Time that a request takes.
@@ -31,31 +38,59 @@
         print!("{HELP}");
         return Ok(());
     }
-    let path: PathBuf = arguments.value_from_str("--table")?;
-    let text =
-        fs::read_to_string(&path).with_context(|| format!("{} can't be read", path.display()))?;
-    let table = sheet::parse(&text).map_err(|faults| {
-        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
-        anyhow!("{}", lines.join("\n"))
-    })?;
-    let late: Option<name::Target> = arguments.opt_value_from_str("--late")?;
-    let address: SocketAddr = arguments.value_from_str("--log")?;
-    let _log = log::Server::start_at(address)?;
-    let address: Option<SocketAddr> = arguments.opt_value_from_str("--hosts")?;
-    let _hosts = address.map(|address| hosts::Server::start_at(address, Vec::new()));
-    let targets = start(&table, late.as_ref())?;
-    println!("log service and {} targets run", targets.len());
+    let log: Option<SocketAddr> = arguments.opt_value_from_str("--log")?;
+    let hosts: Option<SocketAddr> = arguments.opt_value_from_str("--hosts")?;
+    let path: Option<PathBuf> = arguments.opt_value_from_str("--table")?;
+    let choice = Choice {
+        data_centre: arguments.opt_value_from_str("--data-centre")?,
+        late: arguments.opt_value_from_str("--late")?,
+    };
+    let log = log.map(log::Server::start_at).transpose()?;
+    let list = |address| hosts::Server::start_at(address, Vec::new());
+    let hosts = hosts.map(list).transpose()?;
+    let targets = match path {
+        Some(path) => start(&read(&path)?, &choice)?,
+        None => Vec::new(),
+    };
+    println!(
+        "log service: {}; host list: {}; targets: {}",
+        if log.is_some() { "runs" } else { "no" },
+        if hosts.is_some() { "runs" } else { "no" },
+        targets.len()
+    );
     loop {
         thread::sleep(Duration::from_secs(3_600));
     }
 }
 
-fn start(table: &table::Table, late: Option<&name::Target>) -> Result<Vec<Server>> {
+/// Which targets are started, and which is slow.
+struct Choice {
+    data_centre: Option<name::DataCentre>,
+    late: Option<name::Target>,
+}
+
+fn read(path: &Path) -> Result<table::Table> {
+    let text =
+        fs::read_to_string(path).with_context(|| format!("{} can't be read", path.display()))?;
+    sheet::parse(&text).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        anyhow!("{}", lines.join("\n"))
+    })
+}
+
+fn start(table: &table::Table, choice: &Choice) -> Result<Vec<Server>> {
     let rows = table.services.values();
     let rows = rows.flat_map(|service| service.targets.iter().map(move |row| (service, row)));
     let mut servers = Vec::new();
     for (service, (name, target)) in rows {
-        let is_late = late == Some(name);
+        if choice
+            .data_centre
+            .as_ref()
+            .is_some_and(|dc| *dc != target.data_centre)
+        {
+            continue;
+        }
+        let is_late = choice.late.as_ref() == Some(name);
         let settings = Settings {
             checks_epoch: target.checks_epoch,
             connections: service.connections as usize,
