Show a request's progress at every daemon, and only its caller's answer

`GET /requests/{service}/{id}` asks the holder of the request's target by a new frame and shows queued, running, answered with status and kept answer, or unknown.

Two callers with the same idempotency key and key shared one request id, so the second got the first one's answer and its order never ran. The id now includes the caller's name, and a kept answer is given to the caller that sent the request only.

Path and headers are bounded by 24 KiB and bodies by 64 MiB. Refusals are counted by their type in place of one counter for all malformed requests.

--- /dev/null
+++ b/crates/core/src/inquiry.rs
@@ -0,0 +1,73 @@
+//! What a node knows of a request.
+
+use crate::{
+    contract::Contract,
+    event::Peer,
+    name,
+    node::{Node, Phase},
+    report::{Progress, Request},
+    request,
+};
+
+/// What a node knows of a request, and who knows more.
+#[derive(Clone, Debug)]
+pub struct Inquiry {
+    /// The request, if this node or the log knows it.
+    pub request: Option<Request>,
+    /// The daemon that holds the request's target, if it is another one.
+    pub holder: Option<Peer>,
+}
+
+impl Node {
+    /// Looks a request up.
+    pub fn inquire(&self, service: &name::Service, id: request::Id) -> Inquiry {
+        let contract = self.contract_of(service, id);
+        let holder = contract.map(|(_, contract)| &contract.holder);
+        let other = holder.filter(|holder| **holder != self.config.process);
+        Inquiry {
+            request: self.describe(id, contract),
+            holder: other.and_then(|holder| self.peer(holder)),
+        }
+    }
+
+    /// Finds the contract under which a request runs or would run.
+    fn contract_of(
+        &self,
+        service: &name::Service,
+        id: request::Id,
+    ) -> Option<(&name::Target, &Contract)> {
+        let epoch = self.ledger.intent(&id).map(|intent| intent.epoch);
+        let mut contracts = self.ledger.contracts().iter();
+        let current = contracts.find(|(_, contract)| Some(contract.epoch) == epoch);
+        current.or_else(|| {
+            let owner = self.ledger.owner(service, id.key)?;
+            self.ledger.contracts().get_key_value(owner)
+        })
+    }
+
+    fn describe(
+        &self,
+        id: request::Id,
+        contract: Option<(&name::Target, &Contract)>,
+    ) -> Option<Request> {
+        let intent = self.ledger.intent(&id);
+        let status = intent.and_then(|intent| intent.status);
+        let status = status.or_else(|| self.ended.get(&id).copied());
+        let ticket = self.running.get(&id);
+        let phase = ticket.and_then(|ticket| self.tickets.get(ticket));
+        let progress = match (status, phase.map(|held| &held.phase)) {
+            (Some(_), _) => Progress::Answered,
+            (None, Some(Phase::Running(_))) => Progress::Running,
+            (None, Some(_)) => Progress::Queued,
+            (None, None) if intent.is_some() => Progress::Unknown,
+            (None, None) => return None,
+        };
+        Some(Request {
+            id,
+            progress,
+            status,
+            target: contract.map(|(target, _)| target.clone()),
+            epoch: intent.map(|intent| intent.epoch),
+        })
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 mod handover;
 pub mod health;
 pub mod hint;
+pub mod inquiry;
 pub mod key;
 mod lane;
 pub mod latency;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -136,9 +136,15 @@
 }
 
 impl Id {
-    /// Creates the identifier of a request from its idempotency key.
-    pub fn new(service: &name::Service, key: key::Digest, idempotency_key: &str) -> Self {
-        let text = format!("{service}\n{idempotency_key}");
+    /// Creates the identifier of a request from its caller and idempotency key. Two callers may
+    /// choose the same idempotency key.
+    pub fn new(
+        service: &name::Service,
+        key: key::Digest,
+        caller: &str,
+        idempotency_key: &str,
+    ) -> Self {
+        let text = format!("{service}\n{caller}\n{idempotency_key}");
         Self {
             key,
             number: xxh3_64(text.as_bytes()),
--- a/crates/daemon/examples/demo/caller.rs
+++ b/crates/daemon/examples/demo/caller.rs
@@ -129,7 +129,7 @@
         let path = format!("/new/{name}");
         let service: name::Service = harness::name("orders");
         let digest = Digest::new(&service, key.as_bytes());
-        let order = request::Id::new(&service, digest, &name);
+        let order = request::Id::new(&service, digest, &self.name, &name);
         self.tally.orders.insert(order);
         let call = Call::post("orders", &path, key, name.clone());
         let call = call.header(headers::IDEMPOTENCY_KEY, &name);
--- a/crates/daemon/src/answers.rs
+++ b/crates/daemon/src/answers.rs
@@ -17,6 +17,8 @@
 /// A kept answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Kept {
+    /// Hash of the caller's name. Others never get the answer.
+    pub(crate) caller: u64,
     pub(crate) headers: Vec<Header>,
     /// The whole body, or `None` if it was too large or broke off.
     pub(crate) body: Option<Vec<u8>>,
@@ -45,8 +47,13 @@
         }
     }
 
-    pub(crate) fn find(&self, request: request::Id) -> Option<Kept> {
+    /// Returns the answer of a caller's request.
+    pub(crate) fn find(&self, request: request::Id, caller: u64) -> Option<Kept> {
         let inner = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        inner.kept.get(&request).cloned()
+        let kept = inner
+            .kept
+            .get(&request)
+            .filter(|kept| kept.caller == caller);
+        kept.cloned()
     }
 }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -41,6 +41,13 @@
 /// Time after the deadline that is left to a refusal that states that the request did not run.
 const REFUSAL_TIME: Span = Span::from_millis(100);
 
+/// Largest path and headers of a request, in bytes. With the first part of the body they fit into
+/// one frame between daemons.
+const MAX_HEAD_BYTES: usize = 24 * 1024;
+
+/// Largest body of a request, in bytes.
+const MAX_BODY_BYTES: u64 = 64 << 20;
+
 /// Longest key or idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 1_024;
 
@@ -63,7 +70,7 @@
             answer(&shell, request, origin, &io).await
         }
         Err(problem) => {
-            shell.metrics.refused("malformed");
+            shell.metrics.refused(problem.reason());
             problem.response()
         }
     };
@@ -171,6 +178,7 @@
     request: &HttpRequest,
     mut payload: Payload,
 ) -> Result<(Request, ragwortrill_core::time::Instant), Problem> {
+    check_size(request)?;
     let (service, path) = split(request)?;
     let key = header(request, headers::KEY)?;
     let idempotency_key = header(request, headers::IDEMPOTENCY_KEY)?;
@@ -196,15 +204,20 @@
     let (prefix, more) = read_prefix(&mut payload).await.map_err(|error| {
         Problem::malformed("broken-body", StatusCode::BAD_REQUEST, error.to_string())
     })?;
-    let rest = payload.map(|part| part.map_err(|_| Error::Broken));
+    let mut left = MAX_BODY_BYTES.saturating_sub(prefix.len() as u64);
+    let rest = payload.map(move |part| {
+        let part = part.map_err(|_| Error::Broken)?;
+        left = left.checked_sub(part.len() as u64).ok_or(Error::Broken)?;
+        Ok(part)
+    });
     let caller = header(request, headers::CALLER)?;
     let head = Head {
-        request: Id::new(&service, routed, name),
+        request: Id::new(&service, routed, caller.unwrap_or(""), name),
         fingerprint: Fingerprint::new(&method, &path, routed, idempotency_key),
         service,
         key: key_digest,
         idempotent,
-        caller: caller.map_or(0, |caller| xxh3_64(caller.as_bytes())),
+        caller: hash(caller),
     };
     let request = Request {
         head,
@@ -218,6 +231,28 @@
     Ok((request, deadline))
 }
 
+/// Refuses a request that is too large to be passed on.
+fn check_size(request: &HttpRequest) -> Result<(), Problem> {
+    let headers = request.headers();
+    let sizes = headers.iter().map(|(n, v)| n.as_str().len() + v.len());
+    let size = request.path().len() + request.query_string().len() + sizes.sum::<usize>();
+    if size > MAX_HEAD_BYTES {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        let detail = format!("path and headers have {size} bytes; send at most {MAX_HEAD_BYTES}");
+        return Err(Problem::malformed("head-too-large", status, detail));
+    }
+    let length = headers
+        .get("content-length")
+        .and_then(|value| value.to_str().ok());
+    let length: u64 = length.and_then(|text| text.parse().ok()).unwrap_or(0);
+    if length > MAX_BODY_BYTES {
+        let detail = format!("the body has {length} bytes; send at most {MAX_BODY_BYTES}");
+        let status = StatusCode::PAYLOAD_TOO_LARGE;
+        return Err(Problem::malformed("body-too-large", status, detail));
+    }
+    Ok(())
+}
+
 /// What the table says of a request.
 struct Row {
     keyed: bool,
@@ -260,7 +295,12 @@
     Ok((service, format!("/{rest}{separator}{query}")))
 }
 
-fn header<'a>(request: &'a HttpRequest, name: &str) -> Result<Option<&'a str>, Problem> {
+/// Returns the hash of a caller's name.
+pub(crate) fn hash(caller: Option<&str>) -> u64 {
+    caller.map_or(0, |caller| xxh3_64(caller.as_bytes()))
+}
+
+pub(crate) fn header<'a>(request: &'a HttpRequest, name: &str) -> Result<Option<&'a str>, Problem> {
     let Some(value) = request.headers().get(name) else {
         return Ok(None);
     };
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -32,6 +32,7 @@
     peers::Peers,
     probe,
     recent::Recent,
+    requests,
     settings::Settings,
     shell::{INBOX, Inbound, Shell},
 };
@@ -247,6 +248,7 @@
         let server = HttpServer::new(async move || {
             App::new()
                 .state(shell.clone())
+                .route(requests::PATH, web::get().to(requests::handle))
                 .default_service(web::to(callers::handle))
         });
         Ok(server
--- a/crates/daemon/src/drive.rs
+++ b/crates/daemon/src/drive.rs
@@ -120,9 +120,12 @@
                     offset,
                 };
             }
-            Order::Recall { request, status } => {
+            Order::Recall {
+                request: id,
+                status,
+            } => {
                 claim.end();
-                let kept = shell.answers.find(request);
+                let kept = shell.answers.find(id, request.head.caller);
                 return Decision::Recalled { status, kept };
             }
             Order::Cancel => {
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -110,6 +110,7 @@
             missing: if has_body { answer.length } else { Some(0) },
             running: answer.running.take(),
             kept: keep.then(|| Kept {
+                caller: request.head.caller,
                 headers: answer.headers.clone(),
                 body: Some(Vec::new()),
             }),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod problem;
 mod recent;
 mod registry;
+mod requests;
 mod resume;
 mod run;
 mod serve;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -58,7 +58,8 @@
         self.duration.record(elapsed.0 as f64 / 1e6, &attributes);
     }
 
-    pub(crate) fn refused(&self, kind: &'static str) {
+    pub(crate) fn refused(&self, kind: impl Into<String>) {
+        let kind: String = kind.into();
         self.refusals.add(1, &[KeyValue::new("error.type", kind)]);
     }
 
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -21,7 +21,7 @@
 use crate::{
     link::{Link, QUEUE},
     recent::Recent,
-    serve,
+    requests, serve,
     shell::Shell,
 };
 
@@ -229,6 +229,10 @@
                 let shell = self.shell.clone();
                 ntex::rt::spawn(serve::run(shell, link.clone(), *request, frames));
             }
+            Frame::Inquiry(inquiry) => {
+                let (shell, link) = (self.shell.clone(), link.clone());
+                ntex::rt::spawn(requests::serve(shell, link, inquiry));
+            }
             Frame::Hello(_) => self.shell.metrics.bad_frame("unexpected"),
             frame => self.deliver(frame, link),
         }
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Returns the last part of the type.
+    pub(crate) fn reason(&self) -> String {
+        self.kind.trim_start_matches(TYPE).to_owned()
+    }
+
     /// Creates the HTTP answer.
     pub(crate) fn response(&self) -> HttpResponse {
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/crates/daemon/src/resume.rs
+++ b/crates/daemon/src/resume.rs
@@ -104,7 +104,7 @@
         let mut part = Template::new(shell, request, *span)?.request;
         // A cancellation of the broken request must not end this one.
         let name = format!("{}-{}", shell.process, shell.sequence());
-        part.head.request = Id::new(&part.head.service, part.head.request.key, &name);
+        part.head.request = Id::new(&part.head.service, part.head.request.key, "", &name);
         part.headers.push(Header {
             name: headers::RANGE.to_ascii_lowercase(),
             value: format!("bytes={}-", self.received).into_bytes(),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -65,6 +65,21 @@
     },
     /// The request is not answered by its target.
     Refusal(Refusal),
+    /// Asks what the receiver knows of a request. It sends an answer.
+    Inquiry(Inquiry),
+}
+
+/// A question about a request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Inquiry {
+    /// Number of the question on the link.
+    pub stream: Stream,
+    /// Service that the request asked.
+    pub service: name::Service,
+    /// The request.
+    pub request: request::Id,
+    /// Hash of the name of the caller who asks.
+    pub caller: u64,
 }
 
 /// Introduces a daemon.
