Authenticate links by the shared secret

Links took any peer's word for its process, and the secret in the settings was not used. Both sides now prove by HMAC-SHA256 over role, version, process and nonce of both sides that they know it. Another version, a wrong proof and a process that the log does not name for its host are refused with a reason frame and counted; so is a request whose number was used before on its link.

Not built: TLS, and a measured bound of the decoder's allocations.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -106,6 +106,7 @@
             metrics: Arc::new(Metrics::new()?),
             process: process.clone(),
             published: Arc::default(),
+            secret: settings.secret.as_str().into(),
             checks: probe_sender.downgrade(),
             // The callers' workers, and the thread of the links.
             senders: settings.workers + 1,
--- /dev/null
+++ b/crates/daemon/src/greeting.rs
@@ -0,0 +1,118 @@
+//! Opening of a link: each side introduces itself and proves that it knows the shared secret.
+//!
+//! The connector proves itself first, so that an acceptor computes no proof for strangers.
+
+use futures_util::{SinkExt, StreamExt};
+use ragwortrill_core::process::Process;
+use ragwortrill_wire::{Frame, Hello, Proof, Reject, Role, VERSION, decode, encode};
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::peers::{Error, Peers, Socket};
+
+impl Peers {
+    /// Opens a link that this side connected, and returns the peer's introduction.
+    pub(crate) async fn open_as_connector(&self, socket: &mut Socket) -> Result<Hello, Error> {
+        let own = self.introduction();
+        send(socket, Frame::Hello(own.clone())).await?;
+        let peer = self.receive_hello(socket).await?;
+        let proof = Proof::new(&self.shell.secret, Role::Connector, &own, &peer);
+        send(socket, Frame::Proof(proof)).await?;
+        self.check(socket, Role::Acceptor, &peer, &own).await?;
+        Ok(peer)
+    }
+
+    /// Opens a link that the peer connected, and returns the peer's introduction.
+    pub(crate) async fn open_as_acceptor(&self, socket: &mut Socket) -> Result<Hello, Error> {
+        let peer = self.receive_hello(socket).await?;
+        let own = self.introduction();
+        send(socket, Frame::Hello(own.clone())).await?;
+        self.check(socket, Role::Connector, &peer, &own).await?;
+        if let Some(current) = self.successor(&peer).await {
+            let error = Error::Other(current);
+            return Err(self.reject(socket, Reject::Process, error).await);
+        }
+        let proof = Proof::new(&self.shell.secret, Role::Acceptor, &own, &peer);
+        send(socket, Frame::Proof(proof)).await?;
+        Ok(peer)
+    }
+
+    /// Returns the process that the log names for the peer's host, if it is another one.
+    async fn successor(&self, peer: &Hello) -> Option<Process> {
+        let process = peer.process.clone();
+        let look = self.shell.inspect(move |node| {
+            let current = node.ledger().processes().get(&process.host)?;
+            (current.process != process).then(|| current.process.clone())
+        });
+        look.await.flatten()
+    }
+
+    fn introduction(&self) -> Hello {
+        Hello {
+            version: VERSION,
+            process: self.shell.process.clone(),
+            data_centre: self.data_centre.clone(),
+            offset: self.shell.offset(),
+            hash: 0,
+            nonce: rand::random(),
+        }
+    }
+
+    async fn check(
+        &self,
+        socket: &mut Socket,
+        role: Role,
+        peer: &Hello,
+        own: &Hello,
+    ) -> Result<(), Error> {
+        match self.receive(socket).await? {
+            Frame::Proof(proof) if proof.is_valid(&self.shell.secret, role, peer, own) => Ok(()),
+            Frame::Reject(reject) => Err(Error::Rejected(reject)),
+            _ => Err(self.reject(socket, Reject::Proof, Error::Proof).await),
+        }
+    }
+
+    async fn receive_hello(&self, socket: &mut Socket) -> Result<Hello, Error> {
+        match self.receive(socket).await? {
+            Frame::Hello(hello) => Ok(hello),
+            Frame::Reject(reject) => Err(Error::Rejected(reject)),
+            _ => Err(Error::NoHello),
+        }
+    }
+
+    async fn receive(&self, socket: &mut Socket) -> Result<Frame, Error> {
+        while let Some(message) = socket.next().await {
+            let Message::Binary(bytes) = message? else {
+                continue;
+            };
+            return match decode(&bytes) {
+                Ok(frame) => Ok(frame),
+                Err(error @ ragwortrill_wire::Error::Version(_)) => {
+                    Err(self.reject(socket, Reject::Version, error.into()).await)
+                }
+                Err(error) => {
+                    self.shell.metrics.bad_frame("malformed");
+                    Err(error.into())
+                }
+            };
+        }
+        Err(Error::NoHello)
+    }
+
+    /// Tells the peer why the link is refused, and counts it.
+    async fn reject(&self, socket: &mut Socket, reject: Reject, error: Error) -> Error {
+        self.shell.metrics.bad_frame(match reject {
+            Reject::Proof => "proof",
+            Reject::Process => "process",
+            Reject::Version => "version",
+        });
+        if let Err(failure) = send(socket, Frame::Reject(reject)).await {
+            log::debug!("the refusal of a link could not be sent: {failure}");
+        }
+        error
+    }
+}
+
+async fn send(socket: &mut Socket, frame: Frame) -> Result<(), Error> {
+    socket.send(Message::binary(encode(&frame)?)).await?;
+    Ok(())
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod drive;
 mod exchange;
 mod forward;
+mod greeting;
 mod link;
 mod log_service;
 mod metrics;
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -28,6 +28,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Streams {
     next: AtomicU64,
+    /// Number that the peer's next request must have at least.
+    accepted: AtomicU64,
     open: Mutex<BTreeMap<Stream, mpsc::Sender<Frame>>>,
 }
 
@@ -72,6 +74,18 @@
         receiver
     }
 
+    /// Registers a request of the peer. Returns `None` if its number was used before.
+    pub(crate) fn accept(&self, stream: Stream) -> Option<mpsc::Receiver<Frame>> {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let next = stream.0.saturating_add(1);
+        if self.accepted.fetch_max(next, Ordering::Relaxed) >= next {
+            return None;
+        }
+        let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
+        open.insert(stream, sender);
+        Some(receiver)
+    }
+
     pub(crate) fn close(&self, stream: Stream) {
         self.lock(|open| open.remove(&stream));
     }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -8,7 +8,7 @@
     name,
     process::Process,
 };
-use ragwortrill_wire::{Frame, Hello, MAX_FRAME_BYTES, Records, VERSION, decode, encode};
+use ragwortrill_wire::{Frame, MAX_FRAME_BYTES, Records, Reject, decode, encode};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
@@ -25,7 +25,7 @@
     shell::Shell,
 };
 
-type Socket = WebSocketStream<TcpStream>;
+pub(crate) type Socket = WebSocketStream<TcpStream>;
 
 /// Reason why a link ended or could not be opened.
 #[derive(Debug, thiserror::Error)]
@@ -38,6 +38,10 @@
     Frame(#[from] ragwortrill_wire::Error),
     #[error("the peer did not introduce itself; connect daemons of the same system only")]
     NoHello,
+    #[error("the peer's proof is wrong; give all daemons of a system the same secret")]
+    Proof,
+    #[error("the peer refused the link ({0:?}); compare the daemons' versions and secrets")]
+    Rejected(Reject),
     #[error("the peer is {0}, a later process than the one expected; wait for the log")]
     Other(Process),
     #[error("the peer did not answer within {0} ms; check the network")]
@@ -111,8 +115,7 @@
             let url = format!("ws://{}/", to.address);
             let (mut socket, _) =
                 tokio_tungstenite::client_async_with_config(url, stream, Some(limits())).await?;
-            self.introduce(&mut socket).await?;
-            let hello = receive_hello(&mut socket).await?;
+            let hello = self.open_as_connector(&mut socket).await?;
             Ok::<_, Error>((socket, hello))
         };
         let (socket, hello) = within(open).await?;
@@ -122,20 +125,6 @@
         self.exchange(socket, frames, link, &hello.process).await
     }
 
-    async fn introduce(&self, socket: &mut Socket) -> Result<(), Error> {
-        let hello = Hello {
-            version: VERSION,
-            process: self.shell.process.clone(),
-            data_centre: self.data_centre.clone(),
-            offset: self.shell.offset(),
-            hash: 0,
-            nonce: 0,
-        };
-        let bytes = encode(&Frame::Hello(hello))?;
-        socket.send(Text::binary(bytes)).await?;
-        Ok(())
-    }
-
     /// Accepts links until the process ends.
     pub(crate) async fn accept(self, listener: TcpListener) {
         loop {
@@ -157,8 +146,7 @@
         let open = async {
             let mut socket =
                 tokio_tungstenite::accept_async_with_config(stream, Some(limits())).await?;
-            let hello = receive_hello(&mut socket).await?;
-            self.introduce(&mut socket).await?;
+            let hello = self.open_as_acceptor(&mut socket).await?;
             Ok::<_, Error>((socket, hello))
         };
         let (socket, hello) = within(open).await?;
@@ -225,7 +213,10 @@
             }),
             Frame::Records(records) => self.shell.event(Event::Read(received(records))),
             Frame::Request(request) => {
-                let frames = link.streams().open(request.stream);
+                let Some(frames) = link.streams().accept(request.stream) else {
+                    self.shell.metrics.bad_frame("replayed");
+                    return Ok(());
+                };
                 let shell = self.shell.clone();
                 ntex::rt::spawn(serve::run(shell, link.clone(), *request, frames));
             }
@@ -233,7 +224,9 @@
                 let (shell, link) = (self.shell.clone(), link.clone());
                 ntex::rt::spawn(requests::serve(shell, link, inquiry));
             }
-            Frame::Hello(_) => self.shell.metrics.bad_frame("unexpected"),
+            Frame::Hello(_) | Frame::Proof(_) | Frame::Reject(_) => {
+                self.shell.metrics.bad_frame("unexpected")
+            }
             frame => self.deliver(frame, link),
         }
         Ok(())
@@ -272,18 +265,6 @@
         .max_frame_size(Some(MAX_FRAME_BYTES))
 }
 
-async fn receive_hello(socket: &mut Socket) -> Result<Hello, Error> {
-    while let Some(message) = socket.next().await {
-        if let Text::Binary(bytes) = message? {
-            return match decode(&bytes)? {
-                Frame::Hello(hello) => Ok(hello),
-                _ => Err(Error::NoHello),
-            };
-        }
-    }
-    Err(Error::NoHello)
-}
-
 async fn within<T>(open: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
     let limit = std::time::Duration::from_millis(OPEN_MS);
     match tokio::time::timeout(limit, open).await {
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -43,6 +43,8 @@
     pub(crate) published: Arc<Published>,
     /// Ring to the control side of targets. The deciding thread keeps it open.
     pub(crate) checks: mpsc::WeakSender<Check>,
+    /// Secret that the daemons of a system share.
+    pub(crate) secret: Arc<str>,
     /// Number of threads that send requests to targets.
     pub(crate) senders: usize,
 }
--- /dev/null
+++ b/crates/daemon/tests/links.rs
@@ -0,0 +1,119 @@
+//! Links of peers that are not what they claim to be.
+
+mod harness;
+
+use futures_util::{SinkExt, StreamExt};
+use harness::{Builder, Call, System, row};
+use ragwortrill_core::process::Process;
+use ragwortrill_wire::{Frame, Hello, Proof, Reject, Role, VERSION, decode, encode};
+use test_case::test_case;
+use tokio::net::TcpStream;
+use tokio_tungstenite::{WebSocketStream, tungstenite::Message};
+
+const SECRET: &str = "a secret for tests";
+
+/// What is wrong with a peer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Flaw {
+    None,
+    OldProof,
+    Process,
+    Secret,
+    Version,
+}
+
+type Socket = WebSocketStream<TcpStream>;
+
+async fn connect(system: &System) -> Socket {
+    let daemon = system.daemons[0].as_ref().expect("the daemon runs");
+    let address = daemon.addresses().peers;
+    let stream = TcpStream::connect(address).await.expect("a connection");
+    let url = format!("ws://{address}/");
+    let opened = tokio_tungstenite::client_async(url, stream).await;
+    opened.expect("the handshake succeeds").0
+}
+
+async fn send(socket: &mut Socket, frame: Frame) {
+    let bytes = encode(&frame).expect("the frame fits");
+    let _ = socket.send(Message::binary(bytes)).await;
+}
+
+async fn receive(socket: &mut Socket) -> Option<Frame> {
+    loop {
+        if let Message::Binary(bytes) = socket.next().await?.ok()? {
+            return Some(decode(&bytes).expect("the daemon sends valid frames"));
+        }
+    }
+}
+
+fn hello(flaw: Flaw) -> Hello {
+    let host = match flaw {
+        Flaw::Process => "host-1",
+        _ => "stranger",
+    };
+    Hello {
+        version: VERSION + u16::from(flaw == Flaw::Version),
+        process: Process {
+            host: harness::name(host),
+            incarnation: 1,
+        },
+        data_centre: harness::name("east"),
+        offset: Default::default(),
+        hash: 0,
+        nonce: 5,
+    }
+}
+
+/// Opens a link and returns the daemon's frame after its introduction.
+async fn greet(system: &System, flaw: Flaw) -> (Option<Frame>, Hello, Option<Hello>, Socket) {
+    let mut socket = connect(system).await;
+    let own = hello(flaw);
+    send(&mut socket, Frame::Hello(own.clone())).await;
+    let peer = match receive(&mut socket).await {
+        Some(Frame::Hello(peer)) => peer,
+        other => return (other, own, None, socket),
+    };
+    let secret = if flaw == Flaw::Secret {
+        "guess"
+    } else {
+        SECRET
+    };
+    let mut proven = peer.clone();
+    proven.nonce += u128::from(flaw == Flaw::OldProof);
+    let proof = Proof::new(secret, Role::Connector, &own, &proven);
+    send(&mut socket, Frame::Proof(proof)).await;
+    (receive(&mut socket).await, own, Some(peer), socket)
+}
+
+async fn system() -> System {
+    let system = Builder::new().service("plans", row(true), 1).start();
+    let call = Call::get("plans", "/ready", "k1");
+    system.call_until_served(0, &call).await;
+    system
+}
+
+/// Guards against links with strangers, other versions, and processes that were replaced.
+#[test_case(Flaw::OldProof, Reject::Proof; "a proof of an earlier link")]
+#[test_case(Flaw::Process, Reject::Process; "a process that the log does not name")]
+#[test_case(Flaw::Secret, Reject::Proof; "another secret")]
+#[test_case(Flaw::Version, Reject::Version; "another version")]
+fn a_wrong_peer_is_refused_with_a_reason(flaw: Flaw, reason: Reject) {
+    let test = async move {
+        let system = system().await;
+        let (frame, _, _, mut socket) = greet(&system, flaw).await;
+        assert_eq!(frame, Some(Frame::Reject(reason)));
+        assert_eq!(receive(&mut socket).await, None);
+    };
+    ntex::rt::System::new("test", ntex::rt::DefaultRuntime).block_on(test);
+}
+
+/// Guards against an acceptor that does not prove itself.
+#[ntex::test]
+async fn a_right_peer_gets_the_daemons_proof() {
+    let system = system().await;
+    let (frame, own, peer, _socket) = greet(&system, Flaw::None).await;
+    let (Some(Frame::Proof(proof)), Some(peer)) = (frame, peer) else {
+        panic!("no proof came");
+    };
+    assert!(proof.is_valid(SECRET, Role::Acceptor, &peer, &own));
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -13,6 +13,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::proof::Proof;
+
 /// Largest part of a body in one frame, in bytes.
 pub const CHUNK_BYTES: usize = 16 * 1024;
 
@@ -29,6 +31,10 @@
 pub enum Frame {
     /// First frame in each direction.
     Hello(Hello),
+    /// Second frame in each direction: proves that the sender knows the shared secret.
+    Proof(Proof),
+    /// The link is refused. It is the last frame.
+    Reject(Reject),
     /// Heartbeats, promises and requests for records.
     Control(Message),
     /// Records that the receiver asked for.
@@ -95,8 +101,19 @@
     pub offset: Offset,
     /// Hash of the records that the sender has read.
     pub hash: u64,
-    /// Random number that the receiver authenticates itself with.
-    pub nonce: u64,
+    /// Random number that the receiver's proof includes.
+    pub nonce: u128,
+}
+
+/// Why a link is refused.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Reject {
+    /// The proof does not match the shared secret.
+    Proof,
+    /// The log names another process for the sender's host.
+    Process,
+    /// The receiver does not speak the version of the frames.
+    Version,
 }
 
 /// Records for a peer that can't read the log.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,9 +2,11 @@
 
 mod codec;
 mod frame;
+mod proof;
 
 pub use codec::{Error, MAX_FRAME_BYTES, VERSION, decode, encode};
 pub use frame::{
     Answer, CHUNK_BYTES, Cause, Frame, Header, Hello, INITIAL_CREDIT_BYTES, Inquiry, Records,
-    Refusal, Request, Stream,
+    Refusal, Reject, Request, Stream,
 };
+pub use proof::{Proof, Role};
