Accept the requests of a link in any order, each once

The check against repeated requests took a number below the highest one for a repetition. Several threads of a daemon send requests on a link, so numbers arrive out of order, and such a request got no answer.

A new test sends numbers out of order and twice; each runs once and the two repetitions are counted.

--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -1,7 +1,7 @@
 //! One side of a link between two daemons.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -17,6 +17,10 @@
 /// Frames of one request that may wait. Credit bounds the bytes in them.
 const STREAM_QUEUE: usize = 64;
 
+/// Numbers of a peer's requests that are remembered. Those that are out of order are at most as far
+/// apart as the queue of the link is long.
+const USED: usize = 2 * QUEUE;
+
 /// Handle to a link. The link ends when its queue is closed.
 #[derive(Clone, Debug)]
 pub(crate) struct Link {
@@ -28,11 +32,33 @@
 #[derive(Debug, Default)]
 pub(crate) struct Streams {
     next: AtomicU64,
-    /// Number that the peer's next request must have at least.
-    accepted: AtomicU64,
+    used: Mutex<Used>,
     open: Mutex<BTreeMap<Stream, mpsc::Sender<Frame>>>,
 }
 
+/// Numbers of the peer's requests. Threads of the peer may send them out of order.
+#[derive(Debug, Default)]
+struct Used {
+    /// Numbers below this count as used.
+    floor: Stream,
+    recent: BTreeSet<Stream>,
+}
+
+impl Used {
+    /// Notes a number. Returns false if it was used before.
+    fn insert(&mut self, stream: Stream) -> bool {
+        if stream < self.floor || !self.recent.insert(stream) {
+            return false;
+        }
+        if self.recent.len() > USED
+            && let Some(first) = self.recent.pop_first()
+        {
+            self.floor = Stream(first.0.saturating_add(1));
+        }
+        true
+    }
+}
+
 impl Link {
     pub(crate) fn new(sender: mpsc::Sender<Frame>) -> Self {
         Self {
@@ -76,14 +102,8 @@
 
     /// Registers a request of the peer. Returns `None` if its number was used before.
     pub(crate) fn accept(&self, stream: Stream) -> Option<mpsc::Receiver<Frame>> {
-        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        let next = stream.0.saturating_add(1);
-        if self.accepted.fetch_max(next, Ordering::Relaxed) >= next {
-            return None;
-        }
-        let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
-        open.insert(stream, sender);
-        Some(receiver)
+        let mut used = self.used.lock().unwrap_or_else(PoisonError::into_inner);
+        used.insert(stream).then(|| self.open(stream))
     }
 
     pub(crate) fn close(&self, stream: Stream) {
--- a/crates/daemon/tests/links.rs
+++ b/crates/daemon/tests/links.rs
@@ -4,8 +4,10 @@
 
 use futures_util::{SinkExt, StreamExt};
 use harness::{Builder, Call, System, row};
-use ragwortrill_core::process::Process;
-use ragwortrill_wire::{Frame, Hello, Proof, Reject, Role, VERSION, decode, encode};
+use ragwortrill_core::{event::Head, process::Process, time::Span};
+use ragwortrill_wire::{
+    Frame, Hello, Proof, Reject, Request, Role, Stream, VERSION, decode, encode,
+};
 use test_case::test_case;
 use tokio::net::TcpStream;
 use tokio_tungstenite::{WebSocketStream, tungstenite::Message};
@@ -117,3 +119,49 @@
     };
     assert!(proof.is_valid(SECRET, Role::Acceptor, &peer, &own));
 }
+
+/// Guards against a repeated request frame that runs again, and against requests that are refused
+/// because another thread of the peer sent a later one first.
+#[ntex::test]
+async fn a_request_frame_counts_once_in_any_order() {
+    let system = system().await;
+    let (.., mut socket) = greet(&system, Flaw::None).await;
+    for number in [5, 3, 5, 4, 3] {
+        let head = Head {
+            request: Default::default(),
+            service: harness::name("none"),
+            key: None,
+            idempotent: true,
+            fingerprint: Default::default(),
+            caller: 0,
+        };
+        let request = Request {
+            stream: Stream(number),
+            head,
+            remaining: Span::from_secs(10),
+            offset: Default::default(),
+            method: "GET".to_owned(),
+            path: "/".to_owned(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            more: false,
+        };
+        send(&mut socket, Frame::Request(Box::new(request))).await;
+    }
+    let mut refused = Vec::new();
+    while refused.len() < 3 {
+        match receive(&mut socket).await {
+            Some(Frame::Refusal(refusal)) => refused.push(refusal.stream.0),
+            other => panic!("{other:?}"),
+        }
+    }
+    refused.sort_unstable();
+    assert_eq!(refused, [3, 4, 5]);
+    let daemon = system.daemons[0].as_ref().expect("the daemon runs");
+    let page = Call::direct(ntex::http::Method::GET, "/metrics");
+    let page = harness::send(daemon.addresses().operators, &page).await;
+    let page = String::from_utf8_lossy(&page.body).into_owned();
+    let mut lines = page.lines();
+    let replayed = lines.find(|line| line.contains("replayed"));
+    assert!(replayed.is_some_and(|line| line.ends_with(" 2")), "{page}");
+}
