--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -18,6 +18,9 @@
 /// Time between two ticks from which this process counts as paused.
 const PAUSE: Span = Span::from_millis(500);
 
+/// Time after which a stopping daemon no longer waits for the log to note its releases.
+const RELEASE_LIMIT: Span = Span::from_secs(8);
+
 /// Time for which a stopping daemon still takes requests, so that the balancer can notice.
 pub const DRAIN_NOTICE: Span = Span::from_secs(2);
 
@@ -259,7 +262,11 @@
         for target in due {
             self.stop_sending(now, &target, actions);
         }
-        if self.ownership.held().is_empty() && self.tickets.is_empty() {
+        // Contracts that can't be given up, since the log is down for example, end by their lease.
+        let stuck = self
+            .stopping
+            .is_some_and(|since| now >= since + RELEASE_LIMIT);
+        if self.tickets.is_empty() && (stuck || self.ownership.held().is_empty()) {
             actions.push(Action::Exit);
         }
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -33,6 +33,7 @@
     peers::Peers,
     probe,
     recent::Recent,
+    requests,
     settings::Settings,
     shell::{INBOX, Inbound, Shell},
 };
@@ -106,6 +107,7 @@
             metrics: Arc::new(Metrics::new()?),
             process: process.clone(),
             published: Arc::default(),
+            secret: settings.secret.as_str().into(),
             checks: probe_sender.downgrade(),
             // The callers' workers, and the thread of the links.
             senders: settings.workers + 1,
@@ -257,6 +259,7 @@
         let server = HttpServer::new(async move || {
             App::new()
                 .state(shell.clone())
+                .route(requests::PATH, web::get().to(requests::handle))
                 .default_service(web::to(callers::handle))
         });
         Ok(server
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -8,7 +8,7 @@
     time::{Instant, Span},
 };
 use ragwortrill_wire::{
-    CHUNK_BYTES, Cause, Frame, INITIAL_CREDIT_BYTES, Request as Forwarded, Stream,
+    CHUNK_BYTES, Cause, Frame, INITIAL_CREDIT_BYTES, Request as Forwarded, Stream, cost,
 };
 use tokio::sync::mpsc;
 
@@ -145,7 +145,7 @@
             None => (Bytes::new(), true),
         };
         send_chunks(&self.link, self.stream, &bytes, last).await;
-        Ok((!last).then_some(bytes.len() as i64))
+        Ok((!last).then_some(i64::from(cost(bytes.len()))))
     }
 
     fn into_answer(self, head: ragwortrill_wire::Answer) -> Answer {
@@ -173,10 +173,11 @@
                     exchange.ended = true;
                     return (!bytes.is_empty()).then(|| (Ok(Bytes::from(bytes)), None));
                 }
-                exchange.link.try_send(Frame::Credit {
+                let credit = Frame::Credit {
                     stream: exchange.stream,
-                    bytes: bytes.len() as u32,
-                });
+                    bytes: cost(bytes.len()),
+                };
+                exchange.link.send(credit).await;
                 return Some((Ok(Bytes::from(bytes)), Some(exchange)));
             }
             Some(Frame::Abort { .. }) | None => {
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -1,7 +1,7 @@
 //! One side of a link between two daemons.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -14,8 +14,12 @@
 /// Frames that may wait to be written to a link.
 pub(crate) const QUEUE: usize = 4_096;
 
-/// Frames of one request that may wait. Credit bounds the bytes in them.
-const STREAM_QUEUE: usize = 64;
+/// Frames of one request that may wait. Credit bounds the chunks among them to about 70.
+pub(crate) const STREAM_QUEUE: usize = 256;
+
+/// Numbers of a peer's requests that are remembered. Those that are out of order are at most as far
+/// apart as the queue of the link is long.
+const USED: usize = 2 * QUEUE;
 
 /// Handle to a link. The link ends when its queue is closed.
 #[derive(Clone, Debug)]
@@ -28,9 +32,33 @@
 #[derive(Debug, Default)]
 pub(crate) struct Streams {
     next: AtomicU64,
+    used: Mutex<Used>,
     open: Mutex<BTreeMap<Stream, mpsc::Sender<Frame>>>,
 }
 
+/// Numbers of the peer's requests. Threads of the peer may send them out of order.
+#[derive(Debug, Default)]
+struct Used {
+    /// Numbers below this count as used.
+    floor: Stream,
+    recent: BTreeSet<Stream>,
+}
+
+impl Used {
+    /// Notes a number. Returns false if it was used before.
+    fn insert(&mut self, stream: Stream) -> bool {
+        if stream < self.floor || !self.recent.insert(stream) {
+            return false;
+        }
+        if self.recent.len() > USED
+            && let Some(first) = self.recent.pop_first()
+        {
+            self.floor = Stream(first.0.saturating_add(1));
+        }
+        true
+    }
+}
+
 impl Link {
     pub(crate) fn new(sender: mpsc::Sender<Frame>) -> Self {
         Self {
@@ -72,6 +100,12 @@
         receiver
     }
 
+    /// Registers a request of the peer. Returns `None` if its number was used before.
+    pub(crate) fn accept(&self, stream: Stream) -> Option<mpsc::Receiver<Frame>> {
+        let mut used = self.used.lock().unwrap_or_else(PoisonError::into_inner);
+        used.insert(stream).then(|| self.open(stream))
+    }
+
     pub(crate) fn close(&self, stream: Stream) {
         self.lock(|open| open.remove(&stream));
     }
@@ -81,11 +115,17 @@
         self.lock(BTreeMap::clear);
     }
 
-    /// Passes a frame to its request. Returns false if the request is not open, or if the peer
-    /// sends more than it has credit for.
+    /// Passes a frame to its request. Returns false if the request is not open.
+    ///
+    /// A peer that sends more than it has credit for ends its request: a dropped frame would leave
+    /// a gap in a body.
     pub(crate) fn deliver(&self, stream: Stream, frame: Frame) -> bool {
         let sender = self.lock(|open| open.get(&stream).cloned());
-        sender.is_some_and(|sender| sender.try_send(frame).is_ok())
+        let delivered = sender.is_some_and(|sender| sender.try_send(frame).is_ok());
+        if !delivered {
+            self.close(stream);
+        }
+        delivered
     }
 
     fn lock<T>(&self, act: impl FnOnce(&mut BTreeMap<Stream, mpsc::Sender<Frame>>) -> T) -> T {
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -5,7 +5,7 @@
 use ragwortrill_core::{number::Offset, request::Refusal, time::Span};
 use ragwortrill_wire::{
     Answer as Head, Cause, Frame, Header, INITIAL_CREDIT_BYTES, Refusal as Refused,
-    Request as Forwarded, Stream,
+    Request as Forwarded, Stream, cost,
 };
 use tokio::sync::mpsc;
 
@@ -14,7 +14,7 @@
     drive::{self, Decision, Origin},
     exchange::{Answer, Error, Parts, Request},
     forward::send_chunks,
-    link::Link,
+    link::{Link, STREAM_QUEUE},
     shell::Shell,
 };
 
@@ -26,7 +26,8 @@
     mut frames: mpsc::Receiver<Frame>,
 ) {
     let stream = forwarded.stream;
-    let (sender, receiver) = mpsc::channel(64);
+    let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
+    let mut parts = Some(sender);
     let origin = Origin {
         deadline: shell.clock.now() + forwarded.remaining,
         forwarded: true,
@@ -43,8 +44,9 @@
             decision = &mut decided => break decision,
             frame = frames.recv(), if !gone => match frame {
                 Some(Frame::Credit { bytes, .. }) => credit += i64::from(bytes),
+                // A body with a gap would be wrong, so a part that finds no room ends it.
                 Some(frame @ Frame::Chunk { .. }) => {
-                    let _ = sender.try_send(frame);
+                    parts.take_if(|parts| parts.try_send(frame).is_err());
                 }
                 Some(Frame::Abort { .. }) | None if idempotent => return,
                 Some(Frame::Abort { .. }) | None => gone = true,
@@ -96,10 +98,11 @@
             if last {
                 return (!bytes.is_empty()).then(|| (Ok(Bytes::from(bytes)), None));
             }
-            link.try_send(Frame::Credit {
+            let credit = Frame::Credit {
                 stream,
-                bytes: bytes.len() as u32,
-            });
+                bytes: cost(bytes.len()),
+            };
+            link.send(credit).await;
             Some((Ok(Bytes::from(bytes)), Some((frames, link, stream))))
         }
         _ => Some((Err(Error::Broken), None)),
@@ -197,7 +200,7 @@
         };
         match part {
             Some(Ok(bytes)) => {
-                credit -= bytes.len() as i64;
+                credit -= i64::from(cost(bytes.len()));
                 open = send_chunks(link, stream, &bytes, false).await;
             }
             Some(Err(_)) => {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -13,6 +13,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::proof::Proof;
+
 /// Largest part of a body in one frame, in bytes.
 pub const CHUNK_BYTES: usize = 16 * 1024;
 
@@ -22,6 +24,19 @@
 /// Bytes of a body that may be sent before the receiver grants credit.
 pub const INITIAL_CREDIT_BYTES: u32 = 64 * 1024;
 
+/// Credit that the smallest chunk costs, in bytes. It bounds the number of chunks on their way.
+const LEAST_COST_BYTES: usize = 1024;
+
+/// Returns the credit that the chunks of a part of a body cost, in bytes.
+pub fn cost(bytes: usize) -> u32 {
+    let whole = bytes / CHUNK_BYTES * CHUNK_BYTES;
+    let rest = match bytes - whole {
+        0 => 0,
+        rest => rest.max(LEAST_COST_BYTES),
+    };
+    (whole + rest) as u32
+}
+
 /// Number of a request on a link, chosen by the side that opened the link.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
@@ -32,6 +47,10 @@
 pub enum Frame {
     /// First frame in each direction.
     Hello(Hello),
+    /// Second frame in each direction: proves that the sender knows the shared secret.
+    Proof(Proof),
+    /// The link is refused. It is the last frame.
+    Reject(Reject),
     /// Heartbeats, promises and requests for records.
     Control(Message),
     /// Records that the receiver asked for.
@@ -72,6 +91,21 @@
     },
     /// The request is not answered by its target.
     Refusal(Refusal),
+    /// Asks what the receiver knows of a request. It sends an answer.
+    Inquiry(Inquiry),
+}
+
+/// A question about a request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Inquiry {
+    /// Number of the question on the link.
+    pub stream: Stream,
+    /// Service that the request asked.
+    pub service: name::Service,
+    /// The request.
+    pub request: request::Id,
+    /// Hash of the name of the caller who asks.
+    pub caller: u64,
 }
 
 /// Introduces a daemon.
@@ -87,8 +121,19 @@
     pub offset: Offset,
     /// Hash of the records that the sender has read.
     pub hash: u64,
-    /// Random number that the receiver authenticates itself with.
-    pub nonce: u64,
+    /// Random number that the receiver's proof includes.
+    pub nonce: u128,
+}
+
+/// Why a link is refused.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Reject {
+    /// The proof does not match the shared secret.
+    Proof,
+    /// The log names another process for the sender's host.
+    Process,
+    /// The receiver does not speak the version of the frames.
+    Version,
 }
 
 /// Records for a peer that can't read the log.
