--- a/crates/standin/examples/measure/recovery.rs
+++ b/crates/standin/examples/measure/recovery.rs
@@ -32,21 +32,29 @@
                 _ => seeds.div_ceil(BASELINE_PART),
             };
             let outcomes = run_seeds(arguments.seed, count, &one);
-            eprintln!("{}, {policy}: {count} faults measured", fault.name());
+            if !arguments.json {
+                let fault = fault.name();
+                let outcomes = &outcomes;
+                let row = Row {
+                    fault,
+                    policy,
+                    outcomes,
+                };
+                print!("{}", recovery::table(&[row], results.is_empty()));
+            }
             results.push((fault.name(), policy, outcomes));
         }
     }
-    let rows: Vec<Row<'_>> = results
-        .iter()
-        .map(|(fault, policy, outcomes)| Row {
-            fault,
-            policy,
-            outcomes,
-        })
-        .collect();
-    match arguments.json {
-        true => println!("{}", recovery::json(&rows)),
-        false => print!("{}", recovery::table(&rows)),
+    if arguments.json {
+        let rows: Vec<Row<'_>> = results
+            .iter()
+            .map(|(fault, policy, outcomes)| Row {
+                fault,
+                policy,
+                outcomes,
+            })
+            .collect();
+        println!("{}", recovery::json(&rows));
     }
     Ok(())
 }
--- a/crates/standin/src/recovery/report.rs
+++ b/crates/standin/src/recovery/report.rs
@@ -52,13 +52,15 @@
     }
 }
 
-/// Renders rows as a table in Markdown.
-pub fn table(rows: &[Row<'_>]) -> String {
+/// Renders rows as a table in Markdown, with or without its head.
+pub fn table(rows: &[Row<'_>], head: bool) -> String {
     let mut text = String::new();
     let names = rows.first().map(|row| row.figures().map(|(name, _)| name));
     let names = names.map(|names| names.join(" | ")).unwrap_or_default();
-    let _ = writeln!(text, "| Fault | Policy | Faults | {names} |");
-    let _ = writeln!(text, "|---|---|{}", "--:|".repeat(10));
+    if head {
+        let _ = writeln!(text, "| Fault | Policy | Faults | {names} |");
+        let _ = writeln!(text, "|---|---|{}", "--:|".repeat(10));
+    }
     for row in rows {
         let cells = row.figures().map(|(name, value)| match name {
             "median s" | "max s" => format!("{value:.2}"),
