--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -1,6 +1,6 @@
 //! Claims of contracts, their standbys, and contracts given up to better placed daemons.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::{
     action::Action,
@@ -85,12 +85,13 @@
         if heard < met / 2 {
             return self.claimable.clear();
         }
+        let subjects = self.subjects(now, met);
         let candidates = self.candidates(now);
         let mut due = Vec::new();
         let mut claimable = BTreeMap::new();
-        for target in self.subjects() {
+        for target in subjects {
             let contract = self.ledger.contracts().get(&target);
-            if self.ownership.is_claiming(&target) || !self.is_claimable(now, contract, met) {
+            if self.ownership.is_claiming(&target) {
                 continue;
             }
             let since = *self.claimable.get(&target).unwrap_or(&now);
@@ -128,23 +129,45 @@
         (met.len(), heard)
     }
 
-    /// Returns all targets that need a holder.
-    fn subjects(&self) -> BTreeSet<name::Target> {
+    /// Returns all targets that have no live holder.
+    ///
+    /// The contracts are looked through without a copy, and the table only until all of its
+    /// targets have contracts: contracts are never removed, and most targets have a live holder.
+    fn subjects(&mut self, now: Instant, met: usize) -> Vec<name::Target> {
+        let mut subjects = self.unclaimed();
+        let mut silent = BTreeMap::new();
+        let contracts = self.ledger.contracts().iter();
+        let claimable = contracts.filter(|(_, contract)| {
+            let holder = &contract.holder;
+            contract.released.is_some()
+                || *silent
+                    .entry(holder)
+                    .or_insert_with(|| self.is_silent(now, holder, met))
+        });
+        subjects.extend(claimable.map(|(target, _)| target.clone()));
+        subjects
+    }
+
+    /// Returns the targets of the table that never had a contract.
+    fn unclaimed(&mut self) -> Vec<name::Target> {
+        if self.contracted == self.ledger.version() {
+            return Vec::new();
+        }
         let rows = self.ledger.table().services.values();
-        let named = rows.flat_map(|row| row.targets.keys());
-        let held = self.ledger.contracts().keys();
-        named.chain(held).cloned().collect()
+        let targets = rows.flat_map(|row| row.targets.keys());
+        let contracts = self.ledger.contracts();
+        let unclaimed = targets.filter(|target| !contracts.contains_key(*target));
+        let unclaimed: Vec<name::Target> = unclaimed.cloned().collect();
+        if unclaimed.is_empty() {
+            self.contracted = self.ledger.version();
+        }
+        unclaimed
     }
 
-    /// Tells whether a target has no live holder. A process that has met nobody yet cannot tell.
-    fn is_claimable(&self, now: Instant, contract: Option<&Contract>, met: usize) -> bool {
-        contract.is_none_or(|contract| {
-            contract.released.is_some()
-                || self.ledger.lost().contains(&contract.holder)
-                || met > 0
-                    && contract.holder != self.config.process
-                    && !self.hears(&contract.holder, now)
-        })
+    /// Tells whether a holder is gone or silent. A process that has met nobody yet cannot tell.
+    fn is_silent(&self, now: Instant, holder: &Process, met: usize) -> bool {
+        self.ledger.lost().contains(holder)
+            || met > 0 && *holder != self.config.process && !self.hears(holder, now)
     }
 
     /// Returns how many others go before this process in claiming a target.
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -31,6 +31,7 @@
             self.next_heartbeat = now + self.config.times.heartbeat;
             let suspicion = self.config.times.suspicion;
             self.view.forget_silent(now, suspicion);
+            self.refer();
             self.send_heartbeats(now, actions);
             self.claim(now, actions);
             self.rename(now, actions);
@@ -158,7 +159,8 @@
     fn check_health(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let targets: Vec<name::Target> = self.desks.keys().cloned().collect();
         for target in targets {
-            let reference = self.reference(&target);
+            let row = self.ledger.table().target(&target);
+            let reference = row.and_then(|(name, _, _)| self.references.get(name).copied());
             let mut decisions = Vec::new();
             if let Some(desk) = self.desks.get_mut(&target) {
                 desk.decay(now);
@@ -188,14 +190,27 @@
         }
     }
 
-    fn reference(&self, target: &name::Target) -> Option<Span> {
-        let (_, row, _) = self.ledger.table().target(target)?;
-        let medians = row.targets.keys().filter_map(|name| {
-            let own = self.desks.get(name).and_then(|desk| desk.health.median());
-            let told = self.reports.get(name).map(|report| report.latency);
-            own.or(told).filter(|latency| *latency > Span::ZERO)
+    /// Computes the median latency of each service that this process holds targets of.
+    ///
+    /// Once in a heartbeat: at each tick it took most of the periodic work with many targets.
+    fn refer(&mut self) {
+        let rows = self.ledger.table().services.iter();
+        let held = rows.filter(|(_, row)| {
+            let mut desks = self.desks.keys();
+            desks.any(|target| row.targets.contains_key(target))
         });
-        health::reference(medians)
+        let references = held.filter_map(|(service, row)| {
+            let medians = row.targets.keys().filter_map(|name| self.median(name));
+            Some((service.clone(), health::reference(medians)?))
+        });
+        self.references = references.collect();
+    }
+
+    fn median(&self, target: &name::Target) -> Option<Span> {
+        let own = self.desks.get(target);
+        let own = own.and_then(|desk| desk.health.median());
+        let told = self.reports.get(target).map(|report| report.latency);
+        own.or(told).filter(|latency| *latency > Span::ZERO)
     }
 
     /// Tells whether a target is lost, as far as this process knows.
--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -15,6 +15,9 @@
     time::{Instant, Span},
 };
 
+/// Interval between plans that only level the load, which looks at all slices of a service.
+const LEVELLING: Span = Span::from_secs(1);
+
 /// Shares that a holder is moving away from its target.
 #[derive(Clone, Debug)]
 pub(crate) struct Handover {
@@ -38,8 +41,12 @@
 impl Node {
     /// Plans and submits moves for the services whose targets this process holds.
     pub(crate) fn hand_over(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if now >= self.next_plan && self.has_answered(now) {
-            self.next_plan = now + self.config.times.heartbeat;
+        let interval = match self.has_urgent_moves() {
+            true => self.config.times.heartbeat,
+            false => LEVELLING,
+        };
+        if now.since(self.planned) >= interval && self.has_answered(now) {
+            self.planned = now;
             self.plan_moves(now, actions);
         }
         let targets: Vec<_> = self.desks.keys().cloned().collect();
@@ -48,11 +55,17 @@
         }
     }
 
+    /// Tells whether a target held here is to be emptied.
+    fn has_urgent_moves(&self) -> bool {
+        let mut desks = self.desks.iter();
+        desks.any(|(target, desk)| desk.is_lost() || !self.ledger.has_work(target))
+    }
+
     fn plan_moves(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let rows = self.ledger.table().services.iter();
         let rows: Vec<name::Service> = rows
             .filter(|(_, row)| row.divided_by_key)
-            .filter(|(_, row)| row.targets.keys().any(|t| self.desks.contains_key(t)))
+            .filter(|(_, row)| self.desks.keys().any(|t| row.targets.contains_key(t)))
             .map(|(service, _)| service.clone())
             .collect();
         for service in rows {
@@ -205,6 +218,12 @@
         let Some(epoch) = self.ownership.epoch(target, now, times) else {
             return;
         };
+        // The records that confirm a contract and that move its shares would refuse each other.
+        let held = self.ownership.held().get(target);
+        let settled = held.is_some_and(|held| held.is_confirmed());
+        if !settled || self.ownership.is_renaming(epoch) {
+            return;
+        }
         let Some(desk) = self.desks.get(target) else {
             return;
         };
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -12,7 +12,7 @@
     ledger::{Effect, Ledger},
     member::View,
     name,
-    number::{Epoch, Offset},
+    number::{Epoch, Offset, Version},
     ownership::Ownership,
     process::Process,
     quarantine::Quarantine,
@@ -65,7 +65,11 @@
     pub(crate) started: bool,
     pub(crate) stopping: Option<Instant>,
     pub(crate) next_heartbeat: Instant,
-    pub(crate) next_plan: Instant,
+    pub(crate) planned: Instant,
+    /// Median latency of each service's targets, by which each of them is judged.
+    pub(crate) references: BTreeMap<name::Service, Span>,
+    /// Version of the table for which all targets have contracts.
+    pub(crate) contracted: Version,
     pub(crate) next_yield: Instant,
     /// When a read of the log last showed that no record is newer than those applied.
     pub(crate) answered: Option<Instant>,
@@ -130,7 +134,9 @@
             started: false,
             stopping: None,
             next_heartbeat: Instant::default(),
-            next_plan: Instant::default(),
+            planned: Instant::default(),
+            references: BTreeMap::new(),
+            contracted: Version::default(),
             next_yield: Instant::default(),
             answered: None,
             ticked: Instant::default(),
