--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -62,6 +62,10 @@
 /// Time allowed to open a link, in milliseconds.
 const OPEN_MS: u64 = 1_000;
 
+/// Buffers of a link in each direction, in bytes. The library's 128 KiB took most of an idle
+/// link's memory.
+const BUFFER_BYTES: usize = 16 * 1024;
+
 /// What this daemon needs to keep links.
 #[derive(Clone)]
 pub(crate) struct Peers {
@@ -274,6 +278,8 @@
 
 fn limits() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
         .max_message_size(Some(MAX_FRAME_BYTES))
         .max_frame_size(Some(MAX_FRAME_BYTES))
 }
