Note a graceful end in the log

Cause: a process counts those that it met in the last hour when it judges whether it is cut off. After one of three daemons had stopped gracefully and another was killed, the last one heard none of two and claimed nothing. Change: a stopping daemon that holds and runs nothing writes that it has ended; the others no longer count it. Figures: a_stopped_and_a_killed_process_are_replaced passes with real processes: a download of 300,000 bytes runs to its end through a daemon that gets SIGTERM, and all keys are served again after a SIGKILL. Conclusion: planned stops and a loss in a row leave no key without service.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -12,6 +12,7 @@
     node::Node,
     number::Epoch,
     process::Process,
+    record::Record,
     time::{Instant, Span},
 };
 
@@ -281,8 +282,21 @@
         let stuck = self
             .stopping
             .is_some_and(|since| now >= since + RELEASE_LIMIT);
-        if self.tickets.is_empty() && (stuck || self.ownership.held().is_empty()) {
-            actions.push(Action::Exit);
+        if !self.tickets.is_empty() || !(stuck || self.ownership.held().is_empty()) {
+            return;
+        }
+        if stuck || self.ledger.lost().contains(&self.config.process) {
+            return actions.push(Action::Exit);
+        }
+        self.announce_end(actions);
+    }
+
+    /// Notes in the log that this process acts no more. The others then neither wait for it nor
+    /// count it when they judge whether they are cut off themselves.
+    fn announce_end(&mut self, actions: &mut Vec<Action>) {
+        if !std::mem::replace(&mut self.ended_announced, true) {
+            let process = self.config.process.clone();
+            self.append("daemon stopped", Record::Lost { process }, actions);
         }
     }
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -64,6 +64,8 @@
     pub(crate) entries: u64,
     pub(crate) started: bool,
     pub(crate) stopping: Option<Instant>,
+    /// True once the record of this process's graceful end is submitted.
+    pub(crate) ended_announced: bool,
     pub(crate) next_heartbeat: Instant,
     pub(crate) planned: Instant,
     /// Median latency of each service's targets, by which each of them is judged.
@@ -133,6 +135,7 @@
             entries: 0,
             started: false,
             stopping: None,
+            ended_announced: false,
             next_heartbeat: Instant::default(),
             planned: Instant::default(),
             references: BTreeMap::new(),
--- a/crates/daemon/examples/bench.rs
+++ b/crates/daemon/examples/bench.rs
@@ -15,6 +15,7 @@
 
 use harness::{Builder, Call, System, client, row, send_by};
 use hdrhistogram::Histogram;
+use ntex::http::Method;
 use ragwortrill_standin::target;
 
 /// Callers that send one request after the other, for throughput.
@@ -54,7 +55,7 @@
     system.call_until_served(0, &call).await;
     system.call_until_served(1, &call).await;
     let holder = holder(&system).await;
-    let direct = Call::direct("/free");
+    let direct = Call::direct(Method::GET, "/free");
     let address = system.targets.values().next().map(target::Server::address);
     let address = address.expect("there is a target");
     let paths = vec![
--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -316,16 +316,6 @@
         Self::new(Method::HEAD, service, path, key)
     }
 
-    /// Describes a GET request to a target itself.
-    pub fn direct(path: &str) -> Self {
-        Self {
-            method: Method::GET,
-            path: path.to_owned(),
-            headers: Vec::new(),
-            body: Bytes::new(),
-        }
-    }
-
     /// Describes a POST request for a key.
     pub fn post(service: &str, path: &str, key: &str, body: impl Into<Bytes>) -> Self {
         let mut call = Self::new(Method::POST, service, path, key);
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -83,11 +83,16 @@
         }
     }
 
-    /// Ends the process gracefully and returns what it logged.
-    fn end(mut self) -> (Option<i32>, String) {
+    /// Starts a graceful shutdown.
+    fn terminate(&self) {
         let id = self.child.id().to_string();
         let sent = Command::new("kill").args(["-TERM", &id]).status();
         assert!(sent.expect("the signal is sent").success());
+    }
+
+    /// Ends the process gracefully and returns what it logged.
+    fn end(mut self) -> (Option<i32>, String) {
+        self.terminate();
         let mut text = String::new();
         let _ = self.lines.read_to_string(&mut text);
         let status = self.child.wait().expect("the process ends");
@@ -116,8 +121,9 @@
 }
 
 impl World {
-    fn start() -> Self {
-        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("processes");
+    /// Starts the processes in a directory of the test's own.
+    fn start(test: &str) -> Self {
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
         fs::create_dir_all(&directory).expect("the directory can be created");
         let write = |file: &str, text: &str| {
             fs::write(directory.join(file), text).expect("the file can be written");
@@ -249,7 +255,7 @@
 /// Guards against programs that don't fit together: options, paths, types, texts and signals.
 #[ntex::test]
 async fn a_system_is_operated_from_its_first_table_to_its_end() {
-    let world = World::start();
+    let world = World::start("operated");
     for daemon in 0..3 {
         let alive = [
             "entry-east east in yes",
@@ -379,3 +385,63 @@
         );
     }
 }
+
+/// Guards against a planned stop that cuts a download or leaves keys without service, and against
+/// keys that are not served again after a process was killed.
+#[ntex::test]
+async fn a_stopped_and_a_killed_process_are_replaced() {
+    const SIZE: usize = 300_000;
+    let mut world = World::start("replaced");
+    let table = "table apply table.json --base 0 --reason 'first table'";
+    world.change(0, 1, table).await;
+    for number in 0..10 {
+        served(world.daemons[1].callers, number).await;
+    }
+    let hold = |held| {
+        let targets = world.targets.iter();
+        targets.for_each(|target| target.change(|settings| settings.hold = held));
+    };
+    hold(true);
+    let caller = world.daemons[1].callers;
+    let path = format!("/stream/{SIZE}");
+    let download = async move { send(caller, &Call::get("lookup", &path, "k-1")).await };
+    let download = ntex::rt::spawn(download);
+    let start = Instant::now();
+    while !world.targets.iter().any(|t| t.counts().running > 0) {
+        assert!(start.elapsed() < LIMIT, "the download does not start");
+        sleep(Millis(20)).await;
+    }
+    let mut stopped = world.daemons.remove(1);
+    stopped.terminate();
+    wait_for(&mut stopped.lines, "graceful shutdown started");
+    hold(false);
+    let reply = download.await.expect("the download ends");
+    assert!(reply.whole, "the planned stop cut the download");
+    assert_eq!(reply.body.len(), SIZE);
+    let (code, log) = stopped.end();
+    assert_eq!(code, Some(0), "{log}");
+    assert!(log.contains("no request was cut"), "{log}");
+    for number in 0..10 {
+        served(world.daemons[0].callers, number).await;
+    }
+    let mut killed = world.daemons.remove(1);
+    killed.child.kill().expect("the process can be killed");
+    for number in 0..10 {
+        served(world.daemons[0].callers, number).await;
+    }
+    let stale = world
+        .targets
+        .iter()
+        .map(|target| target.counts().stale_runs);
+    assert_eq!(stale.sum::<u64>(), 0);
+}
+
+/// Repeats a request until it is served.
+async fn served(callers: SocketAddr, number: usize) {
+    let call = Call::get("lookup", "/free", &format!("k-{number}"));
+    let start = Instant::now();
+    while send(callers, &call).await.status != 200 {
+        assert!(start.elapsed() < LIMIT, "key k-{number} is not served");
+        sleep(Millis(50)).await;
+    }
+}
