--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,28 +1,37 @@
 //! The monotonic clock of a process.
 
-use std::time::{self, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use ragwortrill_core::time::{Instant, Span};
+use rustix::time::{ClockId, clock_gettime};
 
 /// Time before the start that the clock shows, so that no early difference is cut off at zero.
 const START: Instant = Instant(Span::from_secs(86_400).0);
 
 /// A monotonic clock in microseconds.
+///
+/// It counts the time in which the machine is suspended, unlike the standard library's: a lease
+/// must not outlast a suspension.
 #[derive(Clone, Copy, Debug)]
-pub struct Clock(time::Instant);
+pub struct Clock(Span);
 
 impl Clock {
     /// Starts a clock.
     pub fn start() -> Self {
-        Self(time::Instant::now())
+        Self(since_boot())
     }
 
     /// Returns the current moment.
     pub fn now(&self) -> Instant {
-        START + Span::from_micros(self.0.elapsed().as_micros() as u64)
+        START + (since_boot() - self.0)
     }
 }
 
+fn since_boot() -> Span {
+    let time = clock_gettime(ClockId::Boottime);
+    Span::from_secs(time.tv_sec as u64) + Span::from_micros(time.tv_nsec as u64 / 1_000)
+}
+
 /// Returns the wall clock in milliseconds since the Unix epoch, for records that people read.
 pub(crate) fn wall_ms() -> u64 {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
