Empty the targets of a lost data centre once

The new holder of a lost target gave its contract to a better placed daemon before it had moved the slices, and slices moved to a lost target whose own new holder had not probed it yet. Ruled out: moves to targets of silent holders alone; that change left the maximum at 4.88 s. Change: a contract is not given up while its target fails to answer; a target receives slices only after its current holder has reported an answer from it, and a claim drops the earlier holder's report.

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -225,12 +225,16 @@
         self.release(now, actions);
     }
 
+    /// Returns a target that another daemon is better placed to command. One that does not answer
+    /// stays: its next holder would have to find out anew that it is lost.
     fn misplaced(&self, now: Instant) -> Option<name::Target> {
         let candidates = self.candidates(now);
         let held = self.ownership.held().iter();
         let idle = |target: &name::Target| {
             let desk = self.desks.get(target);
-            desk.is_some_and(|desk| desk.handover.is_none() && desk.yielding.is_none())
+            desk.is_some_and(|desk| {
+                desk.handover.is_none() && desk.yielding.is_none() && desk.answers()
+            })
         };
         let mut movable = held.filter(|(target, held)| held.is_confirmed() && idle(target));
         let better = movable.find(|(target, _)| {
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -144,7 +144,8 @@
         due
     }
 
-    fn answers(&self) -> bool {
+    /// Tells whether the target answered the last probe.
+    pub(crate) fn answers(&self) -> bool {
         self.start.is_some() && !self.health.is_failing()
     }
 
--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -155,9 +155,11 @@
             return desk.start().is_some();
         }
         let contract = self.ledger.contracts().get(target);
-        contract.is_some_and(|contract| {
+        let attended = contract.is_some_and(|contract| {
             contract.confirmed && contract.released.is_none() && self.hears(&contract.holder, now)
-        })
+        });
+        let report = self.reports.get(target);
+        attended && report.is_some_and(|report| report.start.is_some())
     }
 
     fn capacity_percent(&self, now: Instant, target: &name::Target) -> u32 {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -231,6 +231,14 @@
                     self.registered(now, entry, *request, intent, actions);
                 }
             }
+            // A new holder has yet to find out how its targets are.
+            Record::Claim {
+                holder, targets, ..
+            } if *holder != self.config.process => {
+                for (target, _) in targets {
+                    self.reports.remove(target);
+                }
+            }
             Record::Outcome { requests } => {
                 for (request, _) in requests {
                     self.ended.remove(request);
