--- /dev/null
+++ b/crates/core/src/ending.rs
@@ -0,0 +1,289 @@
+//! How requests of a node end: answers, failures, retries, departures and refusals.
+
+use crate::{
+    action::Action,
+    desk::queue_id,
+    event::{Finish, Head, Ticket},
+    health::Observation,
+    name,
+    node::{Node, Phase},
+    record::Record,
+    request::{Refusal, Run},
+    retry::Budget,
+    time::{Instant, Span},
+    traffic::RETRY_AFTER,
+};
+
+/// Retries that a service may save up.
+const RETRY_BURST: u32 = 100;
+
+impl Node {
+    pub(crate) fn finish(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        result: Finish,
+        actions: &mut Vec<Action>,
+    ) {
+        let phase = self.tickets.get(&ticket).map(|held| held.phase.clone());
+        match phase {
+            Some(Phase::Running(target, _)) => {
+                self.finish_running(now, ticket, &target, result, actions);
+            }
+            Some(Phase::Forwarded(_)) => self.finish_forwarded(now, ticket, result, actions),
+            _ => {}
+        }
+    }
+
+    pub(crate) fn finish_running(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        target: &name::Target,
+        result: Finish,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(held) = self.tickets.get(&ticket) else {
+            return;
+        };
+        let head = held.arrival.head.clone();
+        let busy = match held.phase {
+            Phase::Running(_, since) => now.since(since),
+            _ => Span::ZERO,
+        };
+        match result {
+            Finish::Answered(status) => {
+                self.count_late(now, target, ticket);
+                self.observe(now, target, Observation::Answered(busy), &head, busy);
+                self.quarantine.acquit(head.fingerprint);
+                self.end(ticket, status, actions);
+                self.free(now, ticket, target, Some(busy), actions);
+            }
+            Finish::Cut(status) => {
+                self.end(ticket, status, actions);
+                self.free(now, ticket, target, None, actions);
+            }
+            Finish::Unsent { .. } | Finish::Shed => {
+                let seen = match result {
+                    Finish::Shed => Some(Observation::Shed),
+                    Finish::Unsent { lapsed: false } => Some(Observation::Unreachable),
+                    _ => None,
+                };
+                if let Some(seen) = seen {
+                    self.observe(now, target, seen, &head, Span::ZERO);
+                }
+                self.wait_again(ticket);
+                if !self.may_retry(&head.service) {
+                    self.refuse(ticket, Refusal::Unreachable, Some(RETRY_AFTER), actions);
+                }
+                self.free(now, ticket, target, None, actions);
+            }
+            _ => {
+                // It was sent, so that its intent must stay.
+                if let Some(held) = self.tickets.get_mut(&ticket) {
+                    held.intent = None;
+                    held.sent = true;
+                }
+                self.suspend(now, ticket, target, actions);
+            }
+        }
+    }
+
+    /// Notes what a request showed of its target, and what it cost there.
+    pub(crate) fn observe(
+        &mut self,
+        now: Instant,
+        target: &name::Target,
+        seen: Observation,
+        head: &Head,
+        busy: Span,
+    ) {
+        let row = self.ledger.table().services.get(&head.service);
+        let slices = row.map_or(1, |row| row.slices);
+        let Some(desk) = self.desks.get_mut(target) else {
+            return;
+        };
+        desk.health.observe(now, seen);
+        if busy > Span::ZERO {
+            let slice = head.key.unwrap_or(head.request.key).slice(slices);
+            desk.charge(slice, head.key, busy);
+        }
+    }
+
+    pub(crate) fn count_late(&mut self, now: Instant, target: &name::Target, ticket: Ticket) {
+        let deadline = self.tickets.get(&ticket).map(|held| held.arrival.deadline);
+        let late = deadline.is_some_and(|deadline| deadline < now);
+        if let Some(desk) = self.desks.get_mut(target).filter(|_| late) {
+            desk.late += 1;
+        }
+    }
+
+    /// Ends a request whose answer was passed on.
+    pub(crate) fn end(&mut self, ticket: Ticket, status: u16, actions: &mut Vec<Action>) {
+        let Some(held) = self.close(ticket) else {
+            return;
+        };
+        let head = held.arrival.head;
+        if !head.idempotent {
+            self.ended.insert(head.request, status);
+            let requests = vec![(head.request, status)];
+            self.append("request ended", Record::Outcome { requests }, actions);
+        }
+    }
+
+    /// Takes one retry from the budget of a service.
+    pub(crate) fn may_retry(&mut self, service: &name::Service) -> bool {
+        let budget = self.retries.get_mut(service);
+        budget.is_none_or(Budget::withdraw)
+    }
+
+    pub(crate) fn count_request(&mut self, service: &name::Service) {
+        let Some(row) = self.ledger.table().services.get(service) else {
+            return;
+        };
+        let percent = row.retry_percent;
+        let budget = self.retries.entry(service.clone());
+        let full = || {
+            let mut budget = Budget::new(percent, RETRY_BURST);
+            (0..RETRY_BURST).for_each(|_| budget.deposit());
+            budget
+        };
+        budget.or_insert_with(full).deposit();
+    }
+
+    pub(crate) fn finish_forwarded(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        result: Finish,
+        actions: &mut Vec<Action>,
+    ) {
+        match result {
+            Finish::Answered(_) | Finish::Cut(_) => {
+                self.close(ticket);
+            }
+            Finish::Refused { refusal, offset } if refusal.may_reroute() => {
+                if let Some(held) = self.tickets.get_mut(&ticket) {
+                    held.arrival.known = held.arrival.known.max(offset);
+                    held.phase = Phase::Waiting;
+                }
+                if refusal != Refusal::NotMine {
+                    return;
+                }
+                self.route(now, ticket, actions);
+            }
+            Finish::Refused { refusal, .. } => self.refuse(ticket, refusal, None, actions),
+            result => {
+                if let Some(held) = self.tickets.get_mut(&ticket) {
+                    held.sent |= !matches!(result, Finish::Unsent { .. });
+                }
+                self.wait_again(ticket);
+            }
+        }
+    }
+
+    /// Frees the slot of a request. `busy` is given if its answer is complete.
+    pub(crate) fn free(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        target: &name::Target,
+        busy: Option<Span>,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut decisions = Vec::new();
+        if let Some(desk) = self.desks.get_mut(target) {
+            let id = queue_id(ticket);
+            match busy {
+                Some(_) => desk.queue.finish(now, id, &mut decisions),
+                None => desk.queue.release(now, id, &mut decisions),
+            }
+        }
+        self.carry_out(now, target, decisions, actions);
+    }
+
+    /// Handles a caller that went away: idempotent work is cancelled, other work runs to its end.
+    pub(crate) fn leave(&mut self, now: Instant, ticket: Ticket, actions: &mut Vec<Action>) {
+        let Some(held) = self.tickets.get(&ticket) else {
+            return;
+        };
+        let idempotent = held.arrival.head.idempotent;
+        match held.phase.clone() {
+            Phase::Running(target, _) | Phase::Suspended(target) if idempotent => {
+                actions.push(Action::Cancel(ticket));
+                self.close(ticket);
+                self.free(now, ticket, &target, None, actions);
+            }
+            Phase::Forwarded(_) if idempotent => {
+                actions.push(Action::Cancel(ticket));
+                self.close(ticket);
+            }
+            Phase::Queued(target) => {
+                if let Some(desk) = self.desks.get_mut(&target) {
+                    desk.queue.cancel(queue_id(ticket));
+                }
+                self.close(ticket);
+            }
+            Phase::Waiting => {
+                self.close(ticket);
+            }
+            _ => {}
+        }
+    }
+
+    /// Refuses requests whose deadline has passed before they were started.
+    pub(crate) fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let targets: Vec<name::Target> = self.desks.keys().cloned().collect();
+        for target in targets {
+            let mut decisions = Vec::new();
+            if let Some(desk) = self.desks.get_mut(&target) {
+                desk.queue.expire(now, &mut decisions);
+            }
+            self.carry_out(now, &target, decisions, actions);
+        }
+        let late = self.tickets.iter();
+        let late = late.filter(|(_, held)| held.arrival.deadline <= now);
+        let late: Vec<(Ticket, Phase)> = late
+            .map(|(ticket, held)| (*ticket, held.phase.clone()))
+            .collect();
+        for (ticket, phase) in late {
+            match phase {
+                Phase::Waiting => self.refuse(ticket, Refusal::NoHolder, None, actions),
+                Phase::Registering(target, _) => {
+                    self.refuse(ticket, Refusal::LogDown, Some(RETRY_AFTER), actions);
+                    self.free(now, ticket, &target, None, actions);
+                }
+                Phase::Suspended(_) => self.refuse(ticket, Refusal::Broken, None, actions),
+                _ => {}
+            }
+        }
+    }
+
+    pub(crate) fn refuse(
+        &mut self,
+        ticket: Ticket,
+        refusal: Refusal,
+        retry_after: Option<Span>,
+        actions: &mut Vec<Action>,
+    ) {
+        let held = self.close(ticket);
+        let may_have_run = held.as_ref().is_some_and(|held| held.sent);
+        // An earlier attempt may have run, which a refusal as not run would deny.
+        let refusal = match refusal.run() {
+            Run::NotRun if may_have_run => Refusal::Broken,
+            _ => refusal,
+        };
+        let unsent = held.filter(|held| !matches!(held.phase, Phase::Running(_, _)));
+        if let Some(held) = unsent
+            && let Some(intent) = held.intent
+        {
+            self.withdraw(held.arrival.head.request, intent.offset, actions);
+        }
+        actions.push(Action::Refuse {
+            ticket,
+            refusal,
+            retry_after,
+            offset: self.ledger.offset(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/registration.rs
@@ -0,0 +1,145 @@
+//! Non-idempotent requests of a node: repetitions, intents and their withdrawal.
+
+use crate::{
+    action::Action,
+    event::{Head, Ticket},
+    name,
+    node::{Intent, Node, Phase},
+    number::Offset,
+    record::{Entry, Record},
+    request::{self, Refusal},
+    time::Instant,
+    traffic::RETRY_AFTER,
+};
+
+impl Node {
+    /// Answers a non-idempotent request that may not be sent now, if it is one.
+    pub(crate) fn is_closed_to(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        target: &name::Target,
+        head: &Head,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        if let Some(intent) = self.tickets[&ticket].intent {
+            // Registered and not sent: only the holder that registered it may send it.
+            let current = self.desks.get(target).map(|desk| desk.epoch);
+            if current == Some(intent.epoch) {
+                return false;
+            }
+            self.refuse(ticket, Refusal::Unreachable, Some(RETRY_AFTER), actions);
+            return true;
+        }
+        if self.is_repeated(ticket, head.request, actions) {
+            return true;
+        }
+        let lease = self.config.times.lease;
+        let down = !self.ownership.lease().is_recent(now, lease);
+        if down {
+            self.refuse(ticket, Refusal::LogDown, Some(RETRY_AFTER), actions);
+        }
+        down
+    }
+
+    /// Answers a repeated non-idempotent request, if it is one.
+    pub(crate) fn is_repeated(
+        &mut self,
+        ticket: Ticket,
+        request: request::Id,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let running = self
+            .running
+            .get(&request)
+            .is_some_and(|first| *first != ticket);
+        let ended = self.ended.get(&request).copied();
+        let intent = self.ledger.intent(&request);
+        match (intent.map(|intent| intent.status.or(ended)), running) {
+            (Some(Some(status)), _) => {
+                self.close(ticket);
+                actions.push(Action::Recall {
+                    ticket,
+                    request,
+                    status,
+                });
+            }
+            (_, true) => self.refuse(ticket, Refusal::Running, Some(RETRY_AFTER), actions),
+            (Some(None), false) => self.refuse(ticket, Refusal::Duplicate, None, actions),
+            (None, false) => return false,
+        }
+        true
+    }
+
+    /// Writes the intent of a non-idempotent request before it is sent.
+    pub(crate) fn register(
+        &mut self,
+        ticket: Ticket,
+        target: &name::Target,
+        actions: &mut Vec<Action>,
+    ) {
+        let id = self.next_entry();
+        let Some(held) = self.tickets.get_mut(&ticket) else {
+            return;
+        };
+        held.phase = Phase::Registering(target.clone(), id);
+        let record = Record::Intent {
+            target: target.clone(),
+            epoch: self.desks[target].epoch,
+            requests: vec![held.arrival.head.request],
+        };
+        self.append_as(id, "request may run once", record, actions);
+    }
+
+    /// Follows an intent's record: the request is sent if the record took effect.
+    pub(crate) fn registered(
+        &mut self,
+        now: Instant,
+        entry: &Entry,
+        request: request::Id,
+        intent: Intent,
+        actions: &mut Vec<Action>,
+    ) {
+        let known = self.ledger.intent(&request);
+        let applied = known.is_some_and(|known| known.offset == intent.offset);
+        let ticket = self.running.get(&request).copied();
+        let phase = ticket.and_then(|ticket| Some(self.tickets.get(&ticket)?.phase.clone()));
+        let waiting = match (ticket, phase) {
+            (Some(ticket), Some(Phase::Registering(target, id))) if id == entry.id => {
+                Some((ticket, target))
+            }
+            _ => None,
+        };
+        let Some((ticket, target)) = waiting else {
+            let own = entry.actor == self.config.process.to_string();
+            if applied && own {
+                self.withdraw(request, intent.offset, actions);
+            }
+            return;
+        };
+        if applied {
+            if let Some(held) = self.tickets.get_mut(&ticket) {
+                held.intent = Some(intent);
+            }
+            self.start(now, ticket, &target, actions);
+        } else {
+            self.wait_again(ticket);
+            self.free(now, ticket, &target, None, actions);
+        }
+    }
+
+    /// Takes back the intent of a request that was not sent and will not be.
+    pub(crate) fn withdraw(
+        &mut self,
+        request: request::Id,
+        offset: Offset,
+        actions: &mut Vec<Action>,
+    ) {
+        let requests = vec![(request, offset)];
+        self.append(
+            "request was not sent",
+            Record::Withdraw { requests },
+            actions,
+        );
+    }
+}
