Derive a move's service and a request's outcome in one place

Cause: a read of the whole change found the service of a planned move searched for again among all slices at each tick, although the plan knows it, and two computations each of a request's outcome and of whether a holder is present. Change: a handover keeps its service; Node::outcome and Node::is_present serve the routing, the explanations and the progress of requests.

--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -21,6 +21,8 @@
 /// Shares that a holder is moving away from its target.
 #[derive(Clone, Debug)]
 pub(crate) struct Handover {
+    /// Service of the target.
+    pub(crate) service: name::Service,
     /// What moves, and where to.
     pub(crate) shares: Vec<(Share, name::Target)>,
     /// Identifier of the submitted record.
@@ -70,7 +72,7 @@
             .collect();
         for service in rows {
             for (from, shares) in self.plan_service(now, &service) {
-                self.freeze(now, &from, shares, actions);
+                self.freeze(now, &service, &from, shares, actions);
             }
         }
     }
@@ -201,6 +203,7 @@
     fn freeze(
         &mut self,
         now: Instant,
+        service: &name::Service,
         from: &name::Target,
         shares: Vec<(Share, name::Target)>,
         actions: &mut Vec<Action>,
@@ -209,6 +212,7 @@
             return;
         };
         desk.handover = Some(Handover {
+            service: service.clone(),
             shares,
             submitted: None,
         });
@@ -254,9 +258,10 @@
         if !desk.is_lost() && !self.is_reading(now) {
             return self.resume_shares(now, target, actions);
         }
-        let Some(service) = self.service_of(target).filter(|_| ready) else {
+        if !ready {
             return;
-        };
+        }
+        let service = handover.service.clone();
         let shares = handover.shares.clone();
         let id = self.next_entry();
         let record = Record::Move {
@@ -319,16 +324,6 @@
         running.any(|moves| moves)
     }
 
-    fn service_of(&self, target: &name::Target) -> Option<name::Service> {
-        let mut assignments = self.ledger.assignments().iter();
-        let owns = |a: &crate::ledger::Assignment| {
-            a.slices.contains(target) || a.keys.values().any(|owner| owner == target)
-        };
-        assignments
-            .find(|(_, a)| owns(a))
-            .map(|(service, _)| service.clone())
-    }
-
     /// Follows a record of moves.
     pub(crate) fn moved(
         &mut self,
--- a/crates/core/src/inquiry.rs
+++ b/crates/core/src/inquiry.rs
@@ -45,14 +45,20 @@
         })
     }
 
+    /// Returns the status of a request's answer: from the log, or before the log has it.
+    pub(crate) fn outcome(&self, id: request::Id) -> Option<u16> {
+        let intent = self.ledger.intent(&id);
+        let status = intent.and_then(|intent| intent.status);
+        status.or_else(|| self.ended.get(&id).copied())
+    }
+
     fn describe(
         &self,
         id: request::Id,
         contract: Option<(&name::Target, &Contract)>,
     ) -> Option<Request> {
         let intent = self.ledger.intent(&id);
-        let status = intent.and_then(|intent| intent.status);
-        let status = status.or_else(|| self.ended.get(&id).copied());
+        let status = self.outcome(id);
         let ticket = self.running.get(&id);
         let phase = ticket.and_then(|ticket| self.tickets.get(ticket));
         let progress = match (status, phase.map(|held| &held.phase)) {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -393,6 +393,11 @@
             .is_heard(process, now, self.config.times.suspicion)
     }
 
+    /// Tells whether a process is this one, or was heard lately by it.
+    pub(crate) fn is_present(&self, process: &Process, now: Instant) -> bool {
+        *process == self.config.process || self.hears(process, now)
+    }
+
     /// Tells how many requests are not finished.
     pub fn load(&self) -> usize {
         self.tickets.len()
--- a/crates/core/src/survey/key.rs
+++ b/crates/core/src/survey/key.rs
@@ -108,7 +108,7 @@
         if contract.released.is_some() {
             return format!("{holder} gave {target} up; another process claims it next");
         }
-        let heard = *holder == self.config().process || self.hears(holder, now);
+        let heard = self.is_present(holder, now);
         let state = match (heard, contract.confirmed, contract.wait) {
             (false, _, _) => "is not heard; a standby takes over",
             (_, true, _) | (_, _, Wait::None) => "is heard",
@@ -126,9 +126,7 @@
             return None;
         }
         let target = held.and_then(|held| self.place(held));
-        let status = intent
-            .and_then(|intent| intent.status)
-            .or(self.ended.get(&id).copied());
+        let status = self.outcome(id);
         let progress = match (status, held.map(|held| &held.phase)) {
             (Some(_), _) => Progress::Answered,
             (None, Some(Phase::Running(_, _) | Phase::Suspended(_) | Phase::Forwarded(_))) => {
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -100,9 +100,7 @@
 
     fn has_live_holder(&self, now: Instant, target: &name::Target) -> bool {
         let contract = self.ledger.contracts().get(target);
-        contract.is_some_and(|contract| {
-            contract.holder == self.config.process || self.hears(&contract.holder, now)
-        })
+        contract.is_some_and(|contract| self.is_present(&contract.holder, now))
     }
 
     /// Describes a target for the choice between two samples.
