--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -24,8 +24,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    callers,
-    clock::Clock,
+    Clock, callers,
     decide::{self, Outlet, Outlets},
     log_service,
     metrics::Metrics,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,7 +2,7 @@
 
 mod answers;
 mod callers;
-mod clock;
+
 mod daemon;
 mod decide;
 mod drive;
@@ -28,7 +28,7 @@
 mod target;
 mod watch;
 
-pub use clock::Clock;
 pub use daemon::{Addresses, Daemon};
+pub use ragwortrill_entry::clock::Clock;
 pub use run::run;
 pub use settings::{Origins, Settings, Snapshots};
--- a/crates/daemon/src/log_service.rs
+++ b/crates/daemon/src/log_service.rs
@@ -19,7 +19,9 @@
 use ragwortrill_platform::log::{Batch, Client, Error, Page, Query};
 use tokio::sync::mpsc;
 
-use crate::{clock::wall_ms, recent::Recent, shell::Shell};
+use ragwortrill_entry::clock::wall_ms;
+
+use crate::{recent::Recent, shell::Shell};
 
 /// Time allowed for an append or for a read beyond its wait.
 const TIMEOUT: Span = Span::from_secs(2);
--- a/crates/daemon/src/operators/change.rs
+++ b/crates/daemon/src/operators/change.rs
@@ -18,7 +18,7 @@
 };
 use ragwortrill_platform::log::{Batch, Error};
 
-use crate::clock::wall_ms;
+use ragwortrill_entry::clock::wall_ms;
 
 use super::{
     State, access,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -10,6 +10,7 @@
 
 use anyhow::{Context, Result, anyhow};
 use pico_args::Arguments;
+use ragwortrill_entry::journal;
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
@@ -21,9 +22,11 @@
 Routes requests from callers to targets that own their keys exclusively.
 
 Usage: ragwortrilld --settings FILE [--check]
+       ragwortrilld --platform [--check]
 
 Options:
   --settings FILE  Settings in JSON
+  --platform       Run as an entry host of the users' platform, with its settings
   --check          Check the settings and exit
   -h, --help       Show this help
   -V, --version    Show the version
@@ -47,6 +50,12 @@
         return 0;
     }
     let check = arguments.contains("--check");
+    if arguments.contains("--platform") {
+        return match arguments.finish().first() {
+            Some(argument) => usage(&format!("unknown argument {argument:?}")),
+            None => exit_code(platform(check)),
+        };
+    }
     let path: PathBuf = match arguments.value_from_str("--settings") {
         Ok(path) => path,
         Err(error) => return usage(&error.to_string()),
@@ -55,7 +64,11 @@
     if let Some(argument) = rest.first() {
         return usage(&format!("unknown argument {argument:?}"));
     }
-    match serve(&path, check) {
+    exit_code(serve(&path, check))
+}
+
+fn exit_code(outcome: Result<()>) -> i32 {
+    match outcome {
         Ok(()) => 0,
         Err(error) => {
             eprintln!("error: {error:#}");
@@ -64,6 +77,17 @@
     }
 }
 
+fn platform(check: bool) -> Result<()> {
+    let settings = ragwortrill_adapter::read_settings()?;
+    if check {
+        println!("settings are valid");
+        return Ok(());
+    }
+    journal::start();
+    let reload = ragwortrill_adapter::read_settings;
+    ragwortrill_entry::run(settings, ragwortrill_adapter::dialect(), reload)
+}
+
 fn usage(error: &str) -> i32 {
     eprintln!("error: {error}\n\n{HELP}");
     WRONG_USAGE
@@ -110,31 +134,6 @@
 fn log_json() {
     let environment = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(environment)
-        .format(|out, record| {
-            let mut line = serde_json::Map::new();
-            line.insert("time_ms".to_owned(), crate::clock::wall_ms().into());
-            line.insert("level".to_owned(), record.level().as_str().into());
-            line.insert("module".to_owned(), record.target().into());
-            line.insert("message".to_owned(), record.args().to_string().into());
-            let _ = record.key_values().visit(&mut Fields(&mut line));
-            writeln!(out, "{}", serde_json::Value::Object(line))
-        })
+        .format(|out, record| writeln!(out, "{}", journal::line(record)))
         .init();
 }
-
-struct Fields<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
-
-impl<'kvs> log::kv::VisitSource<'kvs> for Fields<'_> {
-    fn visit_pair(
-        &mut self,
-        key: log::kv::Key<'kvs>,
-        value: log::kv::Value<'kvs>,
-    ) -> Result<(), log::kv::Error> {
-        let value = match value.to_u64() {
-            Some(number) => number.into(),
-            None => value.to_string().into(),
-        };
-        self.0.insert(key.to_string(), value);
-        Ok(())
-    }
-}
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    answers::Answers, clock::Clock, decide::Check, link::Link, metrics::Metrics, registry::Registry,
+    Clock, answers::Answers, decide::Check, link::Link, metrics::Metrics, registry::Registry,
 };
 
 /// Capacity of the ring to the thread that decides.
--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,353 @@
+//! Connections of callers. Requests of one connection run at the same time; their answers go back
+//! in the order of the requests.
+
+use std::{cell::Cell, pin::Pin, rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{StreamExt, stream::FuturesOrdered};
+use ragwortrill_core::time::Instant;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    time::{sleep_until, timeout},
+};
+
+use crate::{
+    connection::Connection,
+    job::Incoming,
+    message::{self, Decoder, Request},
+    proxy,
+    reply::{self, Problem, Reply},
+    shared::Shared,
+};
+
+/// Requests of one connection that run at the same time.
+const MOST_PIPELINED: usize = 16;
+/// Bytes that are read ahead of the requests that run.
+const READ_AHEAD: usize = 256 * 1024;
+/// Longest time for which a caller takes no bytes of its answer.
+const WRITE_STALL: Duration = Duration::from_secs(10);
+/// Time for which a closed connection waits for the caller to close it too.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Accepts callers until the listener is dropped.
+pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let shared = shared.clone();
+                tokio::task::spawn_local(async move { serve(shared, stream).await });
+            }
+            Err(error) => {
+                log::warn!(error = error.to_string(); "a caller can't be accepted");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+/// Counts something as long as it lives.
+struct Count<'a>(&'a Cell<u32>);
+
+impl<'a> Count<'a> {
+    fn new(cell: &'a Cell<u32>) -> Self {
+        cell.set(cell.get() + 1);
+        Self(cell)
+    }
+}
+
+impl Drop for Count<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// An answer with what its encoding depends on.
+struct Answered {
+    reply: Reply,
+    keeps_alive: bool,
+    to_head: bool,
+}
+
+type Pending = FuturesOrdered<Pin<Box<dyn Future<Output = Answered>>>>;
+
+struct Session {
+    shared: Rc<Shared>,
+    buffer: BytesMut,
+    pending: Pending,
+    /// Request whose body is not complete yet.
+    partial: Option<Partial>,
+    /// When the first byte of an incomplete head arrived.
+    head_since: Option<Instant>,
+    idle_since: Instant,
+    /// Whether further requests are not read, because an answer closes the connection.
+    is_closed: bool,
+}
+
+struct Partial {
+    head: Request,
+    decoder: Decoder,
+    body: BytesMut,
+    received: Instant,
+}
+
+async fn serve(shared: Rc<Shared>, stream: TcpStream) {
+    let _count = Count::new(&shared.callers);
+    let (stream, buffer) = Connection::new(stream).into_parts();
+    let (mut reader, mut writer) = stream.into_split();
+    let now = shared.now();
+    let mut session = Session {
+        shared: shared.clone(),
+        buffer,
+        pending: FuturesOrdered::new(),
+        partial: None,
+        head_since: None,
+        idle_since: now,
+        is_closed: false,
+    };
+    loop {
+        session.parse();
+        if session.is_finished() {
+            break;
+        }
+        let reads = session.buffer.len() < READ_AHEAD;
+        let wakes_at = session.wakes_at();
+        session.buffer.reserve(4 * 1024);
+        tokio::select! {
+            biased;
+            Some(answered) = session.pending.next() => {
+                session.idle_since = shared.now();
+                if !write(&mut writer, &shared, answered).await {
+                    break;
+                }
+            }
+            read = reader.read_buf(&mut session.buffer), if reads => match read {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            },
+            () = shared.closing.notified() => {}
+            () = sleep_until(wakes_at) => {
+                if !session.expire() {
+                    break;
+                }
+            }
+        }
+    }
+    linger(reader, writer).await;
+}
+
+/// Closes a connection without a reset, which would destroy an answer on its way.
+async fn linger(mut reader: OwnedReadHalf, mut writer: OwnedWriteHalf) {
+    let mut rest = [0; 4 * 1024];
+    let drained = async {
+        writer.shutdown().await?;
+        while reader.read(&mut rest).await? > 0 {}
+        std::io::Result::Ok(())
+    };
+    let _ = timeout(LINGER, drained).await;
+}
+
+impl Session {
+    /// Starts the requests that are complete.
+    fn parse(&mut self) {
+        while !self.is_closed && self.pending.len() < MOST_PIPELINED {
+            let started = match self.partial.take() {
+                Some(partial) => self.continue_body(partial),
+                None => self.start_head(),
+            };
+            match started {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(problem) => self.reject(problem),
+            }
+        }
+    }
+
+    fn start_head(&mut self) -> Result<bool, Problem> {
+        let limits = self.limits();
+        let head = message::take_request(&mut self.buffer, limits.header_bytes);
+        let now = self.shared.now();
+        match head {
+            Ok(Some(head)) => {
+                self.head_since = None;
+                let decoder = Decoder::new(head.framing);
+                let partial = Partial {
+                    head,
+                    decoder,
+                    body: BytesMut::new(),
+                    received: now,
+                };
+                self.continue_body(partial)
+            }
+            Ok(None) => {
+                if !self.buffer.is_empty() {
+                    self.head_since.get_or_insert(now);
+                }
+                Ok(false)
+            }
+            Err(message::Error::LongHead) => Err(Problem::new(431, "the head is too long")),
+            Err(_) => Err(Problem::new(400, "the request is no HTTP/1.1 message")),
+        }
+    }
+
+    /// Reads on in a body. Returns whether the request was started.
+    fn continue_body(&mut self, mut partial: Partial) -> Result<bool, Problem> {
+        let limit = self.limits().body_bytes;
+        loop {
+            match partial.decoder.take(&mut self.buffer) {
+                Ok(Some(bytes)) => partial.body.extend_from_slice(&bytes),
+                Ok(None) if partial.decoder.is_done() => break,
+                Ok(None) => {
+                    self.partial = Some(partial);
+                    return Ok(false);
+                }
+                Err(_) => return Err(Problem::new(400, "the body is not encoded properly")),
+            }
+            if partial.body.len() > limit {
+                return Err(Problem::new(413, "the body is too long"));
+            }
+        }
+        self.start(partial);
+        Ok(true)
+    }
+
+    fn start(&mut self, partial: Partial) {
+        let shared = self.shared.clone();
+        let keeps_alive = partial.head.keeps_alive;
+        let to_head = partial.head.method == "HEAD";
+        self.is_closed |= !keeps_alive;
+        let incoming = Incoming {
+            head: partial.head,
+            body: partial.body.freeze(),
+            received: partial.received,
+        };
+        self.pending.push_back(Box::pin(async move {
+            let _count = Count::new(&shared.requests);
+            let reply = proxy::serve(shared.clone(), incoming).await;
+            Answered {
+                reply,
+                keeps_alive,
+                to_head,
+            }
+        }));
+    }
+
+    fn reject(&mut self, problem: Problem) {
+        log::warn!(status = problem.status, reason = problem.reason; "request rejected");
+        self.is_closed = true;
+        let reply = Reply::problem(problem, None);
+        self.pending.push_back(Box::pin(async move {
+            Answered {
+                reply,
+                keeps_alive: false,
+                to_head: false,
+            }
+        }));
+    }
+
+    fn limits(&self) -> ragwortrill_router::config::Limits {
+        let config = self.shared.config.borrow();
+        config
+            .as_ref()
+            .map(|config| config.limits)
+            .unwrap_or_default()
+    }
+
+    /// Tells whether nothing is left to do on the connection.
+    fn is_finished(&self) -> bool {
+        let is_idle = self.pending.is_empty() && self.partial.is_none();
+        let is_closing = self.shared.is_closing.get() && self.buffer.is_empty();
+        is_idle && (self.is_closed || is_closing)
+    }
+
+    fn wakes_at(&self) -> tokio::time::Instant {
+        let limits = self.limits();
+        let now = self.shared.now();
+        let due = match (self.head_since, &self.partial) {
+            (Some(since), _) => since + limits.header_timeout,
+            (None, Some(partial)) => partial.received + limits.idle_timeout,
+            (None, None) if self.pending.is_empty() => self.idle_since + limits.idle_timeout,
+            (None, None) => now + limits.idle_timeout,
+        };
+        tokio::time::Instant::now() + due.since(now).as_duration()
+    }
+
+    /// Handles the end of a time limit. Returns false if the connection ends.
+    fn expire(&mut self) -> bool {
+        if self.head_since.is_some() || self.partial.is_some() {
+            self.partial = None;
+            self.head_since = None;
+            self.buffer.clear();
+            self.reject(Problem::new(408, "the request did not arrive in time"));
+            return true;
+        }
+        !self.pending.is_empty()
+    }
+}
+
+/// Writes an answer. Returns false if the connection ends with it.
+async fn write(writer: &mut OwnedWriteHalf, shared: &Shared, answered: Answered) -> bool {
+    let Answered {
+        reply,
+        keeps_alive,
+        to_head,
+    } = answered;
+    let closes = reply.closes || !keeps_alive || shared.is_stopping.get();
+    let wire = reply.encode(closes, to_head);
+    let written = timeout(WRITE_STALL, writer.write_all(&wire)).await;
+    if !matches!(written, Ok(Ok(()))) {
+        return false;
+    }
+    match reply.rest {
+        Some(rest) => pass_on(writer, rest).await && !closes,
+        None => !closes,
+    }
+}
+
+/// Passes the rest of a large body on. Returns false if it broke off.
+async fn pass_on(writer: &mut OwnedWriteHalf, mut rest: reply::Rest) -> bool {
+    let is_chunked = rest.length.is_none();
+    loop {
+        let bytes = match next(&mut rest).await {
+            Ok(Some(bytes)) => bytes,
+            Ok(None) => break,
+            Err(cause) => {
+                log::warn!(cause = cause; "a large answer broke off");
+                return false;
+            }
+        };
+        let mut wire = BytesMut::new();
+        match is_chunked {
+            true => reply::put_chunk(&mut wire, &bytes),
+            false => wire.extend_from_slice(&bytes),
+        }
+        let written = timeout(WRITE_STALL, writer.write_all(&wire)).await;
+        if !matches!(written, Ok(Ok(()))) {
+            return false;
+        }
+    }
+    !is_chunked || writer.write_all(b"0\r\n\r\n").await.is_ok()
+}
+
+async fn next(rest: &mut reply::Rest) -> Result<Option<Bytes>, String> {
+    loop {
+        let taken = rest.decoder.take(&mut rest.connection.buffer);
+        if let Some(bytes) = taken.map_err(|error| error.to_string())? {
+            return Ok(Some(bytes));
+        }
+        if rest.decoder.is_done() {
+            return Ok(None);
+        }
+        let read = timeout(WRITE_STALL, rest.connection.read()).await;
+        match read {
+            Ok(Ok(true)) => {}
+            Ok(Ok(false)) if rest.decoder.ends_with_connection() => return Ok(None),
+            Ok(Ok(false)) => return Err("the target closed the connection".to_owned()),
+            Ok(Err(error)) => return Err(error.to_string()),
+            Err(_) => return Err("the target sent nothing".to_owned()),
+        }
+    }
+}
--- a/crates/daemon/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -1,4 +1,4 @@
-//! The monotonic clock of a process.
+//! The monotonic clock of a process and the wall clock.
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -33,7 +33,7 @@
 }
 
 /// Returns the wall clock in milliseconds since the Unix epoch, for records that people read.
-pub(crate) fn wall_ms() -> u64 {
+pub fn wall_ms() -> u64 {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
     elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
--- /dev/null
+++ b/crates/entry/src/connection.rs
@@ -0,0 +1,89 @@
+//! A TCP connection with its read buffer.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use bytes::BytesMut;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+/// Time without an acknowledgement after which a connection counts as dead.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2_000);
+/// Silence after which the peer is asked for a sign of life, and the time between two questions.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Size by which the read buffer grows, in bytes.
+const READ_BYTES: usize = 16 * 1024;
+
+/// A connection and the bytes that were read and not used yet.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    stream: TcpStream,
+    pub(crate) buffer: BytesMut,
+}
+
+impl Connection {
+    /// Connects within a time.
+    pub(crate) async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let stream = timeout(limit, TcpStream::connect(address)).await??;
+        Ok(Self::new(stream))
+    }
+
+    /// Wraps a connected stream.
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        set_options(&stream);
+        Self {
+            stream,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Reads more bytes. Returns false at the end of the stream.
+    pub(crate) async fn read(&mut self) -> io::Result<bool> {
+        self.buffer.reserve(READ_BYTES);
+        Ok(self.stream.read_buf(&mut self.buffer).await? > 0)
+    }
+
+    /// Writes all bytes.
+    pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Tells whether the peer has sent nothing and has not closed the connection.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        let pending = self.stream.try_read(&mut byte);
+        let is_blocked = pending.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
+        self.buffer.is_empty() && is_blocked
+    }
+
+    /// Closes the connection so that bytes on their way are dropped.
+    pub(crate) fn reset(self) {
+        let socket = SockRef::from(&self.stream);
+        if let Err(error) = socket.set_linger(Some(Duration::ZERO)) {
+            log::debug!(error = error.to_string(); "a connection can't be reset; it is closed");
+        }
+    }
+
+    /// Returns the stream and the buffer.
+    pub(crate) fn into_parts(self) -> (TcpStream, BytesMut) {
+        (self.stream, self.buffer)
+    }
+}
+
+fn set_options(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(2);
+    let outcome = stream
+        .set_nodelay(true)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)))
+        .and_then(|()| socket.set_tcp_keepalive(&keepalive));
+    if let Err(error) = outcome {
+        log::debug!(error = error.to_string(); "socket options can't be set");
+    }
+}
--- /dev/null
+++ b/crates/entry/src/job.rs
@@ -0,0 +1,130 @@
+//! A request with what the configuration says about it.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use ragwortrill_core::{
+    name,
+    time::{Instant, Span},
+};
+use ragwortrill_router::{
+    config::{Config, Lookup, Rule},
+    registration::Life,
+};
+use rand::RngExt;
+
+use crate::{
+    message::Request,
+    reply::{Problem, RETRY_ABSENT_MS},
+    shared::Shared,
+};
+
+/// Time before the deadline at which the final answer is sent.
+const ANSWER_MARGIN: Span = Span::from_millis(15);
+
+/// A request as it came from a caller.
+#[derive(Clone, Debug)]
+pub(crate) struct Incoming {
+    pub(crate) head: Request,
+    pub(crate) body: Bytes,
+    pub(crate) received: Instant,
+}
+
+/// A request with what was decided about it.
+pub(crate) struct Job {
+    pub(crate) incoming: Incoming,
+    pub(crate) config: Rc<Config>,
+    pub(crate) rule: Rule,
+    pub(crate) service: name::Service,
+    pub(crate) id: String,
+    /// Key, if the service is partitioned.
+    pub(crate) key: Option<u16>,
+    pub(crate) deadline: Instant,
+    /// Targets that were tried.
+    pub(crate) tried: Vec<Life>,
+    pub(crate) may_have_run: bool,
+}
+
+impl Job {
+    /// Decides rule, service and deadline of a request.
+    pub(crate) fn prepare(shared: &Shared, incoming: Incoming) -> Result<Self, Problem> {
+        let Some(config) = shared.config.borrow().clone() else {
+            return Err(Problem::refusal(
+                "no configuration is known yet",
+                RETRY_ABSENT_MS,
+            ));
+        };
+        let head = &incoming.head;
+        let headers = &shared.dialect.headers;
+        let (authority, path) =
+            locate(head).ok_or(Problem::new(400, "the request names no host"))?;
+        let Lookup::Found(rule) = config.lookup(&authority, &path) else {
+            return Err(Problem::new(404, "no route matches"));
+        };
+        let rule = rule.clone();
+        let id = head
+            .headers
+            .get(headers.request_id)
+            .unwrap_or_default()
+            .to_owned();
+        if id.is_empty() {
+            return Err(Problem::new(400, "the request has no id"));
+        }
+        let stated = head.headers.get(headers.deadline);
+        let stated = stated
+            .and_then(|text| text.trim().parse().ok())
+            .map(Span::from_millis);
+        let patience = stated.map_or(rule.timeout, |stated| stated.min(rule.timeout));
+        let draw = shared
+            .random
+            .borrow_mut()
+            .random_range(0..rule.total_weight().max(1));
+        let service = rule.destination(draw).cloned();
+        let service = service.ok_or(Problem::refusal(
+            "the route has no service",
+            RETRY_ABSENT_MS,
+        ))?;
+        let is_partitioned = config
+            .services
+            .get(&service)
+            .is_some_and(|s| s.is_partitioned);
+        let key = match is_partitioned {
+            true => {
+                let key = head
+                    .headers
+                    .get(headers.key)
+                    .and_then(|text| text.trim().parse().ok());
+                Some(key.ok_or(Problem::new(400, "the request has no key"))?)
+            }
+            false => None,
+        };
+        Ok(Self {
+            deadline: incoming.received + (patience - ANSWER_MARGIN),
+            incoming,
+            rule,
+            service,
+            id,
+            key,
+            config,
+            tried: Vec::new(),
+            may_have_run: false,
+        })
+    }
+}
+
+/// Returns the authority without port and the path without query.
+fn locate(head: &Request) -> Option<(String, String)> {
+    let target = std::str::from_utf8(&head.target).ok()?;
+    let (authority, path) = match target.strip_prefix("http://") {
+        Some(rest) => rest.split_once('/').map(|(a, p)| (a, format!("/{p}")))?,
+        None => (head.headers.get("host")?, target.to_owned()),
+    };
+    if head.headers.count("host") != 1 {
+        return None;
+    }
+    let authority = authority
+        .rsplit_once(':')
+        .map_or(authority, |(host, _)| host);
+    let path = path.split_once('?').map_or(path.as_str(), |(path, _)| path);
+    Some((authority.trim().to_ascii_lowercase(), path.to_owned()))
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,27 @@
+//! An entry host that answers callers and sends their requests to targets itself.
+
+mod attempt;
+pub mod call;
+mod caller;
+pub mod clock;
+mod connection;
+pub mod dialect;
+mod exchange;
+mod follow;
+mod job;
+pub mod journal;
+mod lead;
+mod link;
+pub mod message;
+mod place;
+mod pool;
+mod proxy;
+mod ready;
+mod reign;
+mod reply;
+mod run;
+pub mod settings;
+mod shared;
+mod store;
+
+pub use run::run;
--- /dev/null
+++ b/crates/entry/src/proxy.rs
@@ -0,0 +1,131 @@
+//! The way of one request: rule, service, target, attempts and answer.
+
+use std::rc::Rc;
+
+use ragwortrill_router::{
+    fleet::Target,
+    verdict::{self, Allowance, Next, Outcome},
+};
+
+use crate::{
+    attempt::{self, Attempt},
+    job::{Incoming, Job},
+    place::{self, Place},
+    reply::{Problem, RETRY_BUSY_MS, Reply},
+    shared::Shared,
+};
+
+/// Serves a request. A request that may run once at most is completed even if its caller leaves.
+pub(crate) async fn serve(shared: Rc<Shared>, incoming: Incoming) -> Reply {
+    let id = incoming.head.headers.get(shared.dialect.headers.request_id);
+    let id = id.map(str::to_owned);
+    let id_line = id
+        .as_deref()
+        .map(|id| (shared.dialect.headers.request_id, id));
+    let job = match Job::prepare(&shared, incoming) {
+        Ok(job) => job,
+        Err(problem) => {
+            log::warn!(
+                request = id.as_deref().unwrap_or(""), status = problem.status,
+                reason = problem.reason;
+                "request rejected"
+            );
+            return Reply::problem(problem, id_line);
+        }
+    };
+    if job.rule.kind.is_idempotent() {
+        return run(&shared, job).await;
+    }
+    let task = tokio::task::spawn_local(async move { run(&shared, job).await });
+    match task.await {
+        Ok(reply) => reply,
+        Err(error) => {
+            log::error!(request = id.as_deref().unwrap_or(""), error = error.to_string(); "request task failed");
+            Reply::problem(Problem::new(502, "internal error"), id_line)
+        }
+    }
+}
+
+async fn run(shared: &Rc<Shared>, mut job: Job) -> Reply {
+    shared.note_request(&job.service);
+    if let Some(key) = job.key {
+        let mut heat = shared.heat.borrow_mut();
+        heat.entry(job.service.clone())
+            .or_default()
+            .note(shared.now(), key);
+    }
+    let mut attempts = 0;
+    loop {
+        let target = match place::find(shared, &job).await {
+            Ok(target) => target,
+            Err(problem) => return conclude(shared, &job, problem),
+        };
+        let held = Place::take(shared, &target.registration.life);
+        let attempt = attempt::send(shared, &job, &target, held).await;
+        attempts += u32::from(attempt.outcome != Outcome::NotSent);
+        job.tried.push(target.registration.life.clone());
+        let time = job.deadline.since(shared.now());
+        let left = Allowance {
+            attempts: job.rule.attempts.saturating_sub(attempts),
+            has_budget: true,
+            time,
+        };
+        let mut next = verdict::decide(job.rule.kind, attempt.outcome, job.may_have_run, left);
+        let is_paid = attempt.outcome != Outcome::NotSent;
+        if next == Next::Retry && is_paid && !shared.take_retry(&job.service) {
+            let left = Allowance {
+                has_budget: false,
+                ..left
+            };
+            next = verdict::decide(job.rule.kind, attempt.outcome, job.may_have_run, left);
+        }
+        job.may_have_run |= attempt.outcome == Outcome::Unknown;
+        note(shared, &job, &target, &attempt, next);
+        match (next, attempt.reply) {
+            (Next::Deliver, Some(reply)) => return reply,
+            (Next::Retry, _) => {}
+            (Next::Refuse, _) => {
+                let problem = Problem::refusal("the target did not run the request", RETRY_BUSY_MS);
+                return conclude(shared, &job, problem);
+            }
+            _ => {
+                let late = job.deadline <= shared.now();
+                let problem = match late {
+                    true => Problem::new(504, "the target gave no answer in time"),
+                    false => Problem::new(502, "the target gave no usable answer"),
+                };
+                return conclude(shared, &job, problem);
+            }
+        }
+    }
+}
+
+/// Answers with a problem. A refusal is only true if no attempt may have run.
+fn conclude(shared: &Shared, job: &Job, mut problem: Problem) -> Reply {
+    if job.may_have_run && problem.status == 503 {
+        problem = Problem::new(504, "an earlier attempt gave no answer");
+    }
+    log::warn!(
+        request = job.id.as_str(), service = job.service.as_str(), rule = job.rule.name.as_str(),
+        status = problem.status, reason = problem.reason, attempts = job.tried.len(),
+        waiting = shared.waiting.get(),
+        elapsed_ms = shared.now().since(job.incoming.received).as_millis();
+        "request failed"
+    );
+    Reply::problem(problem, Some((shared.dialect.headers.request_id, &job.id)))
+}
+
+fn note(shared: &Shared, job: &Job, target: &Target, attempt: &Attempt, next: Next) {
+    if next == Next::Deliver && attempt.outcome == Outcome::Success {
+        log::debug!(request = job.id.as_str(), target = target.registration.life.id.as_str(); "request served");
+        return;
+    }
+    log::info!(
+        request = job.id.as_str(), service = job.service.as_str(),
+        target = target.registration.life.id.as_str(), status = attempt.status,
+        outcome = format!("{:?}", attempt.outcome), cause = attempt.cause.as_str(),
+        next = format!("{next:?}"),
+        elapsed_ms = shared.now().since(job.incoming.received).as_millis();
+        "attempt ended"
+    );
+}
--- /dev/null
+++ b/crates/entry/src/reign.rs
@@ -0,0 +1,398 @@
+//! A host's time as leader: it holds a lease in the log, writes assignments and sends orders.
+//!
+//! A lease is renewed by a record that is written on condition of the topic's end, so that no two
+//! hosts renew it. A new leader counts every grant of the earlier one as in force until that
+//! leader's lease and the longest grant have run out.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use anyhow::{Result, anyhow, bail};
+use bytes::Bytes;
+use ragwortrill_core::{
+    name,
+    number::Offset,
+    time::{Instant, Span},
+};
+use ragwortrill_router::{
+    assignment::Assignment,
+    leader::{self, Action, Answer, Leader, Order, Tick, Verb},
+    registration::Life,
+};
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::{
+    call::{Client, Error, Reply},
+    dialect::{Append, Record},
+    follow::SERVICE,
+    shared::Shared,
+    store::Store,
+};
+
+/// Lifetime of the lease, from the moment at which its record was sent.
+const LEASE: Span = Span::from_millis(3_000);
+/// Drift between the clocks of two hosts, in percent.
+const DRIFT_PERCENT: u64 = 1;
+/// Pause between two renewals of the lease.
+const LEASE_PAUSE: Duration = Duration::from_millis(700);
+/// Pause after a renewal that was not answered.
+const LEASE_RETRY: Duration = Duration::from_millis(200);
+/// Age of the lease from which grants get the longest lifetime: the store fails, and keys shall
+/// still be owned after the lease is over.
+const LEASE_IN_DANGER: Span = Span::from_millis(1_700);
+/// Lifetime of grants while the store answers.
+const HOLD: Span = Span::from_millis(4_000);
+/// Pause between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+/// Longest time for a target's answer to a grant.
+const GRANT_ANSWER: Duration = Duration::from_millis(400);
+/// Longest time for a target's answer to a release, which waits for the work on the keys.
+const RELEASE_ANSWER: Duration = Duration::from_millis(2_500);
+/// Key of the lease.
+const TERM: &str = "term";
+
+/// The lease as it stands in the log.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+struct Term {
+    number: u64,
+    host: String,
+    /// Whether the holder gave the lease up and sends no order any more.
+    is_over: bool,
+}
+
+/// State of the leading host.
+struct Reign {
+    shared: Rc<Shared>,
+    leader: RefCell<Leader>,
+    term: Term,
+    /// When the latest record that renewed the lease was sent.
+    proved: Cell<Instant>,
+    /// End of the topic with the assignments, as this leader wrote it.
+    end: Cell<Offset>,
+    is_over: Cell<bool>,
+    clients: RefCell<BTreeMap<Life, Vec<Client>>>,
+}
+
+/// Takes the lease and leads until it is lost, or until the host is no candidate any more.
+pub(crate) async fn reign(shared: &Rc<Shared>, candidate: &Rc<Cell<bool>>) -> Result<()> {
+    let mut store = Store::new(shared.clone());
+    let claim = claim(shared, &mut store).await?;
+    let (assignments, end) = read(shared, &mut store).await?;
+    let record = serde_json::to_vec(&claim.term)?;
+    let topic = shared.dialect.topics.ownership;
+    // After this record, no earlier leader can write an assignment.
+    let Append::Done(end) = store.append(topic, Some(end), TERM, &record).await? else {
+        bail!("another record came before the claim");
+    };
+    log::info!(
+        term = claim.term.number,
+        earlier_grants_ms = claim.earlier_until.since(shared.now()).as_millis();
+        "leadership taken"
+    );
+    let reign = Rc::new(Reign {
+        shared: shared.clone(),
+        leader: RefCell::new(Leader::new(&assignments, claim.earlier_until)),
+        term: claim.term,
+        proved: Cell::new(claim.proved),
+        end: Cell::new(end),
+        is_over: Cell::new(false),
+        clients: RefCell::default(),
+    });
+    let lease = tokio::task::spawn_local(keep_lease(reign.clone(), claim.at));
+    let outcome = reign.clone().run(candidate).await;
+    reign.is_over.set(true);
+    let at = lease
+        .await
+        .unwrap_or(Err(anyhow!("the lease's task failed")));
+    if let Ok(at) = at {
+        give_up(&reign, &mut store, at).await?;
+    }
+    outcome
+}
+
+/// A lease that was taken.
+struct Claim {
+    term: Term,
+    at: Offset,
+    proved: Instant,
+    earlier_until: Instant,
+}
+
+async fn claim(shared: &Shared, store: &mut Store) -> Result<Claim> {
+    let (earlier, at) = read_term(shared, store).await?;
+    let host = shared.settings.borrow().host.to_string();
+    let read_at = shared.now();
+    let term = Term {
+        number: earlier.as_ref().map_or(0, |term| term.number) + 1,
+        host: host.clone(),
+        is_over: false,
+    };
+    let proved = shared.now();
+    let record = serde_json::to_vec(&term)?;
+    let topic = shared.dialect.topics.terms;
+    let Append::Done(at) = store.append(topic, Some(at), TERM, &record).await? else {
+        bail!("another host took the lease");
+    };
+    let max_hold = shared.settings.borrow().bounds.max_hold;
+    let earlier_until = match earlier {
+        None => Instant::default(),
+        // The earlier process of this host has ended.
+        Some(term) if term.is_over || term.host == host => leader::expiry(read_at, max_hold),
+        Some(_) => leader::expiry(read_at + LEASE.scale(100 + DRIFT_PERCENT, 100), max_hold),
+    };
+    Ok(Claim {
+        term,
+        at,
+        proved,
+        earlier_until,
+    })
+}
+
+async fn read_term(shared: &Shared, store: &mut Store) -> Result<(Option<Term>, Offset)> {
+    let (records, end) = store.newest(shared.dialect.topics.terms).await?;
+    let record = records.into_iter().find(|record| record.key == TERM);
+    let value = record.and_then(|record| record.value);
+    let term = value
+        .map(|value| serde_json::from_slice(&value))
+        .transpose()?;
+    Ok((term, end))
+}
+
+async fn read(
+    shared: &Shared,
+    store: &mut Store,
+) -> Result<(BTreeMap<name::Service, Assignment>, Offset)> {
+    let (records, end) = store.newest(shared.dialect.topics.ownership).await?;
+    let mut assignments = BTreeMap::new();
+    for Record { key, value, .. } in records {
+        let (Some(service), Some(value)) = (key.strip_prefix(SERVICE), value) else {
+            continue;
+        };
+        assignments.insert(service.parse()?, serde_json::from_slice(&value)?);
+    }
+    Ok((assignments, end))
+}
+
+/// Renews the lease until the reign is over. Returns the offset after its last record.
+async fn keep_lease(reign: Rc<Reign>, mut at: Offset) -> Result<Offset> {
+    let mut store = Store::new(reign.shared.clone());
+    let topic = reign.shared.dialect.topics.terms;
+    let record = serde_json::to_vec(&reign.term)?;
+    let mut pause = LEASE_PAUSE;
+    loop {
+        sleep(pause).await;
+        if reign.is_over.get() {
+            return Ok(at);
+        }
+        let sent = reign.shared.now();
+        pause = LEASE_RETRY;
+        match store.append(topic, Some(at), TERM, &record).await {
+            Ok(Append::Done(end)) => {
+                at = end;
+                reign.proved.set(sent);
+                pause = LEASE_PAUSE;
+            }
+            Ok(Append::Conflict(end)) => {
+                // An earlier renewal without an answer may have been written.
+                let (term, _) = read_term(&reign.shared, &mut store).await?;
+                if term.as_ref() != Some(&reign.term) {
+                    reign.is_over.set(true);
+                    bail!("another host took the lease");
+                }
+                at = end;
+            }
+            Ok(Append::Refused) => {}
+            Err(error) => log::warn!(error = format!("{error:#}"); "lease not renewed"),
+        }
+    }
+}
+
+/// Notes in the log that this host sends no orders any more.
+async fn give_up(reign: &Reign, store: &mut Store, at: Offset) -> Result<()> {
+    let term = Term {
+        is_over: true,
+        ..reign.term.clone()
+    };
+    let record = serde_json::to_vec(&term)?;
+    let topic = reign.shared.dialect.topics.terms;
+    store.append(topic, Some(at), TERM, &record).await.map(drop)
+}
+
+impl Reign {
+    async fn run(self: Rc<Self>, candidate: &Cell<bool>) -> Result<()> {
+        loop {
+            if !candidate.get() || self.shared.is_stopping.get() {
+                return Ok(());
+            }
+            if !self.is_in_force() {
+                bail!("the lease is lost or can't be renewed");
+            }
+            for action in self.tick() {
+                match action {
+                    Action::Send(order) => {
+                        tokio::task::spawn_local(self.clone().send(order));
+                    }
+                    Action::Write(service, assignment) => {
+                        tokio::task::spawn_local(self.clone().write(service, assignment));
+                    }
+                    Action::Resign => bail!("most targets do not answer this host"),
+                }
+            }
+            sleep(TICK).await;
+        }
+    }
+
+    /// Tells whether this host may send orders at this moment.
+    fn is_in_force(&self) -> bool {
+        let age = self.shared.now().since(self.proved.get());
+        !self.is_over.get() && age < LEASE
+    }
+
+    fn tick(&self) -> Vec<Action> {
+        let now = self.shared.now();
+        let config = self.shared.config.borrow().clone();
+        let services: Vec<name::Service> = config
+            .iter()
+            .flat_map(|config| {
+                let all = config.services.iter();
+                all.filter(|(_, service)| service.is_partitioned)
+                    .map(|(name, _)| name.clone())
+            })
+            .collect();
+        let max_hold = self.shared.settings.borrow().bounds.max_hold;
+        let hold = match now.since(self.proved.get()) >= LEASE_IN_DANGER {
+            true => max_hold,
+            false => HOLD.min(max_hold),
+        };
+        self.leader.borrow_mut().tick(&Tick {
+            now,
+            fleet: &self.shared.fleet.borrow(),
+            heat: &self.shared.heat.borrow(),
+            services: &services,
+            hold,
+        })
+    }
+
+    async fn write(self: Rc<Self>, service: name::Service, assignment: Assignment) {
+        let mut store = Store::new(self.shared.clone());
+        match self.try_write(&mut store, &service, &assignment).await {
+            Ok(end) => {
+                self.end.set(end);
+                log::info!(service = service.as_str(), next_epoch = assignment.next_epoch; "assignment written");
+                self.leader.borrow_mut().written(&service);
+            }
+            Err(error) => {
+                log::warn!(service = service.as_str(), error = format!("{error:#}"); "assignment not written");
+                self.reload(&mut store, &service).await;
+            }
+        }
+    }
+
+    async fn try_write(
+        &self,
+        store: &mut Store,
+        service: &name::Service,
+        assignment: &Assignment,
+    ) -> Result<Offset> {
+        if !self.is_in_force() {
+            bail!("the lease is over");
+        }
+        let topic = self.shared.dialect.topics.ownership;
+        let value = Bytes::from(serde_json::to_vec(assignment)?);
+        let key = format!("{SERVICE}{service}");
+        match store
+            .append(topic, Some(self.end.get()), &key, &value)
+            .await?
+        {
+            Append::Done(end) => Ok(end),
+            Append::Conflict(_) => Err(anyhow!("another record came first")),
+            Append::Refused => Err(anyhow!("the store refused the record")),
+        }
+    }
+
+    /// Reads the assignment back after a write whose outcome is not known or that came second.
+    async fn reload(&self, store: &mut Store, service: &name::Service) {
+        loop {
+            sleep(LEASE_RETRY).await;
+            if !self.is_in_force() {
+                return;
+            }
+            match read(&self.shared, store).await {
+                Ok((mut assignments, end)) => {
+                    self.end.set(end);
+                    let known = assignments.remove(service).unwrap_or_default();
+                    self.leader.borrow_mut().reload(service, known);
+                    return;
+                }
+                Err(error) => log::warn!(error = format!("{error:#}"); "assignments can't be read"),
+            }
+        }
+    }
+
+    async fn send(self: Rc<Self>, order: Order) {
+        let answer = match self.is_in_force() {
+            true => self.call(&order).await,
+            false => Answer::Silent,
+        };
+        let is_routine = matches!(
+            (&order.verb, &answer),
+            (Verb::Grant { .. }, Answer::Done(_))
+        );
+        let level = if is_routine {
+            log::Level::Debug
+        } else {
+            log::Level::Info
+        };
+        log::log!(
+            level, service = order.service.as_str(), target = order.life.id.as_str(),
+            first = order.first, last = order.last, epoch = order.fence,
+            order = format!("{:?}", order.verb), answer = format!("{answer:?}");
+            "order answered"
+        );
+        let now = self.shared.now();
+        self.leader.borrow_mut().answer(now, &order, answer);
+    }
+
+    async fn call(&self, order: &Order) -> Answer {
+        let idle = self
+            .clients
+            .borrow_mut()
+            .entry(order.life.clone())
+            .or_default()
+            .pop();
+        let mut client = idle.unwrap_or_else(|| Client::new(order.address()));
+        let limit = match order.verb {
+            Verb::Grant { .. } => GRANT_ANSWER,
+            Verb::Release => RELEASE_ANSWER,
+        };
+        let call = (self.shared.dialect.order)(order);
+        let outcome = client.call(&call, limit).await;
+        let mut clients = self.clients.borrow_mut();
+        clients.entry(order.life.clone()).or_default().push(client);
+        drop(clients);
+        self.interpret(order, outcome)
+    }
+
+    fn interpret(&self, order: &Order, outcome: Result<Reply, Error>) -> Answer {
+        match outcome {
+            Ok(reply) => match reply.status {
+                200 => Answer::Done((self.shared.dialect.handover)(&reply)),
+                409 => Answer::Refused,
+                421 => Answer::Misdirected,
+                status => {
+                    log::warn!(target = order.life.id.as_str(), status = status; "unexpected answer to an order");
+                    Answer::Silent
+                }
+            },
+            Err(error) => {
+                log::info!(target = order.life.id.as_str(), error = error.to_string(); "order not answered");
+                Answer::Silent
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/reply.rs
@@ -0,0 +1,152 @@
+//! Answers to callers.
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+use crate::{
+    connection::Connection,
+    message::{Decoder, Header},
+};
+
+/// Time after which a caller may come back if a service has no room, in milliseconds.
+pub(crate) const RETRY_BUSY_MS: u64 = 60;
+/// The same if a service has no target or a key no owner.
+pub(crate) const RETRY_ABSENT_MS: u64 = 200;
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<Header>,
+    pub(crate) body: Bytes,
+    /// The rest of a body that is too large to be held in memory.
+    pub(crate) rest: Option<Rest>,
+    /// Whether the connection is closed after the answer.
+    pub(crate) closes: bool,
+}
+
+/// The part of a body that is still to be read from its target.
+#[derive(Debug)]
+pub(crate) struct Rest {
+    pub(crate) connection: Connection,
+    pub(crate) decoder: Decoder,
+    /// Length of the whole body, if the target stated it.
+    pub(crate) length: Option<u64>,
+}
+
+/// Why the host answers a request itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Problem {
+    pub(crate) status: u16,
+    /// Short reason, for the caller and the log.
+    pub(crate) reason: &'static str,
+    /// Milliseconds after which the caller may come back.
+    pub(crate) retry_after_ms: Option<u64>,
+}
+
+impl Problem {
+    /// Creates a problem that coming back does not mend.
+    pub(crate) const fn new(status: u16, reason: &'static str) -> Self {
+        Self {
+            status,
+            reason,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Creates a refusal: the request has not run and never will.
+    pub(crate) const fn refusal(reason: &'static str, retry_after_ms: u64) -> Self {
+        Self {
+            status: 503,
+            reason,
+            retry_after_ms: Some(retry_after_ms),
+        }
+    }
+}
+
+impl Reply {
+    /// Creates the answer for a problem.
+    pub(crate) fn problem(problem: Problem, id: Option<(&'static str, &str)>) -> Self {
+        let mut headers = vec![header("Content-Type", "application/problem+json")];
+        if let Some((name, id)) = id {
+            headers.push(header(name, id));
+        }
+        if let Some(millis) = problem.retry_after_ms {
+            let seconds = format!("{}.{:03}", millis / 1_000, millis % 1_000);
+            headers.push(header("Retry-After", &seconds));
+        }
+        let body = format!(
+            "{{\"status\":{},\"title\":\"{}\"}}",
+            problem.status, problem.reason
+        );
+        Self {
+            status: problem.status,
+            headers,
+            body: Bytes::from(body),
+            rest: None,
+            closes: matches!(problem.status, 400 | 408 | 413 | 431),
+        }
+    }
+
+    /// Encodes the head and the part of the body that is known.
+    pub(crate) fn encode(&self, closes: bool, to_head: bool) -> BytesMut {
+        let mut wire = BytesMut::with_capacity(256 + self.body.len());
+        wire.put_slice(format!("HTTP/1.1 {} {}\r\n", self.status, phrase(self.status)).as_bytes());
+        for (name, value) in &self.headers {
+            wire.put_slice(name);
+            wire.put_slice(b": ");
+            wire.put_slice(value);
+            wire.put_slice(b"\r\n");
+        }
+        match &self.rest {
+            Some(rest) => match rest.length {
+                Some(length) => wire.put_slice(format!("Content-Length: {length}\r\n").as_bytes()),
+                None => wire.put_slice(b"Transfer-Encoding: chunked\r\n"),
+            },
+            None if self.status != 204 && self.status != 304 && !to_head => {
+                wire.put_slice(format!("Content-Length: {}\r\n", self.body.len()).as_bytes());
+            }
+            None => {}
+        }
+        if closes {
+            wire.put_slice(b"Connection: close\r\n");
+        }
+        wire.put_slice(b"\r\n");
+        let is_chunked = self.rest.as_ref().is_some_and(|rest| rest.length.is_none());
+        match is_chunked {
+            true => put_chunk(&mut wire, &self.body),
+            false => wire.put_slice(&self.body),
+        }
+        wire
+    }
+}
+
+/// Appends a chunk, unless it is empty: an empty chunk ends the body.
+pub(crate) fn put_chunk(wire: &mut BytesMut, bytes: &[u8]) {
+    if !bytes.is_empty() {
+        wire.put_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
+        wire.put_slice(bytes);
+        wire.put_slice(b"\r\n");
+    }
+}
+
+fn header(name: &'static str, value: &str) -> Header {
+    (
+        Bytes::from_static(name.as_bytes()),
+        Bytes::copy_from_slice(value.as_bytes()),
+    )
+}
+
+fn phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "-",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,59 @@
+//! Settings of an entry host.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use ragwortrill_core::{name, time::Span};
+
+/// Settings of one process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the host.
+    pub host: name::Host,
+    /// Data centre that the host is in.
+    pub data_centre: name::DataCentre,
+    /// Addresses that the host listens on.
+    pub listen: Listen,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Interval in which targets renew their entries in the store.
+    pub heartbeat: Span,
+    /// Limits of the host.
+    pub limits: Limits,
+    /// Times and amounts that the platform fixes.
+    pub bounds: Bounds,
+}
+
+/// Addresses that a host listens on.
+#[derive(Clone, Debug)]
+pub struct Listen {
+    /// Requests of callers.
+    pub callers: SocketAddr,
+    /// Readiness for the platform's load balancer.
+    pub ready: SocketAddr,
+    /// Metrics.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Limits of the host.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Memory in megabytes.
+    pub memory_mb: u64,
+    /// File descriptors.
+    pub descriptors: u64,
+}
+
+/// Times and amounts that hold for all hosts of the system.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    /// Time from the signal to end until the process is killed.
+    pub grace: Span,
+    /// Longest lifetime of a grant.
+    pub max_hold: Span,
+    /// Retries that are allowed in proportion to the requests of a service.
+    pub retry_ratio: f64,
+    /// Retries that are allowed beyond that, in the budget's window.
+    pub retry_slack: f64,
+    /// Bounds by the platform's names, for logs.
+    pub stated: BTreeMap<String, String>,
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,154 @@
+//! State that the tasks of a host share.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
+
+use ragwortrill_core::{name, retry::Budget, time::Instant};
+use ragwortrill_router::{
+    assignment::Assignment, breaker::Breaker, config::Config, fleet::Fleet, heat::Heat, load::Load,
+    rate::Rate, registration::Life, share::Share,
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::sync::Notify;
+
+use crate::{clock::Clock, dialect::Dialect, pool::Pool, settings::Settings};
+
+/// State of a host.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: RefCell<Settings>,
+    pub(crate) dialect: Dialect,
+    pub(crate) clock: Clock,
+    pub(crate) config: RefCell<Option<Rc<Config>>>,
+    pub(crate) fleet: RefCell<Fleet>,
+    pub(crate) assignments: RefCell<BTreeMap<name::Service, Assignment>>,
+    /// Hosts of the system, as they registered in the log.
+    pub(crate) hosts: RefCell<BTreeSet<String>>,
+    pub(crate) peers: RefCell<BTreeMap<Life, Peer>>,
+    pub(crate) heat: RefCell<BTreeMap<name::Service, Heat>>,
+    pub(crate) budgets: RefCell<BTreeMap<name::Service, Budget>>,
+    pub(crate) random: RefCell<SmallRng>,
+    /// Notified when a place at a target becomes free or the state of targets changes.
+    pub(crate) room: Notify,
+    /// Requests that wait for a place.
+    pub(crate) waiting: Cell<u32>,
+    /// Whether the host takes part in a planned stop.
+    pub(crate) is_stopping: Cell<bool>,
+    /// Whether idle connections of callers are closed, and the notice of it.
+    pub(crate) is_closing: Cell<bool>,
+    pub(crate) closing: Notify,
+    /// Whether the first listing of the targets has been read.
+    pub(crate) knows_targets: Cell<bool>,
+    /// Open connections of callers.
+    pub(crate) callers: Cell<u32>,
+    /// Requests that have no answer yet.
+    pub(crate) requests: Cell<u32>,
+}
+
+/// What a host keeps of one life of a target.
+#[derive(Debug)]
+pub(crate) struct Peer {
+    pub(crate) load: Load,
+    pub(crate) breaker: Breaker,
+    pub(crate) cold: Rate,
+    pub(crate) pool: Pool,
+}
+
+impl Peer {
+    fn new(now: Instant) -> Self {
+        Self {
+            load: Load::default(),
+            breaker: Breaker::default(),
+            cold: Rate::new(now, 1.0),
+            pool: Pool::default(),
+        }
+    }
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, dialect: Dialect) -> Self {
+        Self {
+            settings: RefCell::new(settings),
+            dialect,
+            clock: Clock::start(),
+            config: RefCell::default(),
+            fleet: RefCell::default(),
+            assignments: RefCell::default(),
+            hosts: RefCell::default(),
+            peers: RefCell::default(),
+            heat: RefCell::default(),
+            budgets: RefCell::default(),
+            random: RefCell::new(SmallRng::seed_from_u64(rand::random())),
+            room: Notify::new(),
+            waiting: Cell::new(0),
+            is_stopping: Cell::new(false),
+            is_closing: Cell::new(false),
+            closing: Notify::new(),
+            knows_targets: Cell::new(false),
+            callers: Cell::new(0),
+            requests: Cell::new(0),
+        }
+    }
+
+    /// Returns the current moment.
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Calls a function with what is kept of a target.
+    pub(crate) fn with_peer<T>(&self, life: &Life, f: impl FnOnce(&mut Peer) -> T) -> T {
+        let mut peers = self.peers.borrow_mut();
+        if let Some(peer) = peers.get_mut(life) {
+            return f(peer);
+        }
+        f(peers
+            .entry(life.clone())
+            .or_insert_with(|| Peer::new(self.clock.now())))
+    }
+
+    /// Returns this host's share of limits that hold for all hosts.
+    pub(crate) fn share(&self) -> Share {
+        Share::among(self.hosts.borrow().len())
+    }
+
+    /// Takes one retry from the budget of a service.
+    pub(crate) fn take_retry(&self, service: &name::Service) -> bool {
+        self.with_budget(service, Budget::withdraw)
+    }
+
+    /// Notes a request of a service, from which its retry budget grows.
+    pub(crate) fn note_request(&self, service: &name::Service) {
+        self.with_budget(service, Budget::deposit);
+    }
+
+    fn with_budget<T>(&self, service: &name::Service, f: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        if let Some(budget) = budgets.get_mut(service) {
+            return f(budget);
+        }
+        let bounds = &self.settings.borrow().bounds;
+        // Half of the slack is left for retries that several hosts count in different windows.
+        let slack = self.share().of(bounds.retry_slack / 2.0);
+        let percent = (bounds.retry_ratio * 100.0 * RETRY_MARGIN) as u32;
+        let budget = Budget::new(percent, (slack as u32).max(1));
+        f(budgets.entry(service.clone()).or_insert(budget))
+    }
+
+    /// Wakes the requests that wait for a place.
+    pub(crate) fn wake(&self) {
+        if self.waiting.get() > 0 {
+            self.room.notify_waiters();
+        }
+    }
+
+    /// Tells whether the host can serve requests.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.config.borrow().is_some() && self.knows_targets.get() && !self.is_stopping.get()
+    }
+}
+
+/// Part of the allowed retries that is used, so that uneven hosts stay under the sum.
+const RETRY_MARGIN: f64 = 0.75;
--- /dev/null
+++ b/crates/entry/src/store.rs
@@ -0,0 +1,96 @@
+//! Client of the platform's log.
+
+use std::{rc::Rc, time::Duration};
+
+use anyhow::{Context, Result, anyhow};
+use ragwortrill_core::{number::Offset, time::Span};
+
+use crate::{
+    call::{Call, Client, Reply},
+    dialect::{Append, Member, Membership, Record, Tail},
+    shared::Shared,
+};
+
+/// Longest time for an answer of the store, besides the time that a read waits.
+const ANSWER: Duration = Duration::from_millis(1_200);
+
+/// A connection to the store for one task.
+pub(crate) struct Store {
+    shared: Rc<Shared>,
+    client: Client,
+}
+
+impl Store {
+    pub(crate) fn new(shared: Rc<Shared>) -> Self {
+        let address = shared.settings.borrow().store;
+        Self {
+            shared,
+            client: Client::new(address),
+        }
+    }
+
+    /// Reads the newest record of each key, and the offset from which to read on. The pages are
+    /// no snapshot: records from that offset on may be among them.
+    pub(crate) async fn newest(&mut self, topic: &str) -> Result<(Vec<Record>, Offset)> {
+        let log = self.shared.dialect.log;
+        let mut records = Vec::new();
+        let mut start = None;
+        loop {
+            let after = records.last().map(|record: &Record| record.key.as_str());
+            let reply = self.call(&(log.newest)(topic, after), ANSWER).await?;
+            let page = (log.page)(&reply)?;
+            let start = *start.get_or_insert(page.end);
+            let is_last = !page.has_more || page.records.is_empty();
+            records.extend(page.records);
+            if is_last {
+                return Ok((records, start));
+            }
+        }
+    }
+
+    /// Reads records from an offset on and waits for the first.
+    pub(crate) async fn read(&mut self, topic: &str, from: Offset, wait: Span) -> Result<Tail> {
+        let log = self.shared.dialect.log;
+        let limit = ANSWER + wait.as_duration();
+        let reply = self.call(&(log.read)(topic, from, wait), limit).await?;
+        (log.tail)(&reply, from)
+    }
+
+    /// Appends a record, on condition that the topic ends at an offset if one is given.
+    pub(crate) async fn append(
+        &mut self,
+        topic: &str,
+        at: Option<Offset>,
+        key: &str,
+        value: &[u8],
+    ) -> Result<Append> {
+        let log = self.shared.dialect.log;
+        let call = (log.append)(topic, at, key, value);
+        let reply = self.call(&call, ANSWER).await?;
+        (log.appended)(&reply)
+    }
+
+    /// Joins the group of hosts, or stays in it.
+    pub(crate) async fn join(&mut self, member: &Member<'_>) -> Result<Membership> {
+        let dialect = self.shared.dialect;
+        let call = (dialect.log.join)(&dialect.topics, member);
+        let reply = self.call(&call, ANSWER).await?;
+        (dialect.log.joined)(&reply)
+    }
+
+    /// Leaves the group of hosts.
+    pub(crate) async fn leave(&mut self, member: &Member<'_>) -> Result<()> {
+        let dialect = self.shared.dialect;
+        let call = (dialect.log.leave)(&dialect.topics, member);
+        self.call(&call, ANSWER).await.map(drop)
+    }
+
+    async fn call(&mut self, call: &Call, limit: Duration) -> Result<Reply> {
+        let outcome = self.client.call(call, limit).await;
+        let reply = outcome.with_context(|| format!("{} {}", call.method, call.path))?;
+        match reply.status {
+            429 | 503 => Err(anyhow!("{}: status {}", call.path, reply.status)),
+            _ => Ok(reply),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/assignment.rs
@@ -0,0 +1,87 @@
+//! Which target owns which keys of a service.
+
+use serde::{Deserialize, Serialize};
+
+use crate::registration::Life;
+
+/// A key of a partitioned service.
+pub type Key = u16;
+
+/// Number of keys of a service.
+pub const KEYS: u32 = 65_536;
+
+/// A contiguous range of keys, both ends included.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Range {
+    /// First key.
+    pub first: Key,
+    /// Last key.
+    pub last: Key,
+    /// Epoch of the owner's grant: the fencing token. No two ranges share one.
+    pub epoch: u64,
+    /// Target that owns the keys, or will.
+    pub owner: Life,
+    /// Whether the owner holds the keys.
+    pub state: State,
+}
+
+/// How far a range's owner is.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum State {
+    /// The owner holds the keys.
+    Held,
+    /// The owner gets the keys as soon as the previous one can't hold them any more.
+    Moving(Option<Previous>),
+}
+
+/// The previous owner of a range.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Previous {
+    /// The target.
+    pub life: Life,
+    /// Epoch above that of its last grant, so that it refuses all earlier ones.
+    pub fence: u64,
+}
+
+/// Ranges of one service, in order and without overlap.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Assignment {
+    /// Epoch that the next change uses; above all that were used.
+    pub next_epoch: u64,
+    /// Ranges in the order of their keys.
+    pub ranges: Vec<Range>,
+}
+
+impl Range {
+    /// Returns the number of keys.
+    pub fn width(&self) -> u32 {
+        u32::from(self.last) - u32::from(self.first) + 1
+    }
+
+    /// Tells whether the owner holds the keys.
+    pub fn is_held(&self) -> bool {
+        self.state == State::Held
+    }
+}
+
+impl Assignment {
+    /// Returns the range of a key.
+    pub fn range(&self, key: Key) -> Option<&Range> {
+        let index = self.ranges.partition_point(|range| range.last < key);
+        self.ranges.get(index).filter(|range| range.first <= key)
+    }
+
+    /// Returns an epoch that was never used.
+    pub fn draw_epoch(&mut self) -> u64 {
+        self.next_epoch = self.next_epoch.max(1);
+        self.next_epoch += 1;
+        self.next_epoch - 1
+    }
+
+    /// Replaces the range with this epoch by others.
+    pub fn replace(&mut self, epoch: u64, ranges: Vec<Range>) {
+        if let Some(index) = self.ranges.iter().position(|range| range.epoch == epoch) {
+            self.ranges.splice(index..=index, ranges);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/fleet.rs
@@ -0,0 +1,211 @@
+//! Targets as the platform's store lists them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ragwortrill_core::{
+    name,
+    time::{Instant, Span},
+};
+
+use crate::registration::Registration;
+
+/// Time after the store's return in which entries that lapsed during its outage come back.
+const RETURN: Span = Span::from_millis(2_200);
+/// Length of a failure of the store from which entries may have lapsed.
+const OUTAGE: Span = Span::from_millis(800);
+/// Time for which a target is taken as cold after the evacuation of its data centre ended.
+const AFTER_EVACUATION: Span = Span::from_millis(1_500);
+
+/// A known target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Its latest entry.
+    pub registration: Registration,
+    /// Until when it is cold.
+    pub cold_until: Instant,
+    /// Whether its entry is gone and may come back.
+    pub is_missing: bool,
+}
+
+/// Change of a target's state.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Nothing that matters changed.
+    None,
+    /// A target or a new life of it appeared.
+    Started,
+    /// A target is about to leave.
+    Draining,
+    /// A target turned cold or its entry changed otherwise.
+    Updated,
+    /// The entry is gone and may come back after the store's outage.
+    Missing,
+    /// The target is gone.
+    Gone,
+}
+
+/// All known targets.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    targets: BTreeMap<name::Target, Target>,
+    evacuated: BTreeSet<name::DataCentre>,
+    failing_since: Option<Instant>,
+    grace_until: Instant,
+}
+
+impl Fleet {
+    /// Returns all targets.
+    pub fn targets(&self) -> &BTreeMap<name::Target, Target> {
+        &self.targets
+    }
+
+    /// Returns a target.
+    pub fn get(&self, id: &name::Target) -> Option<&Target> {
+        self.targets.get(id)
+    }
+
+    /// Returns the targets of a service that take requests.
+    pub fn serving<'a>(
+        &'a self,
+        service: &'a name::Service,
+    ) -> impl Iterator<Item = &'a Target> + 'a {
+        let all = self.targets.values();
+        all.filter(move |t| &t.registration.service == service && self.is_serving(t))
+    }
+
+    /// Tells whether a target takes requests.
+    pub fn is_serving(&self, target: &Target) -> bool {
+        let registration = &target.registration;
+        !registration.is_draining && !self.evacuated.contains(&registration.data_centre)
+    }
+
+    /// Tells whether a data centre is evacuated.
+    pub fn is_evacuated(&self, data_centre: &name::DataCentre) -> bool {
+        self.evacuated.contains(data_centre)
+    }
+
+    /// Applies an entry, or its removal.
+    pub fn apply(
+        &mut self,
+        now: Instant,
+        id: &name::Target,
+        entry: Option<Registration>,
+    ) -> Change {
+        match entry {
+            Some(registration) => self.register(now, registration),
+            None => self.remove(now, id),
+        }
+    }
+
+    /// Removes the targets that a complete listing does not name. Returns their ids.
+    pub fn retain(&mut self, now: Instant, listed: &BTreeSet<name::Target>) -> Vec<name::Target> {
+        let known = self.targets.keys().filter(|id| !listed.contains(*id));
+        let absent: Vec<name::Target> = known.cloned().collect();
+        for id in &absent {
+            self.remove(now, id);
+        }
+        absent
+    }
+
+    /// Notes that a call to the store failed.
+    pub fn store_failed(&mut self, now: Instant) {
+        self.failing_since.get_or_insert(now);
+    }
+
+    /// Notes that a call to the store was answered.
+    pub fn store_answered(&mut self, now: Instant) {
+        let Some(since) = self.failing_since.take() else {
+            return;
+        };
+        if now.since(since) >= OUTAGE {
+            self.grace_until = now + RETURN;
+        }
+    }
+
+    /// Removes the targets whose entries did not come back in time. Returns their ids.
+    pub fn expire(&mut self, now: Instant) -> Vec<name::Target> {
+        if now < self.grace_until || self.failing_since.is_some() {
+            return Vec::new();
+        }
+        let missing = self.targets.iter().filter(|(_, target)| target.is_missing);
+        let gone: Vec<name::Target> = missing.map(|(id, _)| id.clone()).collect();
+        for id in &gone {
+            self.targets.remove(id);
+        }
+        gone
+    }
+
+    /// Starts the evacuation of a data centre. Returns false if it was evacuated already.
+    pub fn evacuate(&mut self, data_centre: &name::DataCentre) -> bool {
+        self.evacuated.insert(data_centre.clone())
+    }
+
+    /// Ends the evacuation of a data centre. Its targets may have become cold meanwhile.
+    pub fn restore(&mut self, now: Instant, data_centre: &name::DataCentre) -> bool {
+        let was_evacuated = self.evacuated.remove(data_centre);
+        if was_evacuated {
+            let all = self.targets.values_mut();
+            for target in all.filter(|t| &t.registration.data_centre == data_centre) {
+                target.cold_until = target.cold_until.max(now + AFTER_EVACUATION);
+            }
+        }
+        was_evacuated
+    }
+
+    /// Returns the evacuated data centres.
+    pub fn evacuated(&self) -> &BTreeSet<name::DataCentre> {
+        &self.evacuated
+    }
+
+    fn register(&mut self, now: Instant, registration: Registration) -> Change {
+        let cold_until = now + registration.cold;
+        let Some(known) = self.targets.get_mut(&registration.life.id) else {
+            let change = match registration.is_draining {
+                true => Change::Draining,
+                false => Change::Started,
+            };
+            let target = Target {
+                cold_until,
+                is_missing: false,
+                registration: registration.clone(),
+            };
+            self.targets.insert(registration.life.id.clone(), target);
+            return change;
+        };
+        let change = difference(&known.registration, &registration);
+        known.is_missing = false;
+        known.registration = registration;
+        known.cold_until = match change {
+            Change::Started => cold_until,
+            _ => known.cold_until.max(cold_until),
+        };
+        change
+    }
+
+    fn remove(&mut self, now: Instant, id: &name::Target) -> Change {
+        let may_return = now < self.grace_until || self.failing_since.is_some();
+        let Some(target) = self.targets.get_mut(id) else {
+            return Change::None;
+        };
+        if may_return && !target.registration.is_draining {
+            target.is_missing = true;
+            return Change::Missing;
+        }
+        self.targets.remove(id);
+        Change::Gone
+    }
+}
+
+fn difference(old: &Registration, new: &Registration) -> Change {
+    if old.life != new.life || old.service != new.service {
+        return Change::Started;
+    }
+    if new.is_draining && !old.is_draining {
+        return Change::Draining;
+    }
+    let became_cold = new.cold > old.cold;
+    match became_cold || old.is_draining != new.is_draining || old.slots != new.slots {
+        true => Change::Updated,
+        false => Change::None,
+    }
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,15 @@
+//! Decisions of an entry host that sends requests to targets itself, free of sockets and clocks.
+
+pub mod assignment;
+pub mod breaker;
+pub mod choice;
+pub mod config;
+pub mod fleet;
+pub mod heat;
+pub mod leader;
+pub mod load;
+pub mod plan;
+pub mod rate;
+pub mod registration;
+pub mod share;
+pub mod verdict;
--- /dev/null
+++ b/crates/router/src/load.rs
@@ -0,0 +1,104 @@
+//! What a host observes of one target's load.
+
+use ragwortrill_core::time::{Instant, Span};
+
+/// Age at which a load report counts for nothing.
+const REPORT_LIFE: Span = Span::from_millis(1_000);
+/// Weight of a new sample in the mean of response times.
+const SAMPLE_WEIGHT: f64 = 0.2;
+/// Response time assumed of a target that has answered nothing yet.
+const ASSUMED_RESPONSE: Span = Span::from_millis(100);
+
+/// Load as a target reports it with an answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Report {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+    /// How long work takes at this moment, in percent of the usual.
+    pub pace_percent: u32,
+}
+
+/// Load of one target.
+#[derive(Clone, Debug)]
+pub struct Load {
+    in_flight: u32,
+    report: Option<(Instant, Report, u32)>,
+    response: f64,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            in_flight: 0,
+            report: None,
+            response: ASSUMED_RESPONSE.0 as f64,
+        }
+    }
+}
+
+impl Load {
+    /// Returns the number of this host's requests at the target.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Notes that a request was sent.
+    pub fn start(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Notes that a request ended.
+    pub fn end(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Notes the time that an answer took.
+    pub fn respond(&mut self, elapsed: Span) {
+        self.response += (elapsed.0 as f64 - self.response) * SAMPLE_WEIGHT;
+    }
+
+    /// Notes a report that came with an answer to one of this host's requests, which still counts
+    /// as in flight.
+    pub fn report(&mut self, now: Instant, report: Report) {
+        let own = self.in_flight.saturating_sub(1);
+        self.report = Some((now, report, own));
+    }
+
+    /// Returns the mean response time.
+    pub fn response(&self) -> Span {
+        Span(self.response as u64)
+    }
+
+    /// Returns the estimated number of requests at the target, of all hosts.
+    pub fn depth(&self, now: Instant) -> f64 {
+        let others = self.report.map_or(0.0, |(at, report, own)| {
+            let total = report.running + report.waiting;
+            f64::from(total.saturating_sub(own)) * freshness(now, at)
+        });
+        others + f64::from(self.in_flight)
+    }
+
+    /// Returns the estimated time until one more request would be answered, in microseconds.
+    pub fn cost(&self, now: Instant, slots: u32) -> f64 {
+        let slots = f64::from(slots.max(1));
+        let depth = self.depth(now);
+        let queued = (depth + 1.0 - slots).max(0.0) / slots;
+        self.response * self.pace(now) * (1.0 + queued + depth / slots / 2.0)
+    }
+
+    fn pace(&self, now: Instant) -> f64 {
+        self.report.map_or(1.0, |(at, report, _)| {
+            let pace = f64::from(report.pace_percent.max(1)) / 100.0;
+            1.0 + (pace - 1.0) * freshness(now, at) / 2.0
+        })
+    }
+}
+
+fn freshness(now: Instant, at: Instant) -> f64 {
+    let age = now.since(at).0 as f64 / REPORT_LIFE.0 as f64;
+    (1.0 - age).max(0.0)
+}
--- /dev/null
+++ b/crates/router/src/plan.rs
@@ -0,0 +1,244 @@
+//! Which ranges of keys change their owner next.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    assignment::{Assignment, KEYS, Key, Previous, Range, State},
+    heat::Heat,
+    registration::Life,
+};
+
+/// Targets among which the keys of a leaving target are divided.
+const HEIRS: u32 = 4;
+/// A target that owns less than this percentage of an even share gets more keys.
+const LEAST_SHARE_PERCENT: u32 = 50;
+/// Requests, as counted by [`Heat`], below which the counts tell nothing.
+const LEAST_HEAT: f64 = 40.0;
+/// An owner with more than this multiple of the mean heat passes keys on.
+const MOST_HEAT: f64 = 1.6;
+
+/// A target that can own keys.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    /// The target.
+    pub life: Life,
+    /// Whether it is cold: it gets keys only if no warm target is left.
+    pub is_cold: bool,
+}
+
+/// Input of one planning step.
+pub struct Input<'a> {
+    /// Targets that can own keys.
+    pub owners: &'a [Owner],
+    /// How busy the keys are.
+    pub heat: &'a Heat,
+    /// Whether the owner of a range must give it up.
+    pub must_leave: &'a dyn Fn(&Range) -> bool,
+    /// Whether ranges may move for the sake of balance.
+    pub may_balance: bool,
+}
+
+/// Returns the assignment with the most urgent change applied, or none if none is due.
+pub fn next(assignment: &Assignment, input: &Input<'_>) -> Option<Assignment> {
+    let receivers = receivers(input.owners);
+    if receivers.is_empty() {
+        return None;
+    }
+    if assignment.ranges.is_empty() {
+        return Some(divide(assignment, &receivers));
+    }
+    let mut plan = Plan::new(assignment.clone(), receivers);
+    if plan.inherit(input.must_leave) {
+        return Some(plan.assignment);
+    }
+    let settled = assignment.ranges.iter().all(Range::is_held);
+    if settled && (plan.fill() || input.may_balance && plan.cool(input.heat)) {
+        return Some(plan.assignment);
+    }
+    None
+}
+
+fn receivers(owners: &[Owner]) -> Vec<Life> {
+    let warm: Vec<Life> = owners
+        .iter()
+        .filter(|o| !o.is_cold)
+        .map(|o| o.life.clone())
+        .collect();
+    match warm.is_empty() {
+        true => owners.iter().map(|o| o.life.clone()).collect(),
+        false => warm,
+    }
+}
+
+/// Divides all keys evenly. No target had them before.
+fn divide(assignment: &Assignment, receivers: &[Life]) -> Assignment {
+    let mut divided = Assignment {
+        next_epoch: assignment.next_epoch,
+        ranges: Vec::new(),
+    };
+    let count = receivers.len() as u32;
+    for (index, owner) in receivers.iter().enumerate() {
+        let index = index as u32;
+        let epoch = divided.draw_epoch();
+        divided.ranges.push(Range {
+            first: (KEYS * index / count) as Key,
+            last: (KEYS * (index + 1) / count - 1) as Key,
+            epoch,
+            owner: owner.clone(),
+            state: State::Moving(None),
+        });
+    }
+    divided
+}
+
+struct Plan {
+    assignment: Assignment,
+    widths: BTreeMap<Life, u32>,
+}
+
+impl Plan {
+    fn new(assignment: Assignment, receivers: Vec<Life>) -> Self {
+        let mut widths: BTreeMap<Life, u32> = receivers.into_iter().map(|l| (l, 0)).collect();
+        for range in &assignment.ranges {
+            if let Some(width) = widths.get_mut(&range.owner) {
+                *width += range.width();
+            }
+        }
+        Self { assignment, widths }
+    }
+
+    /// Divides the ranges of leaving owners among those that have the fewest keys.
+    fn inherit(&mut self, must_leave: &dyn Fn(&Range) -> bool) -> bool {
+        let ranges = self.assignment.ranges.iter();
+        let leaving: Vec<Range> = ranges.filter(|range| must_leave(range)).cloned().collect();
+        for range in &leaving {
+            let fair = KEYS / self.widths.len().max(1) as u32;
+            let parts = (range.width() * HEIRS)
+                .div_ceil(fair.max(1))
+                .clamp(1, HEIRS);
+            let parts = parts.min(self.widths.len() as u32).min(range.width());
+            self.split(range, parts);
+        }
+        !leaving.is_empty()
+    }
+
+    fn split(&mut self, range: &Range, parts: u32) {
+        let mut pieces = Vec::new();
+        let first = u32::from(range.first);
+        for part in 0..parts {
+            let begin = first + range.width() * part / parts;
+            let end = first + range.width() * (part + 1) / parts - 1;
+            let heir = self.narrowest(&range.owner);
+            pieces.push(self.moved(range, begin as Key, end as Key, heir));
+        }
+        self.assignment.replace(range.epoch, pieces);
+    }
+
+    /// Returns a part of a range with a new owner.
+    fn moved(&mut self, range: &Range, first: Key, last: Key, owner: Life) -> Range {
+        let fence = self.assignment.draw_epoch();
+        let epoch = self.assignment.draw_epoch();
+        let life = range.owner.clone();
+        if let Some(width) = self.widths.get_mut(&owner) {
+            *width += u32::from(last) - u32::from(first) + 1;
+        }
+        Range {
+            first,
+            last,
+            epoch,
+            owner,
+            state: State::Moving(Some(Previous { life, fence })),
+        }
+    }
+
+    fn narrowest(&self, except: &Life) -> Life {
+        let others = self.widths.iter().filter(|(life, _)| *life != except);
+        let narrowest = others.min_by_key(|(_, width)| **width);
+        narrowest.map_or(except, |(life, _)| life).clone()
+    }
+
+    /// Gives a target with few keys a share from the target with the most.
+    fn fill(&mut self) -> bool {
+        let fair = KEYS / self.widths.len().max(1) as u32;
+        let poor = self.widths.iter().min_by_key(|(_, width)| **width);
+        let Some((poor, width)) = poor.map(|(life, width)| (life.clone(), *width)) else {
+            return false;
+        };
+        if width * 100 >= fair * LEAST_SHARE_PERCENT {
+            return false;
+        }
+        let mut missing = fair - width;
+        for _ in 0..HEIRS {
+            let richest = self.widths.iter().max_by_key(|(_, width)| **width);
+            let Some((rich, width)) = richest.map(|(life, width)| (life.clone(), *width)) else {
+                break;
+            };
+            let held = self
+                .assignment
+                .ranges
+                .iter()
+                .filter(|r| r.owner == rich && r.is_held());
+            let widest = held.max_by_key(|range| range.width()).cloned();
+            let (Some(widest), true) = (widest, width > fair / 2 && missing > 0) else {
+                break;
+            };
+            let wanted = missing.min(fair / HEIRS + 1).min(widest.width() / 2);
+            if wanted == 0 {
+                break;
+            }
+            let at = u32::from(widest.last) - wanted;
+            self.cut(&widest, at as Key, &poor);
+            *self.widths.entry(rich).or_default() -= wanted;
+            missing -= wanted;
+        }
+        true
+    }
+
+    /// Leaves the keys up to `at` with their owner and gives the others away.
+    fn cut(&mut self, range: &Range, at: Key, receiver: &Life) {
+        let moved = self.moved(range, at + 1, range.last, receiver.clone());
+        let mut kept = range.clone();
+        kept.last = at;
+        self.assignment.replace(range.epoch, vec![kept, moved]);
+    }
+
+    /// Moves busy keys from the busiest owner to the least busy one.
+    fn cool(&mut self, heat: &Heat) -> bool {
+        let mut loads: BTreeMap<&Life, f64> = self.widths.keys().map(|l| (l, 0.0)).collect();
+        for range in &self.assignment.ranges {
+            if let Some(load) = loads.get_mut(&range.owner) {
+                *load += heat.of(range.first, range.last);
+            }
+        }
+        let total: f64 = loads.values().sum();
+        let mean = total / loads.len().max(1) as f64;
+        let most = loads.iter().max_by(|a, b| a.1.total_cmp(b.1));
+        let least = loads.iter().min_by(|a, b| a.1.total_cmp(b.1));
+        let (Some((busiest, most)), Some((idlest, least))) = (most, least) else {
+            return false;
+        };
+        if total < LEAST_HEAT || *most < mean * MOST_HEAT {
+            return false;
+        }
+        let held = self
+            .assignment
+            .ranges
+            .iter()
+            .filter(|r| &r.owner == *busiest);
+        let hottest = held.max_by(|a, b| {
+            let (a, b) = (heat.of(a.first, a.last), heat.of(b.first, b.last));
+            a.total_cmp(&b)
+        });
+        let Some(range) = hottest.cloned() else {
+            return false;
+        };
+        let inside = heat.of(range.first, range.last);
+        let moved = ((most - least) / 2.0).min(most - mean).min(inside / 2.0);
+        let Some(at) = heat.prefix(range.first, range.last, inside - moved) else {
+            return false;
+        };
+        let receiver = (*idlest).clone();
+        self.cut(&range, at, &receiver);
+        true
+    }
+}
--- /dev/null
+++ b/crates/router/src/rate.rs
@@ -0,0 +1,46 @@
+//! Rate limit by a token bucket.
+
+use ragwortrill_core::time::Instant;
+
+/// Microseconds in a second.
+const SECOND: f64 = 1e6;
+
+/// Allows a number of events per second, with a bounded burst.
+#[derive(Clone, Debug)]
+pub struct Rate {
+    tokens: f64,
+    filled: Instant,
+}
+
+impl Rate {
+    /// Creates a bucket that holds `tokens`.
+    pub fn new(now: Instant, tokens: f64) -> Self {
+        Self {
+            tokens,
+            filled: now,
+        }
+    }
+
+    /// Takes one event at `per_second`, with at most `burst` at once. Returns false if none is
+    /// left.
+    pub fn take(&mut self, now: Instant, per_second: f64, burst: f64) -> bool {
+        self.refill(now, per_second, burst);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Tells whether an event would be allowed.
+    pub fn has(&mut self, now: Instant, per_second: f64, burst: f64) -> bool {
+        self.refill(now, per_second, burst);
+        self.tokens >= 1.0
+    }
+
+    fn refill(&mut self, now: Instant, per_second: f64, burst: f64) {
+        let elapsed = now.since(self.filled).0 as f64 / SECOND;
+        self.tokens = (self.tokens + elapsed * per_second).min(burst);
+        self.filled = now;
+    }
+}
