Fence a range's earlier owner by a release with a higher epoch

A grant that only raised the earlier owner's epoch was sent again by a new leader, or carried out late, after the next owner already had a higher epoch.

Ruled out: a late renewal of the old grant.

Change: a move is written, every earlier owner is released with a higher epoch, then the next owner is granted. A range may have several earlier owners, since a new leader can't know which grants were sent. The first assignment waits until no new target has come for 1.5 s.

--- a/crates/entry/src/reign.rs
+++ b/crates/entry/src/reign.rs
@@ -30,6 +30,7 @@
     call::{Client, Error, Reply},
     dialect::{Append, Record},
     follow::SERVICE,
+    lead::Candidacy,
     shared::Shared,
     store::Store,
 };
@@ -79,7 +80,7 @@
 }
 
 /// Takes the lease and leads until it is lost, or until the host is no candidate any more.
-pub(crate) async fn reign(shared: &Rc<Shared>, candidate: &Rc<Cell<bool>>) -> Result<()> {
+pub(crate) async fn reign(shared: &Rc<Shared>, candidate: &Candidacy) -> Result<()> {
     let mut store = Store::new(shared.clone());
     let claim = claim(shared, &mut store).await?;
     let (assignments, end) = read(shared, &mut store).await?;
@@ -224,9 +225,9 @@
 }
 
 impl Reign {
-    async fn run(self: Rc<Self>, candidate: &Cell<bool>) -> Result<()> {
+    async fn run(self: Rc<Self>, candidate: &Candidacy) -> Result<()> {
         loop {
-            if !candidate.get() || self.shared.is_stopping.get() {
+            if !candidate.leads.get() || self.shared.is_stopping.get() {
                 return Ok(());
             }
             if !self.is_in_force() {
@@ -240,7 +241,10 @@
                     Action::Write(service, assignment) => {
                         tokio::task::spawn_local(self.clone().write(service, assignment));
                     }
-                    Action::Resign => bail!("most targets do not answer this host"),
+                    Action::Resign => {
+                        candidate.abstain(self.shared.now());
+                        bail!("most targets do not answer this host");
+                    }
                 }
             }
             sleep(TICK).await;
--- a/crates/router/src/assignment.rs
+++ b/crates/router/src/assignment.rs
@@ -30,16 +30,16 @@
 pub enum State {
     /// The owner holds the keys.
     Held,
-    /// The owner gets the keys as soon as the previous one can't hold them any more.
-    Moving(Option<Previous>),
+    /// The owner gets the keys as soon as none of the earlier owners can hold them any more.
+    Moving(Vec<Previous>),
 }
 
-/// The previous owner of a range.
+/// An earlier owner of a range.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Previous {
     /// The target.
     pub life: Life,
-    /// Epoch above that of its last grant, so that it refuses all earlier ones.
+    /// Epoch of its release, above that of its last grant: a grant that arrives later is refused.
     pub fence: u64,
 }
 
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -1,9 +1,9 @@
 //! Grants and moves of keys, as the host that leads orders them.
 //!
-//! Every change is written to the log before its first order. A range moves in four steps: the
-//! change is written; the previous owner gets a grant with a higher epoch, after which it refuses
-//! every earlier grant that may still be on its way; the previous owner releases the keys, or its
-//! last possible grant runs out; the new owner gets its grant.
+//! Every change is written to the log before its first order. A range moves in three steps: the
+//! change is written; each earlier owner releases the keys, or its last possible grant runs out;
+//! the new owner gets its grant. A release carries an epoch above the earlier owner's grants, so
+//! that a grant that is carried out late is refused.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -27,12 +27,12 @@
 const RENEWAL: Span = Span::from_millis(1_000);
 /// Time after an unanswered order at which it is repeated.
 const REPETITION: Span = Span::from_millis(300);
-/// Lifetime of the grant that only raises a target's epoch before a release.
-const FENCE_HOLD: Span = Span::from_millis(1_000);
 /// Orders in a row without an answer after which a target loses its keys.
 const MOST_SILENT: u32 = 3;
-/// Time from the first registration to the first assignment, in which the others register.
-const GATHERING: Span = Span::from_millis(1_000);
+/// Time without a new target after which keys are assigned for the first time.
+const GATHERING: Span = Span::from_millis(1_500);
+/// Longest time from the first target to the first assignment.
+const MOST_GATHERING: Span = Span::from_millis(4_000);
 /// Least time between moves for the sake of balance.
 const BALANCE_PAUSE: Span = Span::from_millis(700);
 /// Drift of a target's clock in percent, and a margin for a grant on its way.
@@ -172,25 +172,31 @@
 }
 
 /// How far the move of one range is.
-#[derive(Clone, Debug, Eq, PartialEq)]
-enum Stage {
-    /// The previous owner's epoch is raised.
-    Fence,
-    /// The previous owner gives the keys up.
-    Release,
-    /// No other target can hold the keys.
-    Clear(Option<String>),
+#[derive(Clone, Debug, Default)]
+struct Progress {
+    /// Earlier owners that can't hold the keys any more.
+    cleared: BTreeSet<Life>,
+    /// Token of the last release, with which the keys are not cold.
+    handover: Option<String>,
+    /// Whether the new owner may have got its grant.
+    is_granted: bool,
+    /// Whether the new owner has answered its grant.
+    is_confirmed: bool,
+}
+
+/// Targets that registered before the first assignment.
+#[derive(Clone, Copy, Debug)]
+struct Gathering {
+    since: Instant,
+    grown: Instant,
+    count: usize,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Desk {
     durable: Assignment,
     draft: Option<Assignment>,
-    stages: BTreeMap<u64, Stage>,
-    /// Ranges whose new owner may have got its grant.
-    granted: BTreeSet<u64>,
-    /// Ranges whose new owner has answered its grant.
-    confirmed: BTreeSet<u64>,
+    moves: BTreeMap<u64, Progress>,
     /// Ranges whose owner knows a higher epoch.
     refused: BTreeSet<u64>,
     due: BTreeMap<u64, Instant>,
@@ -198,13 +204,23 @@
     until: BTreeMap<Life, Instant>,
     silent: BTreeMap<Life, u32>,
     ended: BTreeSet<Life>,
-    gathering: Option<Instant>,
+    gathering: Option<Gathering>,
     balanced: Instant,
 }
 
 impl Desk {
     fn new(durable: Assignment) -> Self {
+        // An earlier leader may have granted the ranges that it moved.
+        let moving = durable.ranges.iter().filter(|range| !range.is_held());
+        let granted = |range: &Range| {
+            let progress = Progress {
+                is_granted: true,
+                ..Progress::default()
+            };
+            (range.epoch, progress)
+        };
         Self {
+            moves: moving.map(granted).collect(),
             durable,
             ..Self::default()
         }
@@ -251,10 +267,7 @@
                 .is_none_or(|due| *due <= tick.now);
             let step = match &range.state {
                 State::Held => self.renewal(&range, tick),
-                State::Moving(previous) => {
-                    let previous = previous.as_ref();
-                    self.advance(&range, previous, tick, earlier_until)
-                }
+                State::Moving(previous) => self.advance(&range, previous, tick, earlier_until),
             };
             let Some((life, fence, verb)) = step.filter(|_| is_due) else {
                 continue;
@@ -283,56 +296,46 @@
         Some((range.owner.clone(), range.epoch, grant(tick.hold, None)))
     }
 
+    /// Returns the next order of a move: a release of an earlier owner, or the first grant.
     fn advance(
         &mut self,
         range: &Range,
-        previous: Option<&Previous>,
+        previous: &[Previous],
         tick: &Tick<'_>,
         earlier_until: Instant,
     ) -> Option<(Life, u64, Verb)> {
-        let stage = self
-            .stages
-            .get(&range.epoch)
-            .cloned()
-            .unwrap_or(Stage::Fence);
-        let Some(previous) = previous else {
-            return self.first_grant(range, None, tick);
-        };
-        let until = self.until.get(&previous.life).copied();
-        let has_expired = tick.now >= until.unwrap_or_default().max(earlier_until);
-        let has_ended =
-            self.ended.contains(&previous.life) || is_replaced(&previous.life, tick.fleet);
-        match stage {
-            Stage::Clear(handover) => self.first_grant(range, handover, tick),
-            _ if has_ended || has_expired && self.is_silent(&previous.life) => {
-                self.stages.insert(range.epoch, Stage::Clear(None));
-                self.first_grant(range, None, tick)
+        for earlier in previous {
+            let life = &earlier.life;
+            let cleared = |progress: &Progress| progress.cleared.contains(life);
+            if self.moves.get(&range.epoch).is_some_and(cleared) {
+                continue;
             }
-            Stage::Fence if self.is_silent(&previous.life) => {
-                // Another grant would only delay the moment at which the last one has run out.
-                Some((previous.life.clone(), previous.fence, Verb::Release))
+            if !self.can_hold(life, tick, earlier_until) {
+                let progress = self.moves.entry(range.epoch).or_default();
+                progress.cleared.insert(life.clone());
+                continue;
             }
-            Stage::Fence => Some((
-                previous.life.clone(),
-                previous.fence,
-                grant(FENCE_HOLD, None),
-            )),
-            Stage::Release => Some((previous.life.clone(), previous.fence, Verb::Release)),
+            return Some((life.clone(), earlier.fence, Verb::Release));
         }
-    }
-
-    fn first_grant(
-        &self,
-        range: &Range,
-        handover: Option<String>,
-        tick: &Tick<'_>,
-    ) -> Option<(Life, u64, Verb)> {
         if self.must_leave(range, tick.fleet) {
             return None;
         }
+        let progress = self.moves.entry(range.epoch).or_default();
+        progress.is_granted = true;
+        let handover = progress.handover.clone();
         Some((range.owner.clone(), range.epoch, grant(tick.hold, handover)))
     }
 
+    /// Tells whether a target that has not released its keys may still hold them.
+    fn can_hold(&self, life: &Life, tick: &Tick<'_>, earlier_until: Instant) -> bool {
+        if self.ended.contains(life) || is_replaced(life, tick.fleet) {
+            return false;
+        }
+        let until = self.until.get(life).copied().unwrap_or_default();
+        // A target that answers is asked for a release; that is faster and returns a token.
+        !self.is_silent(life) || tick.now < until.max(earlier_until)
+    }
+
     fn plan(&mut self, service: &name::Service, tick: &Tick<'_>) -> Option<Assignment> {
         if let Some(held) = self.held() {
             return Some(held);
@@ -349,11 +352,8 @@
         if owners.is_empty() {
             return None;
         }
-        if self.durable.ranges.is_empty() {
-            let since = *self.gathering.get_or_insert(tick.now);
-            if tick.now.since(since) < GATHERING {
-                return None;
-            }
+        if self.durable.ranges.is_empty() && self.gathers(tick.now, owners.len()) {
+            return None;
         }
         let unknown = Heat::default();
         let heat = tick.heat.get(service).unwrap_or(&unknown);
@@ -366,29 +366,49 @@
             may_balance: tick.now.since(self.balanced) >= BALANCE_PAUSE,
         };
         let mut planned = plan::next(&self.durable, &input)?;
-        self.keep_previous(&mut planned);
+        self.drop_cleared(&mut planned);
         self.balanced = tick.now;
         Some(planned)
     }
 
-    /// A range whose new owner never got a grant still belongs to the owner before that.
-    fn keep_previous(&self, planned: &mut Assignment) {
+    /// Tells whether further targets are awaited before the first assignment.
+    fn gathers(&mut self, now: Instant, count: usize) -> bool {
+        let first = Gathering {
+            since: now,
+            grown: now,
+            count,
+        };
+        let gathering = self.gathering.get_or_insert(first);
+        if count > gathering.count {
+            gathering.count = count;
+            gathering.grown = now;
+        }
+        now.since(gathering.grown) < GATHERING && now.since(gathering.since) < MOST_GATHERING
+    }
+
+    /// Drops the earlier owners that can't hold a range, and a last one that never got its grant.
+    fn drop_cleared(&self, planned: &mut Assignment) {
         for range in &mut planned.ranges {
             let old = self.durable.range(range.first);
-            let Some(old) = old.filter(|old| old.epoch != range.epoch) else {
+            let Some(old) = old.filter(|old| old.epoch != range.epoch && !old.is_held()) else {
                 continue;
             };
-            if let State::Moving(previous) = &old.state
-                && !self.granted.contains(&old.epoch)
-            {
-                range.state = State::Moving(previous.clone());
+            let progress = self.moves.get(&old.epoch).cloned().unwrap_or_default();
+            if let State::Moving(previous) = &mut range.state {
+                previous.retain(|earlier| match earlier.life == old.owner {
+                    true => progress.is_granted,
+                    false => !progress.cleared.contains(&earlier.life),
+                });
             }
         }
     }
 
     /// Returns the assignment with the granted moves completed.
     fn held(&self) -> Option<Assignment> {
-        let is_new = |range: &Range| !range.is_held() && self.confirmed.contains(&range.epoch);
+        let is_new = |range: &Range| {
+            let progress = self.moves.get(&range.epoch);
+            !range.is_held() && progress.is_some_and(|progress| progress.is_confirmed)
+        };
         if !self.durable.ranges.iter().any(is_new) {
             return None;
         }
@@ -423,9 +443,7 @@
         };
         self.durable = written;
         let epochs: BTreeSet<u64> = self.durable.ranges.iter().map(|r| r.epoch).collect();
-        self.stages.retain(|epoch, _| epochs.contains(epoch));
-        self.granted.retain(|epoch| epochs.contains(epoch));
-        self.confirmed.retain(|epoch| epochs.contains(epoch));
+        self.moves.retain(|epoch, _| epochs.contains(epoch));
         self.refused.retain(|epoch| epochs.contains(epoch));
         self.due.retain(|epoch, _| epochs.contains(epoch));
     }
@@ -439,40 +457,28 @@
             }
         }
         let pause = match &answer {
-            Answer::Done(_) if order.fence == order.range => RENEWAL,
+            Answer::Done(_) if order.verb != Verb::Release => RENEWAL,
             Answer::Done(_) => Span::ZERO,
             _ => REPETITION,
         };
         self.due.insert(order.range, now + pause);
-        let is_first = order.fence == order.range;
         match (answer, &order.verb) {
             (Answer::Misdirected, _) => {
                 self.ended.insert(order.life.clone());
             }
-            (Answer::Done(_), Verb::Grant { handover, .. }) if is_first => {
-                self.granted.insert(order.range);
-                self.confirmed.insert(order.range);
-                let clear = Stage::Clear(handover.clone());
-                self.stages.entry(order.range).or_insert(clear);
-            }
             (Answer::Done(_), Verb::Grant { .. }) => {
-                self.stages.insert(order.range, Stage::Release);
-            }
-            (Answer::Done(handover), Verb::Release) => {
-                if matches!(self.stages.get(&order.range), Some(Stage::Release)) {
-                    self.stages.insert(order.range, Stage::Clear(handover));
+                if let Some(progress) = self.moves.get_mut(&order.range) {
+                    progress.is_confirmed = true;
                 }
             }
-            (Answer::Refused, Verb::Grant { .. }) if !is_first => {
-                // The target has seen the fence or a higher epoch already.
-                self.stages.insert(order.range, Stage::Release);
+            (Answer::Done(handover), Verb::Release) => {
+                let progress = self.moves.entry(order.range).or_default();
+                progress.cleared.insert(order.life.clone());
+                progress.handover = handover.or(progress.handover.take());
             }
-            (Answer::Refused, _) if self.is_current(order) => {
+            (Answer::Refused, Verb::Grant { .. }) if self.is_current(order) => {
                 self.refused.insert(order.range);
             }
-            (Answer::Silent, Verb::Grant { .. }) if is_first => {
-                self.granted.insert(order.range);
-            }
             _ => {}
         }
     }
--- a/crates/router/src/plan.rs
+++ b/crates/router/src/plan.rs
@@ -85,7 +85,7 @@
             last: (KEYS * (index + 1) / count - 1) as Key,
             epoch,
             owner: owner.clone(),
-            state: State::Moving(None),
+            state: State::Moving(Vec::new()),
         });
     }
     divided
@@ -142,12 +142,17 @@
         if let Some(width) = self.widths.get_mut(&owner) {
             *width += u32::from(last) - u32::from(first) + 1;
         }
+        let mut previous = match &range.state {
+            State::Held => Vec::new(),
+            State::Moving(previous) => previous.clone(),
+        };
+        previous.push(Previous { life, fence });
         Range {
             first,
             last,
             epoch,
             owner,
-            state: State::Moving(Some(Previous { life, fence })),
+            state: State::Moving(previous),
         }
     }
 
