Cut no answer without another attempt; read at once while the store is lost

Ruled out: the end of the grace period (the cut came 0.5 s after SIGTERM); a lost record (version 6 was read 3.2 s after its acknowledgement).

Change: a request leaves a silent target only if the retry is paid and no stop is planned; while a topic is lost, reads don't wait. A request that may run once is not sent after its caller has left.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -7,6 +7,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    connection::Connection,
     exchange::{self, Addition, Fault, Received},
     job::Job,
     link::Link,
@@ -31,6 +32,8 @@
     pub(crate) reply: Option<Reply>,
     pub(crate) status: u16,
     pub(crate) cause: String,
+    /// Whether the retry budget has been charged for the next attempt.
+    pub(crate) is_retry_paid: bool,
 }
 
 impl Attempt {
@@ -40,6 +43,7 @@
             reply: None,
             status: 0,
             cause,
+            is_retry_paid: false,
         }
     }
 }
@@ -66,19 +70,16 @@
         return Attempt::failed(Outcome::NotSent, "no time is left".to_owned());
     }
     let wire = wire(shared, job, target, left);
-    let is_head = job.incoming.head.method == "HEAD";
-    let id_header = shared.dialect.headers.request_id;
-    let exchange = async {
-        connection.write(&wire).await?;
-        exchange::receive(connection, id_header, &job.id, is_head).await
-    };
     let patience = patience(shared, job, target, left);
-    let outcome: Result<Received, Fault> = match timeout(patience.as_duration(), exchange).await {
+    let outcome = match exchange(shared, job, connection, &wire, patience).await {
         Ok(outcome) => outcome,
-        Err(_) => {
+        Err(is_retry_paid) => {
             let now = shared.now();
             shared.with_peer(life, |peer| peer.breaker.fail(now));
-            return Attempt::failed(Outcome::Unknown, format!("no answer within {patience}"));
+            return Attempt {
+                is_retry_paid,
+                ..Attempt::failed(Outcome::Unknown, "no answer in time".to_owned())
+            };
         }
     };
     match outcome {
@@ -98,6 +99,40 @@
     }
 }
 
+/// Sends a request and reads its answer. The error is that none came in time; it tells whether the
+/// retry budget has been charged for another attempt.
+async fn exchange(
+    shared: &Shared,
+    job: &Job,
+    connection: &mut Connection,
+    wire: &[u8],
+    patience: Span,
+) -> Result<Result<Received, Fault>, bool> {
+    let is_head = job.incoming.head.method == "HEAD";
+    let id_header = shared.dialect.headers.request_id;
+    let exchange = async {
+        connection.write(wire).await?;
+        exchange::receive(connection, id_header, &job.id, is_head).await
+    };
+    tokio::pin!(exchange);
+    if let Ok(outcome) = timeout(patience.as_duration(), &mut exchange).await {
+        return Ok(outcome);
+    }
+    let left = job.deadline.since(shared.now());
+    let is_late = left.as_millis() == 0;
+    if !is_late && gives_up(shared, job) {
+        return Err(true);
+    }
+    let outcome = timeout(left.as_duration(), &mut exchange).await;
+    outcome.map_err(|_| false)
+}
+
+/// Decides whether a request leaves a silent target for another one. Without another attempt,
+/// waiting for the answer serves the caller better; a planned stop cuts no request either.
+fn gives_up(shared: &Shared, job: &Job) -> bool {
+    !shared.is_stopping.get() && shared.take_retry(&job.service)
+}
+
 fn wire(shared: &Shared, job: &Job, target: &Target, left: Span) -> bytes::BytesMut {
     let headers = &shared.dialect.headers;
     let left = left.as_millis().to_string();
@@ -185,6 +220,7 @@
         reply,
         status,
         cause,
+        is_retry_paid: false,
     }
 }
 
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -78,7 +78,9 @@
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
     loop {
-        let outcome = step(&shared, &mut store, &topic, from).await;
+        // A read that waits would hide the store's return for as long.
+        let wait = if is_lost { Span::ZERO } else { topic.wait };
+        let outcome = step(&shared, &mut store, &topic, from, wait).await;
         (topic.answered)(&shared, outcome.is_ok());
         match outcome {
             Ok(next) => {
@@ -110,13 +112,14 @@
     store: &mut Store,
     topic: &Topic,
     from: Option<Offset>,
+    wait: Span,
 ) -> Result<Option<Offset>> {
     let Some(from) = from else {
         let (records, next) = store.newest(topic.name).await?;
         (topic.apply)(shared, records, true);
         return Ok(Some(next));
     };
-    match store.read(topic.name, from, topic.wait).await? {
+    match store.read(topic.name, from, wait).await? {
         Tail::Records(records, next) => {
             (topic.apply)(shared, records, false);
             Ok(Some(next))
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -1,6 +1,6 @@
 //! A request with what the configuration says about it.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use bytes::Bytes;
 use ragwortrill_core::{
@@ -43,6 +43,8 @@
     /// Targets that were tried.
     pub(crate) tried: Vec<Life>,
     pub(crate) may_have_run: bool,
+    /// Set when the caller has left.
+    pub(crate) is_abandoned: Rc<Cell<bool>>,
 }
 
 impl Job {
@@ -108,6 +110,7 @@
             config,
             tried: Vec::new(),
             may_have_run: false,
+            is_abandoned: Rc::default(),
         })
     }
 }
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -41,6 +41,9 @@
 pub(crate) async fn find(shared: &Shared, job: &Job) -> Result<Target, Problem> {
     loop {
         let now = shared.now();
+        if job.is_abandoned.get() {
+            return Err(Problem::refusal("the caller has left", RETRY_BUSY_MS));
+        }
         let search = match job.key {
             Some(key) => search_owner(shared, job, key, now),
             None => search_any(shared, job, now),
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -1,6 +1,6 @@
 //! The way of one request: rule, service, target, attempts and answer.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use ragwortrill_router::{
     fleet::Target,
@@ -36,6 +36,7 @@
     if job.rule.kind.is_idempotent() {
         return run(&shared, job).await;
     }
+    let _caller = Caller(job.is_abandoned.clone());
     let task = tokio::task::spawn_local(async move { run(&shared, job).await });
     match task.await {
         Ok(reply) => reply,
@@ -46,6 +47,15 @@
     }
 }
 
+/// Tells the request's task when its caller has left.
+struct Caller(Rc<Cell<bool>>);
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.0.set(true);
+    }
+}
+
 async fn run(shared: &Rc<Shared>, mut job: Job) -> Reply {
     shared.note_request(&job.service);
     if let Some(key) = job.key {
@@ -71,8 +81,8 @@
             time,
         };
         let mut next = verdict::decide(job.rule.kind, attempt.outcome, job.may_have_run, left);
-        let is_paid = attempt.outcome != Outcome::NotSent;
-        if next == Next::Retry && is_paid && !shared.take_retry(&job.service) {
+        let is_free = attempt.outcome == Outcome::NotSent || attempt.is_retry_paid;
+        if next == Next::Retry && !is_free && !shared.take_retry(&job.service) {
             let left = Allowance {
                 has_budget: false,
                 ..left
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -12,7 +12,7 @@
 };
 
 /// Longest time for an answer of the store, besides the time that a read waits.
-const ANSWER: Duration = Duration::from_millis(1_200);
+const ANSWER: Duration = Duration::from_millis(1_000);
 
 /// A connection to the store for one task.
 pub(crate) struct Store {
