--- /dev/null
+++ b/crates/router/tests/leader.rs
@@ -0,0 +1,368 @@
+//! Grants and moves of keys, played against targets that obey, refuse or stay silent.
+
+use std::collections::BTreeMap;
+
+use ragwortrill_core::{
+    name,
+    time::{Instant, Span},
+};
+use ragwortrill_router::{
+    assignment::{Assignment, State},
+    fleet::Fleet,
+    leader::{Action, Answer, Leader, Order, Tick, Verb},
+    registration::{Life, Registration},
+};
+
+const HOLD: Span = Span::from_millis(4_000);
+const MAX_HOLD: Span = Span::from_millis(10_000);
+
+/// Targets of one service and the leader that orders them.
+struct World {
+    now: Instant,
+    fleet: Fleet,
+    leader: Leader,
+    durable: Assignment,
+    /// Grants in force by target, first and last key: epoch and end.
+    grants: BTreeMap<(String, u16, u16), (u64, Instant)>,
+    silent: Vec<String>,
+    orders: Vec<Order>,
+}
+
+fn service() -> name::Service {
+    "lookup".parse().unwrap()
+}
+
+fn registration(id: &str, born: u64) -> Registration {
+    let port = 1_000 + id.bytes().map(u16::from).sum::<u16>();
+    Registration {
+        life: Life {
+            id: id.parse().unwrap(),
+            born,
+            address: ([127, 0, 0, 1], port).into(),
+        },
+        service: service(),
+        data_centre: "north".parse().unwrap(),
+        slots: 6,
+        is_draining: false,
+        cold: Span::ZERO,
+    }
+}
+
+impl World {
+    fn new(targets: &[&str]) -> Self {
+        let mut world = Self {
+            now: Instant(Span::from_secs(100).0),
+            fleet: Fleet::default(),
+            leader: Leader::new(&BTreeMap::new(), Instant::default()),
+            durable: Assignment::default(),
+            grants: BTreeMap::new(),
+            silent: Vec::new(),
+            orders: Vec::new(),
+        };
+        for id in targets {
+            world.register(registration(id, 1));
+        }
+        world
+    }
+
+    fn register(&mut self, registration: Registration) {
+        let id = registration.life.id.clone();
+        self.fleet.apply(self.now, &id, Some(registration));
+    }
+
+    fn drain(&mut self, id: &str) {
+        let mut registration = registration(id, 1);
+        registration.is_draining = true;
+        self.register(registration);
+    }
+
+    /// Starts a new leader that knows only what is written.
+    fn change_leader(&mut self, lease: Span) {
+        let assignments = BTreeMap::from([(service(), self.durable.clone())]);
+        let until = ragwortrill_router::leader::expiry(self.now + lease, MAX_HOLD);
+        self.leader = Leader::new(&assignments, until);
+    }
+
+    fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+            self.now = self.now + Span::from_millis(50);
+        }
+    }
+
+    /// Carries out what is due. Returns whether the leader resigns.
+    fn step(&mut self) -> bool {
+        for action in self.tick() {
+            match action {
+                Action::Write(_, assignment) => {
+                    self.durable = assignment;
+                    self.leader.written(&service());
+                }
+                Action::Send(order) => {
+                    let answer = self.obey(&order);
+                    self.leader.answer(self.now, &order, answer);
+                    self.orders.push(order);
+                }
+                Action::Resign => return true,
+            }
+        }
+        false
+    }
+
+    fn tick(&mut self) -> Vec<Action> {
+        self.leader.tick(&Tick {
+            now: self.now,
+            fleet: &self.fleet,
+            heat: &BTreeMap::new(),
+            services: &[service()],
+            hold: HOLD,
+        })
+    }
+
+    fn obey(&mut self, order: &Order) -> Answer {
+        let id = order.life.id.to_string();
+        if self.silent.contains(&id) {
+            return Answer::Silent;
+        }
+        let key = (id, order.first, order.last);
+        match &order.verb {
+            Verb::Grant { hold, .. } => {
+                self.check_sole_owner(order);
+                self.grants.insert(key, (order.fence, self.now + *hold));
+                Answer::Done(None)
+            }
+            Verb::Release => {
+                let id = order.life.id.as_str();
+                let overlaps =
+                    |k: &(String, u16, u16)| k.0 == id && k.1 <= order.last && k.2 >= order.first;
+                self.grants.retain(|k, _| !overlaps(k));
+                Answer::Done(Some("token".to_owned()))
+            }
+        }
+    }
+
+    /// Fails if another target may hold a key of the granted range, or had a higher epoch on it.
+    fn check_sole_owner(&self, order: &Order) {
+        for ((id, first, last), (epoch, end)) in &self.grants {
+            let overlaps = *first <= order.last && *last >= order.first;
+            if id != order.life.id.as_str() && overlaps {
+                assert!(
+                    *end < self.now,
+                    "{id} still holds {first}-{last}: {order:?}"
+                );
+                assert!(*epoch < order.fence, "{id} had epoch {epoch}: {order:?}");
+            }
+        }
+    }
+
+    fn owners(&self) -> Vec<&str> {
+        let mut owners: Vec<&str> = self
+            .durable
+            .ranges
+            .iter()
+            .map(|r| r.owner.id.as_str())
+            .collect();
+        owners.sort_unstable();
+        owners.dedup();
+        owners
+    }
+
+    fn is_settled(&self) -> bool {
+        let widths: u32 = self.durable.ranges.iter().map(|range| range.width()).sum();
+        widths == 65_536 && self.durable.ranges.iter().all(|range| range.is_held())
+    }
+}
+
+/// Guards against keys that no target owns after the start.
+#[test]
+fn first_assignment_covers_all_keys_evenly() {
+    let mut world = World::new(&["a", "b", "c"]);
+    world.run(Span::from_secs(3));
+    assert!(world.is_settled());
+    assert_eq!(world.owners(), ["a", "b", "c"]);
+    let widths: Vec<u32> = world
+        .durable
+        .ranges
+        .iter()
+        .map(|range| range.width())
+        .collect();
+    assert!(
+        widths.iter().all(|width| width.abs_diff(21_845) <= 1),
+        "{widths:?}"
+    );
+}
+
+/// Guards against an assignment among the few targets that register first, which moves keys when
+/// the others come.
+#[test]
+fn first_assignment_waits_for_the_other_targets() {
+    let mut world = World::new(&["a"]);
+    world.run(Span::from_millis(1_000));
+    world.register(registration("b", 1));
+    world.run(Span::from_millis(1_000));
+    assert!(world.orders.is_empty());
+    world.run(Span::from_millis(1_500));
+    assert_eq!(world.owners(), ["a", "b"]);
+    assert!(world.orders.iter().all(|order| order.verb != Verb::Release));
+}
+
+struct Case {
+    name: &'static str,
+    change: fn(&mut World),
+    span: Span,
+    owners: &'static [&'static str],
+}
+
+/// Guards against keys that stay with a target that leaves, or are granted twice meanwhile: every
+/// grant is checked against the grants that other targets hold.
+#[test]
+fn keys_move_to_the_targets_that_stay() {
+    let cases = [
+        Case {
+            name: "draining target releases its keys",
+            change: |world| world.drain("a"),
+            span: Span::from_secs(1),
+            owners: &["b", "c"],
+        },
+        Case {
+            name: "silent target keeps its keys until its grant has run out",
+            change: |world| world.silent.push("a".to_owned()),
+            span: Span::from_secs(7),
+            owners: &["b", "c"],
+        },
+        Case {
+            name: "new life of a target gets keys again",
+            change: |world| {
+                world.grants.retain(|(id, _, _), _| id != "a");
+                world.register(registration("a", 2));
+            },
+            span: Span::from_secs(4),
+            owners: &["a", "b", "c"],
+        },
+        Case {
+            name: "added target gets a share",
+            change: |world| world.register(registration("d", 1)),
+            span: Span::from_secs(3),
+            owners: &["a", "b", "c", "d"],
+        },
+        Case {
+            name: "evacuated target returns",
+            change: |world| {
+                world.fleet.evacuate(&"north".parse().unwrap());
+                world.run(Span::from_secs(1));
+                let now = world.now;
+                world.fleet.restore(now, &"north".parse().unwrap());
+            },
+            span: Span::from_secs(3),
+            owners: &["a", "b", "c"],
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(&["a", "b", "c"]);
+        world.run(Span::from_secs(3));
+        (case.change)(&mut world);
+        world.run(case.span);
+        assert!(world.is_settled(), "{}: {:?}", case.name, world.durable);
+        assert_eq!(world.owners(), case.owners, "{}", case.name);
+    }
+}
+
+/// Guards against a new leader that orders an earlier owner with an epoch below that of a grant
+/// which the earlier leader sent in the middle of a move.
+#[test]
+fn new_leader_completes_a_move_without_a_grant_to_the_earlier_owner() {
+    for ticks in 1..12 {
+        let mut world = World::new(&["a", "b", "c"]);
+        world.run(Span::from_secs(3));
+        world.drain("a");
+        world.run(Span::from_millis(50 * ticks));
+        world.change_leader(Span::from_secs(3));
+        let earlier = world.orders.len();
+        world.run(Span::from_secs(2));
+        assert!(world.is_settled(), "after {ticks} ticks");
+        let later = &world.orders[earlier..];
+        let granted = later.iter().filter(|order| order.verb != Verb::Release);
+        assert!(granted.clone().count() > 0);
+        assert!(
+            granted.clone().all(|order| order.life.id.as_str() != "a"),
+            "after {ticks} ticks"
+        );
+    }
+}
+
+/// Guards against a change of leader that moves keys.
+#[test]
+fn new_leader_renews_the_same_grants() {
+    let mut world = World::new(&["a", "b", "c"]);
+    world.run(Span::from_secs(3));
+    let before = world.durable.clone();
+    world.change_leader(Span::from_secs(3));
+    world.step();
+    let renewed = world.orders.iter().rev().take(3);
+    let epochs: Vec<u64> = renewed.map(|order| order.fence).collect();
+    assert_eq!(epochs.len(), 3);
+    assert!(
+        before
+            .ranges
+            .iter()
+            .all(|range| epochs.contains(&range.epoch))
+    );
+    world.run(Span::from_secs(2));
+    assert_eq!(world.durable, before);
+}
+
+/// Guards against a new leader that moves the keys of a silent target while a grant of the
+/// earlier leader may be in force.
+#[test]
+fn new_leader_waits_for_the_longest_grant_of_the_earlier_one() {
+    let mut world = World::new(&["a", "b", "c"]);
+    world.run(Span::from_secs(3));
+    world.silent.push("a".to_owned());
+    let lease = Span::from_secs(3);
+    world.change_leader(lease);
+    world.run(lease + MAX_HOLD);
+    let moving = |world: &World| {
+        let ranges = world.durable.ranges.iter();
+        ranges
+            .filter(|range| matches!(range.state, State::Moving(_)))
+            .count()
+    };
+    assert!(moving(&world) > 0);
+    world.run(Span::from_millis(1_500));
+    assert!(world.is_settled());
+    assert_eq!(world.owners(), ["b", "c"]);
+}
+
+/// Guards against a host that takes the keys of all targets because its own network is cut.
+#[test]
+fn leader_that_reaches_few_targets_resigns() {
+    let mut world = World::new(&["a", "b", "c"]);
+    world.run(Span::from_secs(3));
+    world.silent.extend(["a".to_owned(), "b".to_owned()]);
+    let resigned = (0..60).any(|_| {
+        world.now = world.now + Span::from_millis(50);
+        world.step()
+    });
+    assert!(resigned);
+}
+
+/// Guards against a refused renewal of a range that has since been cut, which made the leader take
+/// its owner for lost.
+#[test]
+fn late_refusal_of_a_wider_range_moves_nothing() {
+    let mut world = World::new(&["a", "b", "c"]);
+    world.run(Span::from_secs(3));
+    let wide = world
+        .orders
+        .iter()
+        .rev()
+        .find(|order| order.life.id.as_str() == "a");
+    let wide = wide.cloned().unwrap();
+    world.register(registration("d", 1));
+    world.run(Span::from_secs(2));
+    let before = world.durable.clone();
+    world.leader.answer(world.now, &wide, Answer::Refused);
+    world.run(Span::from_secs(2));
+    assert_eq!(world.durable, before);
+}
