Count the return of lapsed entries from the store's first answer

The 2.2 s for entries to come back ran from the first answer on the targets' topic, 0.5 s after the store had answered on another, and were looked at only at the next read.

Ruled out: a lost record (the listing lacked the target 0.6 s after the return).

Change: each topic's calls tell whether the store answers; the time is 2 s and ends on its own; a lost topic is tried again after 300 ms at most.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -23,7 +23,7 @@
 const TARGETS_PAUSE: Duration = Duration::from_millis(600);
 /// Pause after a failed call. It doubles up to the longest one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
-const MOST_PAUSE: Duration = Duration::from_millis(500);
+const MOST_PAUSE: Duration = Duration::from_millis(300);
 
 /// Key prefixes of the ownership topic.
 pub(crate) const SERVICE: &str = "service/";
@@ -35,8 +35,6 @@
     wait: Span,
     /// Applies records. The listing is complete if it is the newest record of every key.
     apply: fn(&Shared, Vec<Record>, bool),
-    /// Notes whether the store answered.
-    answered: fn(&Shared, bool),
 }
 
 /// Follows the operators' configuration and commands.
@@ -45,7 +43,6 @@
         name: shared.dialect.topics.operators,
         wait: WAIT,
         apply: apply_commands,
-        answered: |_, _| {},
     };
     follow(shared, topic).await;
 }
@@ -56,7 +53,6 @@
         name: shared.dialect.topics.targets,
         wait: Span::ZERO,
         apply: apply_entries,
-        answered: note_store,
     };
     follow(shared, topic).await;
 }
@@ -67,7 +63,6 @@
         name: shared.dialect.topics.ownership,
         wait: WAIT,
         apply: apply_ownership,
-        answered: |_, _| {},
     };
     follow(shared, topic).await;
 }
@@ -75,23 +70,23 @@
 async fn follow(shared: Rc<Shared>, topic: Topic) {
     let mut store = Store::new(shared.clone());
     let mut from = None;
-    let mut pause = FIRST_PAUSE;
+    let mut backoff = FIRST_PAUSE;
     let mut is_lost = false;
     loop {
         // A read that waits would hide the store's return for as long.
         let wait = if is_lost { Span::ZERO } else { topic.wait };
         let outcome = step(&shared, &mut store, &topic, from, wait).await;
-        (topic.answered)(&shared, outcome.is_ok());
+        note_store(&shared, outcome.is_ok());
         match outcome {
             Ok(next) => {
                 if is_lost {
                     log::info!(topic = topic.name; "store regained");
                 }
                 is_lost = false;
-                pause = FIRST_PAUSE;
+                backoff = FIRST_PAUSE;
                 from = next;
                 if topic.wait == Span::ZERO {
-                    sleep(TARGETS_PAUSE).await;
+                    pause(&shared).await;
                 }
             }
             Err(error) => {
@@ -99,13 +94,27 @@
                     log::warn!(topic = topic.name, error = format!("{error:#}"); "store lost");
                 }
                 is_lost = true;
-                sleep(pause).await;
-                pause = (pause * 2).min(MOST_PAUSE);
+                sleep(backoff).await;
+                backoff = (backoff * 2).min(MOST_PAUSE);
             }
         }
     }
 }
 
+/// Waits until the targets' entries are read again, and removes meanwhile those that did not come
+/// back in time.
+async fn pause(shared: &Shared) {
+    let now = shared.now();
+    let expires_at = shared.fleet.borrow().expires_at();
+    let left = expires_at.map(|at| at.since(now).as_duration());
+    let Some(left) = left.filter(|left| *left < TARGETS_PAUSE) else {
+        return sleep(TARGETS_PAUSE).await;
+    };
+    sleep(left).await;
+    expire(shared);
+    sleep(TARGETS_PAUSE - left).await;
+}
+
 /// Reads once. Returns the offset from which to read on, or none if records have expired.
 async fn step(
     shared: &Shared,
@@ -233,6 +242,7 @@
     );
 }
 
+/// Notes whether the store answered. Entries that lapse while it does not may come back.
 fn note_store(shared: &Shared, answered: bool) {
     let now = shared.now();
     let mut fleet = shared.fleet.borrow_mut();
@@ -240,7 +250,13 @@
         true => fleet.store_answered(now),
         false => fleet.store_failed(now),
     }
-    for id in fleet.expire(now) {
+    drop(fleet);
+    expire(shared);
+}
+
+fn expire(shared: &Shared) {
+    let now = shared.now();
+    for id in shared.fleet.borrow_mut().expire(now) {
         log::info!(target = id.as_str(); "target did not come back after the store's outage");
     }
 }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -10,7 +10,7 @@
 use crate::registration::Registration;
 
 /// Time after the store's return in which entries that lapsed during its outage come back.
-const RETURN: Span = Span::from_millis(2_200);
+const RETURN: Span = Span::from_millis(2_000);
 /// Length of a failure of the store from which entries may have lapsed.
 const OUTAGE: Span = Span::from_millis(800);
 /// Time for which a target is taken as cold after the evacuation of its data centre ended.
@@ -122,6 +122,12 @@
         }
     }
 
+    /// Returns when the targets whose entries are gone are to be removed, if there are any.
+    pub fn expires_at(&self) -> Option<Instant> {
+        let is_due = self.failing_since.is_none() && self.targets.values().any(|t| t.is_missing);
+        is_due.then_some(self.grace_until)
+    }
+
     /// Removes the targets whose entries did not come back in time. Returns their ids.
     pub fn expire(&mut self, now: Instant) -> Vec<name::Target> {
         if now < self.grace_until || self.failing_since.is_some() {
--- /dev/null
+++ b/crates/router/tests/fleet.rs
@@ -0,0 +1,175 @@
+//! Entries of targets that come, change and go, also while the store is away.
+
+use std::collections::BTreeSet;
+
+use ragwortrill_core::{
+    name,
+    time::{Instant, Span},
+};
+use ragwortrill_router::{
+    fleet::{Change, Fleet},
+    registration::{Life, Registration},
+};
+
+fn id() -> name::Target {
+    "a".parse().unwrap()
+}
+
+fn service() -> name::Service {
+    "lookup".parse().unwrap()
+}
+
+fn registration(born: u64) -> Registration {
+    Registration {
+        life: Life {
+            id: id(),
+            born,
+            address: ([127, 0, 0, 1], 1_000).into(),
+        },
+        service: service(),
+        data_centre: "north".parse().unwrap(),
+        slots: 6,
+        is_draining: false,
+        cold: Span::ZERO,
+    }
+}
+
+fn draining() -> Registration {
+    Registration {
+        is_draining: true,
+        ..registration(1)
+    }
+}
+
+fn at(millis: u64) -> Instant {
+    Instant(Span::from_secs(100).0) + Span::from_millis(millis)
+}
+
+struct Case {
+    name: &'static str,
+    /// Store fails from and answers again at, in milliseconds.
+    outage: Option<(u64, u64)>,
+    entry: Registration,
+    removed_at: u64,
+    /// When the target must still serve, and when it must be gone.
+    serves_until: Option<u64>,
+    gone_at: u64,
+}
+
+/// Guards against requests to a target that left while the host was cut off (seen 12 s after its
+/// drain), and against the loss of all targets when the store returns.
+#[test]
+fn removed_entries() {
+    let cases = [
+        Case {
+            name: "removed while the store answers",
+            outage: None,
+            entry: registration(1),
+            removed_at: 1_000,
+            serves_until: None,
+            gone_at: 1_000,
+        },
+        Case {
+            name: "lapsed during an outage",
+            outage: Some((1_000, 5_000)),
+            entry: registration(1),
+            removed_at: 5_100,
+            serves_until: Some(6_900),
+            gone_at: 7_000,
+        },
+        Case {
+            name: "lapsed, read half a second after the store's return",
+            outage: Some((1_000, 5_000)),
+            entry: registration(1),
+            removed_at: 5_500,
+            serves_until: Some(6_900),
+            gone_at: 7_000,
+        },
+        Case {
+            name: "removed after a single failed call",
+            outage: Some((1_000, 1_300)),
+            entry: registration(1),
+            removed_at: 1_400,
+            serves_until: None,
+            gone_at: 1_400,
+        },
+        Case {
+            name: "drained before the outage",
+            outage: Some((1_000, 5_000)),
+            entry: draining(),
+            removed_at: 5_100,
+            serves_until: None,
+            gone_at: 5_100,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::default();
+        fleet.apply(at(0), &id(), Some(case.entry));
+        if let Some((from, to)) = case.outage {
+            fleet.store_failed(at(from));
+            fleet.store_answered(at(to));
+        }
+        fleet.apply(at(case.removed_at), &id(), None);
+        if let Some(until) = case.serves_until {
+            fleet.expire(at(until));
+            assert_eq!(fleet.serving(&service()).count(), 1, "{}", case.name);
+            assert_eq!(fleet.expires_at(), Some(at(case.gone_at)), "{}", case.name);
+        }
+        fleet.expire(at(case.gone_at));
+        assert!(fleet.get(&id()).is_none(), "{}", case.name);
+    }
+}
+
+/// Guards against a target that is dropped although its entry came back.
+#[test]
+fn returned_entry_stays() {
+    let mut fleet = Fleet::default();
+    fleet.apply(at(0), &id(), Some(registration(1)));
+    fleet.store_failed(at(1_000));
+    fleet.store_answered(at(5_000));
+    fleet.apply(at(5_100), &id(), None);
+    assert_eq!(
+        fleet.apply(at(6_000), &id(), Some(registration(1))),
+        Change::None
+    );
+    assert!(fleet.expire(at(9_000)).is_empty());
+    assert_eq!(fleet.serving(&service()).count(), 1);
+}
+
+/// Guards against a target that is kept because a listing does not name it any more.
+#[test]
+fn unlisted_target_is_removed() {
+    let mut fleet = Fleet::default();
+    fleet.apply(at(0), &id(), Some(registration(1)));
+    assert_eq!(fleet.retain(at(1_000), &BTreeSet::new()), [id()]);
+    assert!(fleet.get(&id()).is_none());
+}
+
+/// Guards against a restarted target that is taken for the earlier one.
+#[test]
+fn new_life_is_a_start() {
+    let mut fleet = Fleet::default();
+    fleet.apply(at(0), &id(), Some(registration(1)));
+    assert_eq!(
+        fleet.apply(at(500), &id(), Some(registration(2))),
+        Change::Started
+    );
+    assert_eq!(
+        fleet.apply(at(600), &id(), Some(registration(2))),
+        Change::None
+    );
+}
+
+/// Guards against full load on targets that became cold in an evacuated data centre.
+#[test]
+fn targets_are_cold_after_an_evacuation() {
+    let mut fleet = Fleet::default();
+    let north = "north".parse().unwrap();
+    fleet.apply(at(0), &id(), Some(registration(1)));
+    assert!(fleet.evacuate(&north));
+    assert_eq!(fleet.serving(&service()).count(), 0);
+    assert!(fleet.restore(at(5_000), &north));
+    let service = service();
+    let target = fleet.serving(&service).next().unwrap();
+    assert!(target.cold_until > at(5_000));
+}
