Queue requests in an order that keeps objectives in an overload

Ruled out: a shorter fixed number of places alone, which leaves targets idle where callers are uneven between hosts.

Change: router::queue orders waiting requests: those that can still meet their objective first, the newest first; a queue longer than its places can serve within the objective refuses its last. A host fills a target up to 1.7 times its slots by the load it reports, instead of to a fixed share.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     dialect::{Command, Record, Tail},
+    place,
     shared::Shared,
     store::Store,
 };
@@ -34,7 +35,7 @@
     name: &'static str,
     wait: Span,
     /// Applies records. The listing is complete if it is the newest record of every key.
-    apply: fn(&Shared, Vec<Record>, bool),
+    apply: fn(&Rc<Shared>, Vec<Record>, bool),
 }
 
 /// Follows the operators' configuration and commands.
@@ -117,7 +118,7 @@
 
 /// Reads once. Returns the offset from which to read on, or none if records have expired.
 async fn step(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     store: &mut Store,
     topic: &Topic,
     from: Option<Offset>,
@@ -137,7 +138,7 @@
     }
 }
 
-fn apply_commands(shared: &Shared, records: Vec<Record>, is_complete: bool) {
+fn apply_commands(shared: &Rc<Shared>, records: Vec<Record>, is_complete: bool) {
     let mut evacuated = BTreeSet::new();
     for record in records {
         match ((shared.dialect.command)(&record.key), record.value) {
@@ -180,15 +181,15 @@
     }
 }
 
-fn restore(shared: &Shared, data_centre: &name::DataCentre) {
+fn restore(shared: &Rc<Shared>, data_centre: &name::DataCentre) {
     let now = shared.now();
     if shared.fleet.borrow_mut().restore(now, data_centre) {
         log::info!(data_centre = data_centre.as_str(); "evacuation ended");
     }
-    shared.wake();
+    place::serve(shared);
 }
 
-fn apply_entries(shared: &Shared, records: Vec<Record>, is_complete: bool) {
+fn apply_entries(shared: &Rc<Shared>, records: Vec<Record>, is_complete: bool) {
     let now = shared.now();
     let mut listed = BTreeSet::new();
     for record in records {
@@ -211,7 +212,7 @@
         }
     }
     shared.knows_targets.set(true);
-    shared.wake();
+    place::serve(shared);
 }
 
 fn decode(
@@ -261,7 +262,7 @@
     }
 }
 
-fn apply_ownership(shared: &Shared, records: Vec<Record>, _is_complete: bool) {
+fn apply_ownership(shared: &Rc<Shared>, records: Vec<Record>, _is_complete: bool) {
     for record in records {
         if let Some(host) = record.key.strip_prefix(HOST) {
             let mut hosts = shared.hosts.borrow_mut();
@@ -300,5 +301,5 @@
             }
         }
     }
-    shared.wake();
+    place::serve(shared);
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod reign;
 mod reply;
 mod run;
+mod search;
 pub mod settings;
 mod shared;
 mod store;
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -1,67 +1,78 @@
-//! Search for a target that takes a request, and the places at targets.
+//! Places at targets, and the requests that wait for one.
 
-use std::rc::Rc;
+use std::{collections::BTreeSet, rc::Rc};
 
 use ragwortrill_core::time::{Instant, Span};
 use ragwortrill_router::{
-    choice::{self, Candidate},
-    config::Kind,
     fleet::Target,
+    queue::{self, Spot, Ticket, Waiting},
     registration::Life,
 };
-use tokio::time::timeout;
+use tokio::{
+    sync::oneshot,
+    time::{sleep, timeout},
+};
 
 use crate::{
     job::Job,
     reply::{Problem, RETRY_ABSENT_MS, RETRY_BUSY_MS},
+    search::{self, Search, Wanted},
     shared::Shared,
 };
 
-/// Requests of one host at a target, as a multiple of its share of the slots.
-const SLOT_SHARE: u32 = 4;
-/// Least requests of one host that a target takes at once.
-const LEAST_PLACES: u32 = 3;
-/// Cost of a target in another data centre, relative to one in the same.
-const FAR: f64 = 1.1;
-/// The same for requests with a large answer.
-const FAR_DOWNLOAD: f64 = 2.0;
-/// Longest time between two searches for a place.
-const SEARCH_PAUSE: Span = Span::from_millis(50);
-
-/// Where a request can go at this moment.
-enum Search {
-    Found(Target),
-    /// All targets have as many requests as they bear, or the key is on the move.
-    Busy,
-    /// The service has no target.
-    Absent,
+/// Pause between two searches for waiting requests while no place becomes free. Targets become
+/// warm and breakers close without an event.
+const SEARCH_PAUSE: Span = Span::from_millis(30);
+
+/// A target and the place that a request takes there.
+pub(crate) type Found = (Target, Place);
+
+/// A request in the queue.
+pub(crate) struct Waiter {
+    wanted: Wanted,
+    found: oneshot::Sender<Result<Found, Problem>>,
 }
 
 /// Finds a target, and waits for a place at one.
-pub(crate) async fn find(shared: &Shared, job: &Job) -> Result<Target, Problem> {
-    loop {
-        let now = shared.now();
-        if job.is_abandoned.get() {
-            return Err(Problem::refusal("the caller has left", RETRY_BUSY_MS));
-        }
-        let search = match job.key {
-            Some(key) => search_owner(shared, job, key, now),
-            None => search_any(shared, job, now),
-        };
-        let (reason, limit) = match search {
-            Search::Found(target) => return Ok(target),
-            Search::Busy => ("no target has room", RETRY_BUSY_MS),
-            Search::Absent => ("the service has no target", RETRY_ABSENT_MS),
-        };
-        let left = job.deadline.since(now);
-        let problem = Problem::refusal(reason, limit);
-        if left <= reserve(job) {
-            return Err(problem);
+pub(crate) async fn find(shared: &Rc<Shared>, job: &Job) -> Result<Found, Problem> {
+    let now = shared.now();
+    if job.is_abandoned.get() {
+        return Err(Problem::refusal("the caller has left", RETRY_BUSY_MS));
+    }
+    let wanted = Wanted::new(job);
+    let spot = match search::search(shared, &wanted, now) {
+        Search::Found(target) => return Ok(take(shared, target)),
+        Search::Busy(spot) => spot,
+        Search::Absent => {
+            let reason = "the service has no target";
+            return Err(Problem::refusal(reason, RETRY_ABSENT_MS));
         }
-        let wait = (left - reserve(job)).min(SEARCH_PAUSE);
-        shared.waiting.set(shared.waiting.get() + 1);
-        let _waiter = Waiter(shared);
-        let _ = timeout(wait.as_duration(), shared.room.notified()).await;
+    };
+    let reserve = reserve(job);
+    let left = job.deadline.since(now);
+    if left <= reserve {
+        return Err(Problem::refusal("too little time is left", RETRY_BUSY_MS));
+    }
+    let most = capacity(shared, job, &spot);
+    let in_time_until = job.incoming.received + (job.rule.objective - reserve);
+    let (found, outcome) = oneshot::channel();
+    let entry = Entry::new(
+        shared,
+        wanted,
+        found,
+        Waiting {
+            spot: spot.clone(),
+            priority: job.rule.priority,
+            in_time_until,
+        },
+    );
+    refuse_overflow(shared, now, &spot, most);
+    let limit = (left - reserve).as_duration();
+    let outcome = timeout(limit, outcome).await;
+    drop(entry);
+    match outcome {
+        Ok(Ok(outcome)) => outcome,
+        _ => Err(Problem::refusal("no target has room", RETRY_BUSY_MS)),
     }
 }
 
@@ -70,85 +81,125 @@
     job.rule.objective.scale(1, 3)
 }
 
-struct Waiter<'a>(&'a Shared);
+/// Returns how many requests may wait for a spot.
+fn capacity(shared: &Shared, job: &Job, spot: &Spot) -> u32 {
+    let places = search::LEAST_PLACES;
+    match spot {
+        Spot::Owner(life) => {
+            let response = shared.with_peer(life, |peer| peer.load.response());
+            queue::capacity(places, response, job.rule.objective)
+        }
+        Spot::Any(service) => {
+            let targets = shared.fleet.borrow().serving(service).count() as u32;
+            queue::capacity(
+                places * targets,
+                job.rule.objective.scale(1, 3),
+                job.rule.objective,
+            )
+        }
+        Spot::Unowned(_) => u32::MAX,
+    }
+}
+
+/// Refuses the request that would be served last if too many wait.
+fn refuse_overflow(shared: &Shared, now: Instant, spot: &Spot, most: u32) {
+    let victim = shared.queue.borrow().overflow(now, spot, most);
+    let Some(victim) = victim else {
+        return;
+    };
+    shared.queue.borrow_mut().remove(victim);
+    let waiter = shared.waiters.borrow_mut().remove(&victim);
+    if let Some(waiter) = waiter {
+        let problem = Problem::refusal("too many requests wait", RETRY_BUSY_MS);
+        let _ = waiter.found.send(Err(problem));
+    }
+}
+
+/// A request's entry in the queue, until it is served or leaves.
+struct Entry {
+    shared: Rc<Shared>,
+    ticket: Ticket,
+}
+
+impl Entry {
+    fn new(
+        shared: &Rc<Shared>,
+        wanted: Wanted,
+        found: oneshot::Sender<Result<Found, Problem>>,
+        waiting: Waiting,
+    ) -> Self {
+        let ticket = shared.queue.borrow_mut().push(waiting);
+        let waiter = Waiter { wanted, found };
+        shared.waiters.borrow_mut().insert(ticket, waiter);
+        shared.queued.notify_one();
+        Self {
+            shared: shared.clone(),
+            ticket,
+        }
+    }
+}
 
-impl Drop for Waiter<'_> {
+impl Drop for Entry {
     fn drop(&mut self) {
-        self.0.waiting.set(self.0.waiting.get() - 1);
+        self.shared.queue.borrow_mut().remove(self.ticket);
+        self.shared.waiters.borrow_mut().remove(&self.ticket);
     }
 }
 
-fn search_owner(shared: &Shared, job: &Job, key: u16, now: Instant) -> Search {
-    let assignments = shared.assignments.borrow();
-    let range = assignments.get(&job.service).and_then(|a| a.range(key));
-    let Some(range) = range.filter(|range| range.is_held()) else {
-        return Search::Busy;
-    };
-    let fleet = shared.fleet.borrow();
-    let owner = fleet
-        .get(&range.owner.id)
-        .filter(|t| t.registration.life == range.owner);
-    match owner.filter(|target| fleet.is_serving(target)) {
-        Some(target) if has_place(shared, job, target, now) => Search::Found(target.clone()),
-        _ => Search::Busy,
+/// Searches again for waiting requests as long as there are any.
+pub(crate) async fn attend(shared: Rc<Shared>) {
+    loop {
+        if shared.queue.borrow().is_empty() {
+            shared.queued.notified().await;
+        }
+        sleep(SEARCH_PAUSE.as_duration()).await;
+        serve(&shared);
     }
 }
 
-fn search_any(shared: &Shared, job: &Job, now: Instant) -> Search {
-    let fleet = shared.fleet.borrow();
-    let serving: Vec<&Target> = fleet.serving(&job.service).collect();
-    if serving.is_empty() {
-        return Search::Absent;
+/// Gives free places to waiting requests.
+pub(crate) fn serve(shared: &Rc<Shared>) {
+    if shared.queue.borrow().is_empty() || shared.is_serving.replace(true) {
+        return;
     }
-    let own = shared.settings.borrow().data_centre.clone();
-    let far = match job.rule.kind {
-        Kind::Download => FAR_DOWNLOAD,
-        _ => FAR,
-    };
-    let candidate = |target: &&Target| {
-        let registration = &target.registration;
-        let cost = shared.with_peer(&registration.life, |p| p.load.cost(now, registration.slots));
-        let distance = if registration.data_centre == own {
-            1.0
-        } else {
-            far
+    let now = shared.now();
+    let mut full: BTreeSet<Spot> = BTreeSet::new();
+    let order = shared.queue.borrow().order(now);
+    for ticket in order {
+        let waiters = shared.waiters.borrow();
+        let Some(waiter) = waiters.get(&ticket) else {
+            continue;
         };
-        (registration.life.clone(), cost * distance)
-    };
-    let open = serving.iter().filter(|t| has_place(shared, job, t, now));
-    let open: Vec<&Target> = open.copied().collect();
-    let fresh: Vec<&Target> = open
-        .iter()
-        .filter(|t| !job.tried.contains(&t.registration.life))
-        .copied()
-        .collect();
-    let pool = if fresh.is_empty() { open } else { fresh };
-    let mut candidates: Vec<Candidate<usize>> = pool
-        .iter()
-        .enumerate()
-        .map(|(index, target)| Candidate {
-            target: index,
-            cost: candidate(target).1,
-        })
-        .collect();
-    let chosen = choice::choose(&mut candidates, &mut *shared.random.borrow_mut());
-    chosen.map_or(Search::Busy, |index| Search::Found(pool[index].clone()))
+        let spot = search::spot(shared, &waiter.wanted);
+        if full.contains(&spot) {
+            continue;
+        }
+        let search = search::search(shared, &waiter.wanted, now);
+        drop(waiters);
+        match search {
+            Search::Found(target) => hand_over(shared, ticket, target),
+            Search::Busy(spot) => {
+                shared.queue.borrow_mut().set_spot(ticket, spot.clone());
+                full.insert(spot);
+            }
+            Search::Absent => {}
+        }
+    }
+    shared.is_serving.set(false);
 }
 
-/// Tells whether a target takes one more request of this host.
-fn has_place(shared: &Shared, job: &Job, target: &Target, now: Instant) -> bool {
-    let share = shared.share();
-    let registration = &target.registration;
-    let places = share.count(registration.slots * SLOT_SHARE, LEAST_PLACES);
-    let spec = job.config.services.get(&job.service);
-    let is_cold = target.cold_until > now;
-    shared.with_peer(&registration.life, |peer| {
-        if !peer.breaker.is_closed(now) || peer.load.in_flight() >= places {
-            return false;
-        }
-        let rate = spec.map_or(1.0, |spec| share.of(spec.cold_rate));
-        !(is_cold || peer.breaker.is_doubtful()) || peer.cold.has(now, rate, 1.0)
-    })
+fn hand_over(shared: &Rc<Shared>, ticket: Ticket, target: Target) {
+    shared.queue.borrow_mut().remove(ticket);
+    let waiter = shared.waiters.borrow_mut().remove(&ticket);
+    if let Some(waiter) = waiter {
+        // A waiter that has left gives the place back by dropping it.
+        let _ = waiter.found.send(Ok(take(shared, target)));
+    }
+}
+
+fn take(shared: &Rc<Shared>, target: Target) -> Found {
+    let place = Place::take(shared, &target.registration.life);
+    (target, place)
 }
 
 /// A request's place at a target, until it ends.
@@ -158,7 +209,7 @@
 }
 
 impl Place {
-    pub(crate) fn take(shared: &Rc<Shared>, life: &Life) -> Self {
+    fn take(shared: &Rc<Shared>, life: &Life) -> Self {
         let now = shared.now();
         shared.with_peer(life, |peer| {
             peer.load.start();
@@ -174,6 +225,6 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.shared.with_peer(&self.life, |peer| peer.load.end());
-        self.shared.wake();
+        serve(&self.shared);
     }
 }
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -10,7 +10,7 @@
 use crate::{
     attempt::{self, Attempt},
     job::{Incoming, Job},
-    place::{self, Place},
+    place,
     reply::{Problem, RETRY_BUSY_MS, Reply},
     shared::Shared,
 };
@@ -66,12 +66,11 @@
     }
     let mut attempts = 0;
     loop {
-        let target = match place::find(shared, &job).await {
-            Ok(target) => target,
+        let (target, place) = match place::find(shared, &job).await {
+            Ok(found) => found,
             Err(problem) => return conclude(shared, &job, problem),
         };
-        let held = Place::take(shared, &target.registration.life);
-        let attempt = attempt::send(shared, &job, &target, held).await;
+        let attempt = attempt::send(shared, &job, &target, place).await;
         attempts += u32::from(attempt.outcome != Outcome::NotSent);
         job.tried.push(target.registration.life.clone());
         let time = job.deadline.since(shared.now());
@@ -118,7 +117,7 @@
     log::warn!(
         request = job.id.as_str(), service = job.service.as_str(), rule = job.rule.name.as_str(),
         status = problem.status, reason = problem.reason, attempts = job.tried.len(),
-        waiting = shared.waiting.get(),
+        waiting = shared.queue.borrow().len(),
         elapsed_ms = shared.now().since(job.incoming.received).as_millis();
         "request failed"
     );
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -11,7 +11,9 @@
     time::{sleep, timeout},
 };
 
-use crate::{caller, dialect::Dialect, follow, lead, ready, settings::Settings, shared::Shared};
+use crate::{
+    caller, dialect::Dialect, follow, lead, place, ready, settings::Settings, shared::Shared,
+};
 
 /// Time in which the load balancer notices that the host is not ready, and sends no new
 /// connections.
@@ -52,6 +54,7 @@
     tokio::task::spawn_local(follow::targets(shared.clone()));
     tokio::task::spawn_local(follow::ownership(shared.clone()));
     tokio::task::spawn_local(lead::lead(shared.clone()));
+    tokio::task::spawn_local(place::attend(shared.clone()));
     tokio::task::spawn_local(watch_settings(shared.clone(), reload));
     ending.recv().await;
     stop(&shared, &accepting).await;
--- /dev/null
+++ b/crates/entry/src/search.rs
@@ -0,0 +1,151 @@
+//! Search for a target that takes a request at this moment.
+
+use std::rc::Rc;
+
+use ragwortrill_core::{name, time::Instant};
+use ragwortrill_router::{
+    choice::{self, Candidate},
+    config::{Config, Kind},
+    fleet::{Fleet, Target},
+    queue::Spot,
+    registration::Life,
+};
+
+use crate::{job::Job, shared::Shared};
+
+/// Most requests of one host at a target, as a multiple of its share of the slots.
+const SLOT_SHARE: u32 = 8;
+/// Least requests of one host that a target takes at once, as long as it has room.
+pub(crate) const LEAST_PLACES: u32 = 3;
+/// Requests at a target, of all hosts, as a multiple of its slots. More would only wait there,
+/// where they can't be ordered.
+const DEPTH: f64 = 1.7;
+/// Cost of a target in another data centre, relative to one in the same.
+const FAR: f64 = 1.1;
+/// The same for requests with a large answer.
+const FAR_DOWNLOAD: f64 = 2.0;
+
+/// What a request needs of a target.
+#[derive(Clone)]
+pub(crate) struct Wanted {
+    config: Rc<Config>,
+    service: name::Service,
+    key: Option<u16>,
+    kind: Kind,
+    tried: Vec<Life>,
+}
+
+impl Wanted {
+    pub(crate) fn new(job: &Job) -> Self {
+        Self {
+            config: job.config.clone(),
+            service: job.service.clone(),
+            key: job.key,
+            kind: job.rule.kind,
+            tried: job.tried.clone(),
+        }
+    }
+}
+
+/// Where a request can go at this moment.
+pub(crate) enum Search {
+    Found(Target),
+    /// The targets that it may go to have as many requests as they bear.
+    Busy(Spot),
+    /// The service has no target.
+    Absent,
+}
+
+/// Searches for a target.
+pub(crate) fn search(shared: &Shared, wanted: &Wanted, now: Instant) -> Search {
+    match wanted.key {
+        Some(_) => search_owner(shared, wanted, now),
+        None => search_any(shared, wanted, now),
+    }
+}
+
+/// Returns what a request waits for.
+pub(crate) fn spot(shared: &Shared, wanted: &Wanted) -> Spot {
+    let Some(key) = wanted.key else {
+        return Spot::Any(wanted.service.clone());
+    };
+    let assignments = shared.assignments.borrow();
+    let range = assignments.get(&wanted.service).and_then(|a| a.range(key));
+    match range.filter(|range| range.is_held()) {
+        Some(range) => Spot::Owner(range.owner.clone()),
+        None => Spot::Unowned(wanted.service.clone()),
+    }
+}
+
+fn search_owner(shared: &Shared, wanted: &Wanted, now: Instant) -> Search {
+    let spot = spot(shared, wanted);
+    let Spot::Owner(life) = &spot else {
+        return Search::Busy(spot);
+    };
+    let fleet = shared.fleet.borrow();
+    match serving(&fleet, life) {
+        Some(target) if has_place(shared, wanted, target, now) => Search::Found(target.clone()),
+        _ => Search::Busy(spot),
+    }
+}
+
+fn serving<'a>(fleet: &'a Fleet, life: &Life) -> Option<&'a Target> {
+    let target = fleet.get(&life.id)?;
+    let is_same = &target.registration.life == life;
+    (is_same && fleet.is_serving(target)).then_some(target)
+}
+
+fn search_any(shared: &Shared, wanted: &Wanted, now: Instant) -> Search {
+    let fleet = shared.fleet.borrow();
+    let serving: Vec<&Target> = fleet.serving(&wanted.service).collect();
+    if serving.is_empty() {
+        return Search::Absent;
+    }
+    let has_place = |target: &&Target| has_place(shared, wanted, target, now);
+    let open: Vec<&Target> = serving.into_iter().filter(has_place).collect();
+    let is_fresh = |target: &&Target| !wanted.tried.contains(&target.registration.life);
+    let fresh: Vec<&Target> = open.iter().copied().filter(is_fresh).collect();
+    let pool = if fresh.is_empty() { open } else { fresh };
+    let cost = |(index, target): (usize, &&Target)| Candidate {
+        target: index,
+        cost: cost(shared, wanted, target, now),
+    };
+    let mut candidates: Vec<Candidate<usize>> = pool.iter().enumerate().map(cost).collect();
+    let chosen = choice::choose(&mut candidates, &mut *shared.random.borrow_mut());
+    match chosen {
+        Some(index) => Search::Found(pool[index].clone()),
+        None => Search::Busy(Spot::Any(wanted.service.clone())),
+    }
+}
+
+fn cost(shared: &Shared, wanted: &Wanted, target: &Target, now: Instant) -> f64 {
+    let registration = &target.registration;
+    let is_near = registration.data_centre == shared.settings.borrow().data_centre;
+    let distance = match wanted.kind {
+        _ if is_near => 1.0,
+        Kind::Download => FAR_DOWNLOAD,
+        _ => FAR,
+    };
+    shared.with_peer(&registration.life, |peer| {
+        peer.load.cost(now, registration.slots) * distance
+    })
+}
+
+/// Tells whether a target takes one more request of this host.
+fn has_place(shared: &Shared, wanted: &Wanted, target: &Target, now: Instant) -> bool {
+    let share = shared.share();
+    let registration = &target.registration;
+    let slots = registration.slots;
+    let most = share.count(slots * SLOT_SHARE, LEAST_PLACES);
+    let spec = wanted.config.services.get(&wanted.service);
+    let is_cold = target.cold_until > now;
+    shared.with_peer(&registration.life, |peer| {
+        let own = peer.load.in_flight();
+        let is_deep = own > 0 && peer.load.depth(now) + 1.0 > f64::from(slots) * DEPTH;
+        if !peer.breaker.is_closed(now) || own >= most || is_deep {
+            return false;
+        }
+        let rate = spec.map_or(1.0, |spec| share.of(spec.cold_rate));
+        !(is_cold || peer.breaker.is_doubtful()) || peer.cold.has(now, rate, 1.0)
+    })
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -8,16 +8,23 @@
 
 use ragwortrill_core::{name, retry::Budget, time::Instant};
 use ragwortrill_router::{
-    assignment::Assignment, breaker::Breaker, config::Config, fleet::Fleet, heat::Heat, load::Load,
-    rate::Rate, registration::Life, share::Share,
+    assignment::Assignment,
+    breaker::Breaker,
+    config::Config,
+    fleet::Fleet,
+    heat::Heat,
+    load::Load,
+    queue::{Queue, Ticket},
+    rate::Rate,
+    registration::Life,
+    share::Share,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::Notify;
 
-use crate::{clock::Clock, dialect::Dialect, pool::Pool, settings::Settings};
+use crate::{clock::Clock, dialect::Dialect, place::Waiter, pool::Pool, settings::Settings};
 
 /// State of a host.
-#[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) settings: RefCell<Settings>,
     pub(crate) dialect: Dialect,
@@ -31,10 +38,13 @@
     pub(crate) heat: RefCell<BTreeMap<name::Service, Heat>>,
     pub(crate) budgets: RefCell<BTreeMap<name::Service, Budget>>,
     pub(crate) random: RefCell<SmallRng>,
-    /// Notified when a place at a target becomes free or the state of targets changes.
-    pub(crate) room: Notify,
-    /// Requests that wait for a place.
-    pub(crate) waiting: Cell<u32>,
+    /// Requests that wait for a place, and what each needs.
+    pub(crate) queue: RefCell<Queue>,
+    pub(crate) waiters: RefCell<BTreeMap<Ticket, Waiter>>,
+    /// Notified when a request begins to wait.
+    pub(crate) queued: Notify,
+    /// Whether free places are being given to waiting requests.
+    pub(crate) is_serving: Cell<bool>,
     /// Whether the host takes part in a planned stop.
     pub(crate) is_stopping: Cell<bool>,
     /// Whether idle connections of callers are closed, and the notice of it.
@@ -82,8 +92,10 @@
             heat: RefCell::default(),
             budgets: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(rand::random())),
-            room: Notify::new(),
-            waiting: Cell::new(0),
+            queue: RefCell::default(),
+            waiters: RefCell::default(),
+            queued: Notify::new(),
+            is_serving: Cell::new(false),
             is_stopping: Cell::new(false),
             is_closing: Cell::new(false),
             closing: Notify::new(),
@@ -137,13 +149,6 @@
         f(budgets.entry(service.clone()).or_insert(budget))
     }
 
-    /// Wakes the requests that wait for a place.
-    pub(crate) fn wake(&self) {
-        if self.waiting.get() > 0 {
-            self.room.notify_waiters();
-        }
-    }
-
     /// Tells whether the host can serve requests.
     pub(crate) fn is_ready(&self) -> bool {
         self.config.borrow().is_some() && self.knows_targets.get() && !self.is_stopping.get()
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod leader;
 pub mod load;
 pub mod plan;
+pub mod queue;
 pub mod rate;
 pub mod registration;
 pub mod share;
--- /dev/null
+++ b/crates/router/src/queue.rs
@@ -0,0 +1,122 @@
+//! Requests that wait for a place at a target, under more load than the targets bear.
+//!
+//! Requests that can still be answered within their objective go first, the newest of them before
+//! the others: in an overload the oldest would otherwise all be answered just too late. Requests
+//! that are late already get what is left. A queue is no longer than what its places can serve
+//! within the objective; beyond that, the request that would be served last is refused at once, so
+//! that its caller can come back elsewhere.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
+
+use ragwortrill_core::{
+    name,
+    time::{Instant, Span},
+};
+
+use crate::registration::Life;
+
+/// Least requests that may wait for one spot.
+const LEAST_WAITING: u32 = 3;
+
+/// What a request waits for.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Spot {
+    /// Any target of a service.
+    Any(name::Service),
+    /// The owner of its key.
+    Owner(Life),
+    /// A key that has no owner at this moment.
+    Unowned(name::Service),
+}
+
+/// Identifies a waiting request.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Ticket(u64);
+
+/// A waiting request.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// What it waits for.
+    pub spot: Spot,
+    /// Rank of its route; 0 is the most urgent.
+    pub priority: u32,
+    /// Latest moment at which a target can begin it so that its objective is met.
+    pub in_time_until: Instant,
+}
+
+/// All waiting requests of a host.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    next: u64,
+    waiting: BTreeMap<Ticket, Waiting>,
+}
+
+impl Queue {
+    /// Adds a request.
+    pub fn push(&mut self, waiting: Waiting) -> Ticket {
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        self.waiting.insert(ticket, waiting);
+        ticket
+    }
+
+    /// Removes a request. Returns whether it was waiting.
+    pub fn remove(&mut self, ticket: Ticket) -> bool {
+        self.waiting.remove(&ticket).is_some()
+    }
+
+    /// Changes what a request waits for.
+    pub fn set_spot(&mut self, ticket: Ticket, spot: Spot) {
+        if let Some(waiting) = self.waiting.get_mut(&ticket) {
+            waiting.spot = spot;
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Tells whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns the requests in the order in which they are served.
+    pub fn order(&self, now: Instant) -> Vec<Ticket> {
+        let mut tickets: Vec<Ticket> = self.waiting.keys().copied().collect();
+        tickets.sort_by_key(|ticket| self.rank(now, *ticket));
+        tickets
+    }
+
+    /// Returns the request that is refused because more wait for the spot than `most`.
+    pub fn overflow(&self, now: Instant, spot: &Spot, most: u32) -> Option<Ticket> {
+        let same = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| &waiting.spot == spot);
+        let tickets: BTreeSet<Ticket> = same.map(|(ticket, _)| *ticket).collect();
+        if tickets.len() <= most as usize {
+            return None;
+        }
+        tickets
+            .into_iter()
+            .max_by_key(|ticket| self.rank(now, *ticket))
+    }
+
+    fn rank(&self, now: Instant, ticket: Ticket) -> (bool, u32, Reverse<Ticket>) {
+        let waiting = self.waiting.get(&ticket);
+        let is_late = waiting.is_none_or(|waiting| waiting.in_time_until < now);
+        let priority = waiting.map_or(u32::MAX, |waiting| waiting.priority);
+        (is_late, priority, Reverse(ticket))
+    }
+}
+
+/// Returns how many requests may wait for a spot: as many as its places serve within a time.
+pub fn capacity(places: u32, response: Span, within: Span) -> u32 {
+    let rounds = within.0 / response.0.max(1);
+    (u64::from(places) * rounds).clamp(u64::from(LEAST_WAITING), 10_000) as u32
+}
