Let hosts learn the store's news from the leader

Ruled out: longer pauses between reads, which the drain bound does not allow.

Change: each host sends the leader its counts of keys and work times every 300 ms and gets the records since its offsets, with their age; it reads the store itself when that is too old.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -188,7 +188,7 @@
             peer.load.report(now, report);
         }
         if !is_unrun {
-            peer.load.respond(elapsed);
+            peer.load.respond(elapsed, report);
         }
     });
     let is_signed = answer.headers.get(headers.signature).is_some();
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -1,6 +1,6 @@
 //! Tasks that follow the topics of the platform's store.
 
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use anyhow::Result;
 use ragwortrill_core::{
@@ -9,11 +9,13 @@
     time::{Instant, Span},
 };
 use ragwortrill_router::{assignment::Assignment, fleet::Change};
+use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
 use crate::{
     dialect::{Command, Record, Tail},
     place,
+    reign::{TERM, Term},
     shared::Shared,
     store::Store,
 };
@@ -21,78 +23,95 @@
 /// Longest wait of a read for a new record. A silent connection is noticed soon after.
 const WAIT: Span = Span::from_millis(2_500);
 /// Pause between two reads of the targets' entries, which change with every heartbeat.
-const TARGETS_PAUSE: Duration = Duration::from_millis(600);
+const TARGETS_PAUSE: Duration = Duration::from_millis(400);
 /// Pause after a failed call. It doubles up to the longest one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MOST_PAUSE: Duration = Duration::from_millis(300);
+/// Age up to which what the leader tells of the targets replaces an own read.
+const TARGETS_AGE: Span = Span::from_millis(900);
+/// The same for topics that are read with a wait, which tell nothing new while they wait.
+const WAITING_AGE: Span = Span::from_millis(3_600);
+/// Pause between two looks at whether the leader still tells what is new.
+const RELAY_LOOK: Duration = Duration::from_millis(150);
+
+/// Age of an answer of the store when it is read.
+const ANSWER_AGE: Span = Span::from_millis(20);
 
 /// Key prefixes of the ownership topic.
 pub(crate) const SERVICE: &str = "service/";
 pub(crate) const HOST: &str = "host/";
 
-/// How a topic is followed.
-struct Topic {
-    name: &'static str,
-    wait: Span,
-    /// Applies records. The listing is complete if it is the newest record of every key.
-    apply: fn(&Rc<Shared>, Vec<Record>, bool),
+/// A topic that hosts follow.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub(crate) enum Subject {
+    /// The operators' configuration and commands.
+    Operators,
+    /// Entries of targets.
+    Targets,
+    /// Assignments of keys and the hosts of the system.
+    Ownership,
 }
 
-/// Follows the operators' configuration and commands.
-pub(crate) async fn operators(shared: Rc<Shared>) {
-    let topic = Topic {
-        name: shared.dialect.topics.operators,
-        wait: WAIT,
-        apply: apply_commands,
-    };
-    follow(shared, topic).await;
-}
+impl Subject {
+    pub(crate) const ALL: [Self; 3] = [Self::Operators, Self::Targets, Self::Ownership];
 
-/// Follows the entries of targets.
-pub(crate) async fn targets(shared: Rc<Shared>) {
-    let topic = Topic {
-        name: shared.dialect.topics.targets,
-        wait: Span::ZERO,
-        apply: apply_entries,
-    };
-    follow(shared, topic).await;
-}
+    fn topic(self, shared: &Shared) -> &'static str {
+        let topics = &shared.dialect.topics;
+        match self {
+            Self::Operators => topics.operators,
+            Self::Targets => topics.targets,
+            Self::Ownership => topics.ownership,
+        }
+    }
 
-/// Follows the assignments of keys and the hosts of the system.
-pub(crate) async fn ownership(shared: Rc<Shared>) {
-    let topic = Topic {
-        name: shared.dialect.topics.ownership,
-        wait: WAIT,
-        apply: apply_ownership,
-    };
-    follow(shared, topic).await;
+    /// Returns how long a read waits. Targets change so often that a read would never wait.
+    fn wait(self) -> Span {
+        match self {
+            Self::Targets => Span::ZERO,
+            _ => WAIT,
+        }
+    }
+
+    fn most_age(self) -> Span {
+        match self {
+            Self::Targets => TARGETS_AGE,
+            _ => WAITING_AGE,
+        }
+    }
 }
 
-async fn follow(shared: Rc<Shared>, topic: Topic) {
+/// Follows a topic, by reading it or by what the leader tells.
+pub(crate) async fn follow(shared: Rc<Shared>, subject: Subject) {
     let mut store = Store::new(shared.clone());
-    let mut from = None;
     let mut backoff = FIRST_PAUSE;
     let mut is_lost = false;
     loop {
+        if is_told(&shared, subject) {
+            sleep(RELAY_LOOK).await;
+            if subject == Subject::Targets {
+                expire(&shared);
+            }
+            continue;
+        }
         // A read that waits would hide the store's return for as long.
-        let wait = if is_lost { Span::ZERO } else { topic.wait };
-        let outcome = step(&shared, &mut store, &topic, from, wait).await;
+        let wait = if is_lost { Span::ZERO } else { subject.wait() };
+        let outcome = step(&shared, &mut store, subject, wait).await;
         note_store(&shared, outcome.is_ok());
+        let topic = subject.topic(&shared);
         match outcome {
-            Ok(next) => {
+            Ok(()) => {
                 if is_lost {
-                    log::info!(topic = topic.name; "store regained");
+                    log::info!(topic = topic; "store regained");
                 }
                 is_lost = false;
                 backoff = FIRST_PAUSE;
-                from = next;
-                if topic.wait == Span::ZERO {
+                if subject == Subject::Targets {
                     pause(&shared).await;
                 }
             }
             Err(error) => {
                 if !is_lost {
-                    log::warn!(topic = topic.name, error = format!("{error:#}"); "store lost");
+                    log::warn!(topic = topic, error = format!("{error:#}"); "store lost");
                 }
                 is_lost = true;
                 sleep(backoff).await;
@@ -102,6 +121,53 @@
     }
 }
 
+/// Tells whether the leader's news of a topic are new enough.
+fn is_told(shared: &Shared, subject: Subject) -> bool {
+    let leader = shared.leader.borrow();
+    let own = shared.settings.borrow().host.clone();
+    if leader
+        .as_deref()
+        .is_none_or(|leader| leader == own.as_str())
+    {
+        return false;
+    }
+    let told = shared.told.borrow();
+    let read_at = told.get(&subject).copied().unwrap_or_default();
+    shared.now().since(read_at) < subject.most_age()
+}
+
+/// Returns the offset from which a topic is read on.
+pub(crate) fn next(shared: &Shared, subject: Subject) -> Option<Offset> {
+    let mirrors = shared.mirrors.borrow();
+    mirrors.get(&subject).and_then(|mirror| mirror.next())
+}
+
+/// Notes what the leader told: everything before an offset, as the store had it at a moment.
+pub(crate) fn advance(shared: &Shared, subject: Subject, next: Offset, read_at: Instant) {
+    let mut mirrors = shared.mirrors.borrow_mut();
+    mirrors.entry(subject).or_default().advance(next, read_at);
+    shared.told.borrow_mut().insert(subject, read_at);
+}
+
+/// Applies records. A complete listing has the newest record of every key.
+pub(crate) fn apply(shared: &Rc<Shared>, subject: Subject, records: Vec<Record>, complete: bool) {
+    match subject {
+        Subject::Operators => apply_commands(shared, records, complete),
+        Subject::Targets => apply_entries(shared, records, complete),
+        Subject::Ownership => apply_ownership(shared, records),
+    }
+    place::serve(shared);
+}
+
+fn note(shared: &Shared, subject: Subject, record: &Record) {
+    shared
+        .mirrors
+        .borrow_mut()
+        .entry(subject)
+        .or_default()
+        .note(record);
+}
+
 /// Waits until the targets' entries are read again, and removes meanwhile those that did not come
 /// back in time.
 async fn pause(shared: &Shared) {
@@ -116,31 +182,40 @@
     sleep(TARGETS_PAUSE - left).await;
 }
 
-/// Reads once. Returns the offset from which to read on, or none if records have expired.
-async fn step(
-    shared: &Rc<Shared>,
-    store: &mut Store,
-    topic: &Topic,
-    from: Option<Offset>,
-    wait: Span,
-) -> Result<Option<Offset>> {
-    let Some(from) = from else {
-        let (records, next) = store.newest(topic.name).await?;
-        (topic.apply)(shared, records, true);
-        return Ok(Some(next));
+/// Reads a topic once.
+async fn step(shared: &Rc<Shared>, store: &mut Store, subject: Subject, wait: Span) -> Result<()> {
+    let topic = subject.topic(shared);
+    let sent = shared.now();
+    let Some(from) = next(shared, subject) else {
+        let (records, next) = store.newest(topic).await?;
+        apply(shared, subject, records, true);
+        let mut mirrors = shared.mirrors.borrow_mut();
+        mirrors.entry(subject).or_default().advance(next, sent);
+        return Ok(());
     };
-    match store.read(topic.name, from, wait).await? {
+    match store.read(topic, from, wait).await? {
         Tail::Records(records, next) => {
-            (topic.apply)(shared, records, false);
-            Ok(Some(next))
+            let read_at = shared.now() - ANSWER_AGE;
+            apply(shared, subject, records, false);
+            let mut mirrors = shared.mirrors.borrow_mut();
+            mirrors
+                .entry(subject)
+                .or_default()
+                .advance(next, read_at.max(sent));
+        }
+        Tail::Expired => {
+            log::info!(topic = topic, from = from.0; "records have expired; the newest are read");
+            let mut mirrors = shared.mirrors.borrow_mut();
+            mirrors.entry(subject).or_default().forget();
         }
-        Tail::Expired => Ok(None),
     }
+    Ok(())
 }
 
 fn apply_commands(shared: &Rc<Shared>, records: Vec<Record>, is_complete: bool) {
     let mut evacuated = BTreeSet::new();
     for record in records {
+        note(shared, Subject::Operators, &record);
         match ((shared.dialect.command)(&record.key), record.value) {
             (Some(Command::Config), Some(value)) => apply_config(shared, &value),
             (Some(Command::Evacuate(data_centre)), Some(_)) => {
@@ -204,7 +279,10 @@
             listed.insert(id.clone());
         }
         let change = shared.fleet.borrow_mut().apply(now, &id, entry);
-        note_change(shared, now, &id, change);
+        if change != Change::None {
+            note(shared, Subject::Targets, &record);
+            note_change(shared, now, &id, change);
+        }
     }
     if is_complete {
         for id in shared.fleet.borrow_mut().retain(now, &listed) {
@@ -212,7 +290,6 @@
         }
     }
     shared.knows_targets.set(true);
-    place::serve(shared);
 }
 
 fn decode(
@@ -230,9 +307,6 @@
 }
 
 fn note_change(shared: &Shared, now: Instant, id: &name::Target, change: Change) {
-    if change == Change::None {
-        return;
-    }
     let fleet = shared.fleet.borrow();
     let target = fleet.get(id);
     log::info!(
@@ -262,44 +336,68 @@
     }
 }
 
-fn apply_ownership(shared: &Rc<Shared>, records: Vec<Record>, _is_complete: bool) {
+fn apply_ownership(shared: &Rc<Shared>, records: Vec<Record>) {
     for record in records {
+        note(shared, Subject::Ownership, &record);
         if let Some(host) = record.key.strip_prefix(HOST) {
-            let mut hosts = shared.hosts.borrow_mut();
-            let changed = match record.value {
-                Some(_) => hosts.insert(host.to_owned()),
-                None => hosts.remove(host),
-            };
-            if changed {
-                log::info!(host = host, hosts = hosts.len(); "hosts changed");
-                shared.budgets.borrow_mut().clear();
-            }
+            apply_host(shared, host, record.value.as_deref());
         } else if let Some(service) = record.key.strip_prefix(SERVICE) {
-            let value = record.value.unwrap_or_default();
-            match (
-                service.parse::<name::Service>(),
-                serde_json::from_slice::<Assignment>(&value),
-            ) {
-                (Ok(service), Ok(assignment)) => {
-                    let mut assignments = shared.assignments.borrow_mut();
-                    let known = assignments
-                        .get(&service)
-                        .map_or(0, |known| known.next_epoch);
-                    // A listing may be newer than the records that are read after it.
-                    if assignment.next_epoch < known {
-                        continue;
-                    }
-                    log::info!(
-                        service = service.as_str(), offset = record.offset.0,
-                        ranges = assignment.ranges.len(),
-                        moving = assignment.ranges.iter().filter(|r| !r.is_held()).count();
-                        "assignment known"
-                    );
-                    assignments.insert(service, assignment);
-                }
-                _ => log::error!(key = record.key; "assignment can't be read"),
-            }
+            apply_assignment(shared, service, &record);
+        } else if record.key == TERM {
+            apply_term(shared, record.value.as_deref());
         }
     }
-    place::serve(shared);
+}
+
+fn apply_host(shared: &Shared, host: &str, value: Option<&[u8]>) {
+    let mut hosts = shared.hosts.borrow_mut();
+    let before = hosts.len();
+    match value {
+        Some(address) => {
+            let address = std::str::from_utf8(address).ok();
+            let address = address.and_then(|text| text.parse::<SocketAddr>().ok());
+            hosts.insert(host.to_owned(), address);
+        }
+        None => {
+            hosts.remove(host);
+        }
+    }
+    if hosts.len() != before {
+        log::info!(host = host, hosts = hosts.len(); "hosts changed");
+        shared.budgets.borrow_mut().clear();
+    }
+}
+
+fn apply_assignment(shared: &Shared, service: &str, record: &Record) {
+    let value = record.value.as_deref().unwrap_or_default();
+    let parsed = (
+        service.parse::<name::Service>(),
+        serde_json::from_slice::<Assignment>(value),
+    );
+    let (Ok(service), Ok(assignment)) = parsed else {
+        log::error!(key = record.key; "assignment can't be read");
+        return;
+    };
+    let mut assignments = shared.assignments.borrow_mut();
+    let known = assignments
+        .get(&service)
+        .map_or(0, |known| known.next_epoch);
+    // A listing may be newer than the records that are read after it.
+    if assignment.next_epoch < known {
+        return;
+    }
+    log::info!(
+        service = service.as_str(), offset = record.offset.0, ranges = assignment.ranges.len(),
+        moving = assignment.ranges.iter().filter(|r| !r.is_held()).count();
+        "assignment known"
+    );
+    assignments.insert(service, assignment);
+}
+
+fn apply_term(shared: &Shared, value: Option<&[u8]>) {
+    let term = value.and_then(|value| serde_json::from_slice::<Term>(value).ok());
+    if let Some(term) = term {
+        log::info!(leader = term.host, term = term.number; "leader known");
+        *shared.leader.borrow_mut() = Some(term.host);
+    }
 }
--- a/crates/entry/src/lead.rs
+++ b/crates/entry/src/lead.rs
@@ -18,8 +18,6 @@
 const GROUP_TTL: Span = Span::from_millis(2_000);
 /// Pause between two calls to the group.
 const GROUP_PAUSE: Duration = Duration::from_millis(600);
-/// Value of a host's record. Only the key tells something.
-const REGISTERED: &[u8] = b"1";
 /// Pause between two looks at the candidacy.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -65,11 +63,15 @@
     let host = shared.settings.borrow().host.to_string();
     let key = format!("{HOST}{host}");
     let topic = shared.dialect.topics.ownership;
+    let address = shared.settings.borrow().listen.hosts;
+    let address = address
+        .map(|address| address.to_string())
+        .unwrap_or_default();
     let mut generation = 0;
     let mut is_registered = false;
     while !shared.is_stopping.get() {
         if !is_registered {
-            let appended = store.append(topic, None, &key, REGISTERED).await;
+            let appended = store.append(topic, None, &key, address.as_bytes()).await;
             is_registered = matches!(appended, Ok(Append::Done(_)));
         }
         let abstains = shared.now() < candidate.abstains_until.get();
--- a/crates/entry/src/reign.rs
+++ b/crates/entry/src/reign.rs
@@ -55,13 +55,13 @@
 /// Longest time for a target's answer to a release, which waits for the work on the keys.
 const RELEASE_ANSWER: Duration = Duration::from_millis(2_500);
 /// Key of the lease.
-const TERM: &str = "term";
+pub(crate) const TERM: &str = "term";
 
 /// The lease as it stands in the log.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-struct Term {
-    number: u64,
-    host: String,
+pub(crate) struct Term {
+    pub(crate) number: u64,
+    pub(crate) host: String,
     /// Whether the holder gave the lease up and sends no order any more.
     is_over: bool,
 }
@@ -277,6 +277,7 @@
             now,
             fleet: &self.shared.fleet.borrow(),
             heat: &self.shared.heat.borrow(),
+            work: &|life| self.shared.with_peer(life, |peer| peer.load.work()),
             services: &services,
             hold,
         })
--- /dev/null
+++ b/crates/entry/src/relay.rs
@@ -0,0 +1,183 @@
+//! Exchange between hosts: each tells the leader how busy keys and targets are, and learns from it
+//! what is new in the store. It saves calls to the store; without it, each host reads for itself.
+
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use anyhow::{Context, Result, bail};
+use bytes::Bytes;
+use ragwortrill_core::{
+    name,
+    number::Offset,
+    time::{Instant, Span},
+};
+use ragwortrill_router::load::Samples;
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::{
+    call::{Call, Client},
+    dialect::Record,
+    follow::{self, Subject},
+    shared::Shared,
+};
+
+/// Path of the exchange on the port between hosts.
+pub(crate) const PATH: &str = "/exchange";
+/// Pause between two exchanges.
+const PAUSE: Duration = Duration::from_millis(300);
+/// Longest time for an answer.
+const ANSWER: Duration = Duration::from_millis(400);
+
+/// What a host tells the leader.
+#[derive(Debug, Deserialize, Serialize)]
+struct Report {
+    /// Offsets from which the host wants records.
+    from: BTreeMap<Subject, u64>,
+    /// Requests by service and bucket of keys, since the last report.
+    heat: BTreeMap<name::Service, BTreeMap<u16, u32>>,
+    /// Work times by target, since the last report.
+    work: Vec<(name::Target, f64, u32)>,
+}
+
+/// What the leader tells a host.
+#[derive(Debug, Deserialize, Serialize)]
+struct News {
+    topics: BTreeMap<Subject, Topic>,
+}
+
+/// News of one topic.
+#[derive(Debug, Deserialize, Serialize)]
+struct Topic {
+    records: Vec<(String, Option<Vec<u8>>, u64)>,
+    /// Offset from which to read on.
+    next: u64,
+    /// Microseconds since the store told what is newest.
+    age: u64,
+}
+
+/// Exchanges with the leader as long as the host runs.
+pub(crate) async fn exchange(shared: Rc<Shared>) {
+    let mut client: Option<(SocketAddr, Client)> = None;
+    loop {
+        sleep(PAUSE).await;
+        let report = report(&shared);
+        let Some(address) = leader(&shared) else {
+            client = None;
+            continue;
+        };
+        let (_, known) = match client.take() {
+            Some(known) if known.0 == address => client.insert(known),
+            _ => client.insert((address, Client::new(address))),
+        };
+        if let Err(error) = tell(&shared, known, &report).await {
+            log::debug!(leader = address.to_string(), error = format!("{error:#}"); "no exchange with the leader");
+        }
+    }
+}
+
+/// Returns the leader's address, unless this host leads.
+fn leader(shared: &Shared) -> Option<SocketAddr> {
+    let leader = shared.leader.borrow().clone()?;
+    let is_own = leader == shared.settings.borrow().host.as_str();
+    let hosts = shared.hosts.borrow();
+    hosts.get(&leader).copied().flatten().filter(|_| !is_own)
+}
+
+fn report(shared: &Shared) -> Report {
+    let from = |subject| {
+        let mirrors = shared.mirrors.borrow();
+        let next = mirrors.get(&subject).and_then(|mirror| mirror.next());
+        next.map(|next| (subject, next.0))
+    };
+    let mut heat = shared.heat.borrow_mut();
+    let mut peers = shared.peers.borrow_mut();
+    let work = peers.iter_mut().filter_map(|(life, peer)| {
+        let samples = peer.load.take_samples();
+        (samples.count > 0).then(|| (life.id.clone(), samples.sum, samples.count))
+    });
+    Report {
+        from: Subject::ALL.into_iter().filter_map(from).collect(),
+        work: work.collect(),
+        heat: heat
+            .iter_mut()
+            .map(|(service, heat)| (service.clone(), heat.take_fresh()))
+            .collect(),
+    }
+}
+
+async fn tell(shared: &Rc<Shared>, client: &mut Client, report: &Report) -> Result<()> {
+    let mut body = Vec::new();
+    ciborium::into_writer(report, &mut body)?;
+    let call = Call {
+        method: "POST",
+        path: PATH.to_owned(),
+        headers: vec![("Content-Type", "application/cbor".to_owned())],
+        body: Bytes::from(body),
+    };
+    let sent = shared.now();
+    let reply = client.call(&call, ANSWER).await?;
+    if reply.status != 200 {
+        bail!("status {}", reply.status);
+    }
+    let news: News =
+        ciborium::from_reader(reply.body.as_ref()).context("the news can't be read")?;
+    for (subject, topic) in news.topics {
+        learn(shared, sent, subject, topic);
+    }
+    Ok(())
+}
+
+fn learn(shared: &Rc<Shared>, sent: Instant, subject: Subject, topic: Topic) {
+    let record = |(key, value, offset): (String, Option<Vec<u8>>, u64)| Record {
+        key,
+        value: value.map(Bytes::from),
+        offset: Offset(offset),
+    };
+    let records: Vec<Record> = topic.records.into_iter().map(record).collect();
+    let read_at = sent - Span(topic.age);
+    let known = follow::next(shared, subject);
+    if known.is_none_or(|known| known.0 > topic.next) {
+        return;
+    }
+    follow::apply(shared, subject, records, false);
+    follow::advance(shared, subject, Offset(topic.next), read_at);
+}
+
+/// Answers a host's report.
+pub(crate) fn answer(shared: &Shared, body: &[u8]) -> Result<Vec<u8>> {
+    let report: Report = ciborium::from_reader(body).context("the report can't be read")?;
+    let now = shared.now();
+    let mut heat = shared.heat.borrow_mut();
+    for (service, counts) in &report.heat {
+        heat.entry(service.clone()).or_default().merge(now, counts);
+    }
+    drop(heat);
+    for (id, sum, count) in report.work {
+        let fleet = shared.fleet.borrow();
+        let life = fleet
+            .get(&id)
+            .map(|target| target.registration.life.clone());
+        if let Some(life) = life {
+            shared.with_peer(&life, |peer| peer.load.learn(Samples { sum, count }));
+        }
+    }
+    let mirrors = shared.mirrors.borrow();
+    let topic = |(subject, from): (&Subject, &u64)| {
+        let mirror = mirrors.get(subject)?;
+        let next = mirror.next()?;
+        let records = mirror.since(Offset(*from))?;
+        let record = |r: Record| (r.key, r.value.map(|value| value.to_vec()), r.offset.0);
+        let topic = Topic {
+            records: records.into_iter().map(record).collect(),
+            next: next.0,
+            age: now.since(mirror.read_at()).0,
+        };
+        Some((*subject, topic))
+    };
+    let news = News {
+        topics: report.from.iter().filter_map(topic).collect(),
+    };
+    let mut encoded = Vec::new();
+    ciborium::into_writer(&news, &mut encoded)?;
+    Ok(encoded)
+}
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -87,6 +87,17 @@
         }
     }
 
+    /// Creates a successful answer with a body.
+    pub(crate) fn content(kind: &'static str, body: Bytes) -> Self {
+        Self {
+            status: 200,
+            headers: vec![header("Content-Type", kind)],
+            body,
+            rest: None,
+            closes: false,
+        }
+    }
+
     /// Encodes the head and the part of the body that is known.
     pub(crate) fn encode(&self, closes: bool, to_head: bool) -> BytesMut {
         let mut wire = BytesMut::with_capacity(256 + self.body.len());
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -12,7 +12,12 @@
 };
 
 use crate::{
-    caller, dialect::Dialect, follow, lead, place, ready, settings::Settings, shared::Shared,
+    caller,
+    dialect::Dialect,
+    follow::{self, Subject},
+    lead, place, ready, relay, service,
+    settings::Settings,
+    shared::Shared,
 };
 
 /// Time in which the load balancer notices that the host is not ready, and sends no new
@@ -42,6 +47,7 @@
     let mut ending = signal(SignalKind::terminate())?;
     let callers = listen(settings.listen.callers)?;
     let readiness = listen(settings.listen.ready)?;
+    let hosts = settings.listen.hosts.map(listen).transpose()?;
     log::info!(
         host = settings.host.as_str(), callers = settings.listen.callers.to_string(),
         store = settings.store.to_string();
@@ -49,10 +55,14 @@
     );
     let shared = Rc::new(Shared::new(settings, dialect));
     let accepting = tokio::task::spawn_local(caller::accept(shared.clone(), callers));
-    tokio::task::spawn_local(ready::accept(shared.clone(), readiness));
-    tokio::task::spawn_local(follow::operators(shared.clone()));
-    tokio::task::spawn_local(follow::targets(shared.clone()));
-    tokio::task::spawn_local(follow::ownership(shared.clone()));
+    tokio::task::spawn_local(service::accept(shared.clone(), readiness, ready::answer));
+    if let Some(hosts) = hosts {
+        tokio::task::spawn_local(service::accept(shared.clone(), hosts, ready::answer_host));
+    }
+    for subject in Subject::ALL {
+        tokio::task::spawn_local(follow::follow(shared.clone(), subject));
+    }
+    tokio::task::spawn_local(relay::exchange(shared.clone()));
     tokio::task::spawn_local(lead::lead(shared.clone()));
     tokio::task::spawn_local(place::attend(shared.clone()));
     tokio::task::spawn_local(watch_settings(shared.clone(), reload));
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -30,8 +30,8 @@
     pub callers: SocketAddr,
     /// Readiness for the platform's load balancer.
     pub ready: SocketAddr,
-    /// Metrics.
-    pub metrics: Option<SocketAddr>,
+    /// Other hosts, and metrics.
+    pub hosts: Option<SocketAddr>,
 }
 
 /// Limits of the host.
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,7 +2,8 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
+    net::SocketAddr,
     rc::Rc,
 };
 
@@ -22,7 +23,10 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::Notify;
 
-use crate::{clock::Clock, dialect::Dialect, place::Waiter, pool::Pool, settings::Settings};
+use crate::{
+    clock::Clock, dialect::Dialect, follow::Subject, mirror::Mirror, place::Waiter, pool::Pool,
+    settings::Settings,
+};
 
 /// State of a host.
 pub(crate) struct Shared {
@@ -32,8 +36,14 @@
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) assignments: RefCell<BTreeMap<name::Service, Assignment>>,
-    /// Hosts of the system, as they registered in the log.
-    pub(crate) hosts: RefCell<BTreeSet<String>>,
+    /// Hosts of the system, as they registered in the log, with their addresses for each other.
+    pub(crate) hosts: RefCell<BTreeMap<String, Option<SocketAddr>>>,
+    /// Host that leads, as the log says.
+    pub(crate) leader: RefCell<Option<String>>,
+    /// What is known of the topics.
+    pub(crate) mirrors: RefCell<BTreeMap<Subject, Mirror>>,
+    /// Up to which moment the leader told what is new in a topic.
+    pub(crate) told: RefCell<BTreeMap<Subject, Instant>>,
     pub(crate) peers: RefCell<BTreeMap<Life, Peer>>,
     pub(crate) heat: RefCell<BTreeMap<name::Service, Heat>>,
     pub(crate) budgets: RefCell<BTreeMap<name::Service, Budget>>,
@@ -88,6 +98,9 @@
             fleet: RefCell::default(),
             assignments: RefCell::default(),
             hosts: RefCell::default(),
+            leader: RefCell::default(),
+            mirrors: RefCell::default(),
+            told: RefCell::default(),
             peers: RefCell::default(),
             heat: RefCell::default(),
             budgets: RefCell::default(),
--- a/crates/router/src/heat.rs
+++ b/crates/router/src/heat.rs
@@ -1,6 +1,8 @@
 //! How busy the keys of a partitioned service are, from the requests that this host sees.
 //!
-//! The host that leads sees an even sample of all callers' keys, so its own counts suffice.
+//! Hosts send their counts to the host that leads.
+
+use std::collections::BTreeMap;
 
 use ragwortrill_core::time::{Instant, Span};
 
@@ -16,6 +18,8 @@
 pub struct Heat {
     buckets: Vec<f32>,
     decayed: Instant,
+    /// Counts that were not shared yet.
+    fresh: BTreeMap<u16, u32>,
 }
 
 impl Default for Heat {
@@ -23,6 +27,7 @@
         Self {
             buckets: vec![0.0; (KEYS / BUCKET) as usize],
             decayed: Instant::default(),
+            fresh: BTreeMap::new(),
         }
     }
 }
@@ -30,8 +35,21 @@
 impl Heat {
     /// Notes a request.
     pub fn note(&mut self, now: Instant, key: Key) {
-        self.decay(now);
-        self.buckets[usize::from(key) / BUCKET as usize] += 1.0;
+        let bucket = key / BUCKET as u16;
+        *self.fresh.entry(bucket).or_default() += 1;
+        self.add(now, bucket, 1);
+    }
+
+    /// Adds the counts of another host.
+    pub fn merge(&mut self, now: Instant, counts: &BTreeMap<u16, u32>) {
+        for (bucket, count) in counts {
+            self.add(now, *bucket, *count);
+        }
+    }
+
+    /// Returns the own counts that were not shared yet, by bucket.
+    pub fn take_fresh(&mut self) -> BTreeMap<u16, u32> {
+        std::mem::take(&mut self.fresh)
     }
 
     /// Returns the heat of the keys from `first` to `last`.
@@ -57,6 +75,13 @@
         None
     }
 
+    fn add(&mut self, now: Instant, bucket: u16, count: u32) {
+        self.decay(now);
+        if let Some(heat) = self.buckets.get_mut(usize::from(bucket)) {
+            *heat += count as f32;
+        }
+    }
+
     fn decay(&mut self, now: Instant) {
         if now.since(self.decayed) < HALF_LIFE {
             return;
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -104,6 +104,8 @@
     pub fleet: &'a Fleet,
     /// How busy the keys are, by service.
     pub heat: &'a BTreeMap<name::Service, Heat>,
+    /// Time that a target works on a request; only the proportions matter.
+    pub work: &'a dyn Fn(&Life) -> f64,
     /// Partitioned services.
     pub services: &'a [name::Service],
     /// Lifetime of grants.
@@ -360,6 +362,7 @@
         let input = plan::Input {
             owners: &owners,
             heat,
+            work: tick.work,
             must_leave: &|range| {
                 self.must_leave(range, tick.fleet) && !self.busy.contains(&range.epoch)
             },
--- a/crates/router/src/load.rs
+++ b/crates/router/src/load.rs
@@ -6,6 +6,8 @@
 const REPORT_LIFE: Span = Span::from_millis(1_000);
 /// Weight of a new sample in the mean of response times.
 const SAMPLE_WEIGHT: f64 = 0.2;
+/// Factor by which the mean of work times keeps its value over one sample.
+const WORK_KEPT: f64 = 0.92;
 /// Response time assumed of a target that has answered nothing yet.
 const ASSUMED_RESPONSE: Span = Span::from_millis(100);
 
@@ -28,6 +30,17 @@
     in_flight: u32,
     report: Option<(Instant, Report, u32)>,
     response: f64,
+    work: f64,
+    samples: Samples,
+}
+
+/// Work times since they were last shared with the leader.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Samples {
+    /// Sum in microseconds.
+    pub sum: f64,
+    /// Number.
+    pub count: u32,
 }
 
 impl Default for Load {
@@ -36,6 +49,8 @@
             in_flight: 0,
             report: None,
             response: ASSUMED_RESPONSE.0 as f64,
+            work: ASSUMED_RESPONSE.0 as f64,
+            samples: Samples::default(),
         }
     }
 }
@@ -56,9 +71,36 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
-    /// Notes the time that an answer took.
-    pub fn respond(&mut self, elapsed: Span) {
-        self.response += (elapsed.0 as f64 - self.response) * SAMPLE_WEIGHT;
+    /// Notes the time that an answer took, and the load that came with it.
+    pub fn respond(&mut self, elapsed: Span, report: Option<Report>) {
+        let elapsed = elapsed.0 as f64;
+        self.response += (elapsed - self.response) * SAMPLE_WEIGHT;
+        let work = elapsed * report.map_or(1.0, working_part);
+        self.samples.sum += work;
+        self.samples.count += 1;
+        self.learn(Samples {
+            sum: work,
+            count: 1,
+        });
+    }
+
+    /// Notes work times, the own or those of another host.
+    pub fn learn(&mut self, samples: Samples) {
+        if samples.count > 0 {
+            let mean = samples.sum / f64::from(samples.count);
+            let kept = WORK_KEPT.powi(samples.count as i32);
+            self.work = mean + (self.work - mean) * kept;
+        }
+    }
+
+    /// Returns the work times that were not shared yet.
+    pub fn take_samples(&mut self) -> Samples {
+        std::mem::take(&mut self.samples)
+    }
+
+    /// Returns the mean time of a request's work on an idle target, in microseconds.
+    pub fn work(&self) -> f64 {
+        self.work
     }
 
     /// Notes a report that came with an answer to one of this host's requests, which still counts
@@ -87,7 +129,7 @@
         let slots = f64::from(slots.max(1));
         let depth = self.depth(now);
         let queued = (depth + 1.0 - slots).max(0.0) / slots;
-        self.response * self.pace(now) * (1.0 + queued + depth / slots / 2.0)
+        self.work * self.pace(now) * (1.0 + queued + depth / slots / 2.0)
     }
 
     fn pace(&self, now: Instant) -> f64 {
@@ -98,6 +140,13 @@
     }
 }
 
+/// Returns the part of a response time that was work at the target's usual pace.
+fn working_part(report: Report) -> f64 {
+    let slots = f64::from(report.slots.max(1));
+    let waited = slots / (slots + f64::from(report.waiting));
+    waited * 100.0 / f64::from(report.pace_percent.max(1))
+}
+
 fn freshness(now: Instant, at: Instant) -> f64 {
     let age = now.since(at).0 as f64 / REPORT_LIFE.0 as f64;
     (1.0 - age).max(0.0)
--- a/crates/router/src/plan.rs
+++ b/crates/router/src/plan.rs
@@ -13,9 +13,12 @@
 /// A target that owns less than this percentage of an even share gets more keys.
 const LEAST_SHARE_PERCENT: u32 = 50;
 /// Requests, as counted by [`Heat`], below which the counts tell nothing.
-const LEAST_HEAT: f64 = 40.0;
-/// An owner with more than this multiple of the mean heat passes keys on.
-const MOST_HEAT: f64 = 1.6;
+const LEAST_HEAT: f64 = 100.0;
+/// An owner with more than this multiple of the mean load passes keys on.
+const MOST_LOAD: f64 = 1.35;
+
+/// Part of a range's heat that moves at once at most.
+const MOST_MOVED: f64 = 0.6;
 
 /// A target that can own keys.
 #[derive(Clone, Debug)]
@@ -32,6 +35,8 @@
     pub owners: &'a [Owner],
     /// How busy the keys are.
     pub heat: &'a Heat,
+    /// Time that an owner works on a request; only the proportions matter.
+    pub work: &'a dyn Fn(&Life) -> f64,
     /// Whether the owner of a range must give it up.
     pub must_leave: &'a dyn Fn(&Range) -> bool,
     /// Whether ranges may move for the sake of balance.
@@ -52,7 +57,7 @@
         return Some(plan.assignment);
     }
     let settled = assignment.ranges.iter().all(Range::is_held);
-    if settled && (plan.fill() || input.may_balance && plan.cool(input.heat)) {
+    if settled && (plan.fill() || input.may_balance && plan.cool(input)) {
         return Some(plan.assignment);
     }
     None
@@ -207,42 +212,41 @@
         self.assignment.replace(range.epoch, vec![kept, moved]);
     }
 
-    /// Moves busy keys from the busiest owner to the least busy one.
-    fn cool(&mut self, heat: &Heat) -> bool {
+    /// Moves busy keys from the owner with the most work to that with the least.
+    fn cool(&mut self, input: &Input<'_>) -> bool {
+        let heat_of = |range: &Range| input.heat.of(range.first, range.last);
         let mut loads: BTreeMap<&Life, f64> = self.widths.keys().map(|l| (l, 0.0)).collect();
         for range in &self.assignment.ranges {
             if let Some(load) = loads.get_mut(&range.owner) {
-                *load += heat.of(range.first, range.last);
+                *load += heat_of(range) * (input.work)(&range.owner);
             }
         }
-        let total: f64 = loads.values().sum();
-        let mean = total / loads.len().max(1) as f64;
+        let mean = loads.values().sum::<f64>() / loads.len().max(1) as f64;
         let most = loads.iter().max_by(|a, b| a.1.total_cmp(b.1));
         let least = loads.iter().min_by(|a, b| a.1.total_cmp(b.1));
         let (Some((busiest, most)), Some((idlest, least))) = (most, least) else {
             return false;
         };
-        if total < LEAST_HEAT || *most < mean * MOST_HEAT {
+        let total: f64 = self.assignment.ranges.iter().map(heat_of).sum();
+        if total < LEAST_HEAT || *most < mean * MOST_LOAD {
             return false;
         }
-        let held = self
+        let owned = self
             .assignment
             .ranges
             .iter()
             .filter(|r| &r.owner == *busiest);
-        let hottest = held.max_by(|a, b| {
-            let (a, b) = (heat.of(a.first, a.last), heat.of(b.first, b.last));
-            a.total_cmp(&b)
-        });
+        let hottest = owned.max_by(|a, b| heat_of(a).total_cmp(&heat_of(b)));
         let Some(range) = hottest.cloned() else {
             return false;
         };
-        let inside = heat.of(range.first, range.last);
-        let moved = ((most - least) / 2.0).min(most - mean).min(inside / 2.0);
-        let Some(at) = heat.prefix(range.first, range.last, inside - moved) else {
+        let inside = heat_of(&range);
+        let surplus = ((most - least) / 2.0).min(most - mean) / (input.work)(busiest);
+        let moved = surplus.min(inside * MOST_MOVED);
+        let receiver = (*idlest).clone();
+        let Some(at) = input.heat.prefix(range.first, range.last, inside - moved) else {
             return false;
         };
-        let receiver = (*idlest).clone();
         self.cut(&range, at, &receiver);
         true
     }
--- a/crates/router/tests/leader.rs
+++ b/crates/router/tests/leader.rs
@@ -115,6 +115,7 @@
             now: self.now,
             fleet: &self.fleet,
             heat: &BTreeMap::new(),
+            work: &|_| 1.0,
             services: &[service()],
             hold: HOLD,
         })
