Tell hosts of new owners at once; balance by what counts tell

Cause: hosts learned of a moved range up to 300 ms late, each step of a move waited for the next look at what is due, and one cut at a time followed hot keys too slowly; even counts differ by chance and moved keys for nothing.

Change: the leader keeps a host's report until a key changes its owner (250 ms at most); an answered order is followed up at once; up to three cuts a step; an owner passes keys on only if its load exceeds the mean by a quarter and 2.2 standard deviations of its count. As many requests wait as can be served in half of the time left.

--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -53,7 +53,7 @@
     if left <= reserve {
         return Err(Problem::refusal("too little time is left", RETRY_BUSY_MS));
     }
-    let most = capacity(shared, job, &spot);
+    let most = capacity(shared, &spot, left.scale(1, 2));
     let in_time_until = job.incoming.received + (job.rule.objective - reserve);
     let (found, outcome) = oneshot::channel();
     let entry = Entry::new(
@@ -81,21 +81,18 @@
     job.rule.objective.scale(1, 3)
 }
 
-/// Returns how many requests may wait for a spot.
-fn capacity(shared: &Shared, job: &Job, spot: &Spot) -> u32 {
+/// Returns how many requests may wait for a spot: as many as it serves within a time.
+fn capacity(shared: &Shared, spot: &Spot, within: Span) -> u32 {
     let places = search::LEAST_PLACES;
+    let response = |life: &Life| shared.with_peer(life, |peer| peer.load.response());
     match spot {
-        Spot::Owner(life) => {
-            let response = shared.with_peer(life, |peer| peer.load.response());
-            queue::capacity(places, response, job.rule.objective)
-        }
+        Spot::Owner(life) => queue::capacity(places, response(life), within),
         Spot::Any(service) => {
-            let targets = shared.fleet.borrow().serving(service).count() as u32;
-            queue::capacity(
-                places * targets,
-                job.rule.objective.scale(1, 3),
-                job.rule.objective,
-            )
+            let fleet = shared.fleet.borrow();
+            let each = fleet.serving(service);
+            let each =
+                each.map(|t| queue::capacity(places, response(&t.registration.life), within));
+            each.sum()
         }
         Spot::Unowned(_) => u32::MAX,
     }
--- a/crates/entry/src/ready.rs
+++ b/crates/entry/src/ready.rs
@@ -10,7 +10,7 @@
 };
 
 /// Answers the load balancer.
-pub(crate) fn answer(shared: &Shared, question: &Question) -> Reply {
+pub(crate) async fn answer(shared: &Shared, question: &Question) -> Reply {
     let problem = match question.path == shared.dialect.readiness_path {
         true if shared.is_ready() => Problem::new(200, "ready"),
         true => Problem::new(503, "not ready"),
@@ -20,11 +20,11 @@
 }
 
 /// Answers another host.
-pub(crate) fn answer_host(shared: &Shared, question: &Question) -> Reply {
+pub(crate) async fn answer_host(shared: &Shared, question: &Question) -> Reply {
     if question.path != relay::PATH {
         return Reply::problem(Problem::new(404, "no such path"), None);
     }
-    match relay::answer(shared, &question.body) {
+    match relay::answer(shared, &question.body).await {
         Ok(news) => Reply::content("application/cbor", Bytes::from(news)),
         Err(error) => {
             log::warn!(error = format!("{error:#}"); "a host's report is refused");
--- a/crates/entry/src/reign.rs
+++ b/crates/entry/src/reign.rs
@@ -24,7 +24,10 @@
     registration::Life,
 };
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 use crate::{
     call::{Client, Error, Reply},
@@ -77,6 +80,8 @@
     end: Cell<Offset>,
     is_over: Cell<bool>,
     clients: RefCell<BTreeMap<Life, Vec<Client>>>,
+    /// Notified when an order is answered or an assignment written.
+    progress: Notify,
 }
 
 /// Takes the lease and leads until it is lost, or until the host is no candidate any more.
@@ -103,6 +108,7 @@
         end: Cell::new(end),
         is_over: Cell::new(false),
         clients: RefCell::default(),
+        progress: Notify::new(),
     });
     let lease = tokio::task::spawn_local(keep_lease(reign.clone(), claim.at));
     let outcome = reign.clone().run(candidate).await;
@@ -247,7 +253,7 @@
                     }
                 }
             }
-            sleep(TICK).await;
+            let _ = timeout(TICK, self.progress.notified()).await;
         }
     }
 
@@ -290,6 +296,7 @@
                 self.end.set(end);
                 log::info!(service = service.as_str(), next_epoch = assignment.next_epoch; "assignment written");
                 self.leader.borrow_mut().written(&service);
+                self.progress.notify_one();
             }
             Err(error) => {
                 log::warn!(service = service.as_str(), error = format!("{error:#}"); "assignment not written");
@@ -360,7 +367,11 @@
             "order answered"
         );
         let now = self.shared.now();
+        let is_move = !matches!(answer, Answer::Silent) && !is_renewal(&self.shared, &order);
         self.leader.borrow_mut().answer(now, &order, answer);
+        if is_move {
+            self.progress.notify_one();
+        }
     }
 
     async fn call(&self, order: &Order) -> Answer {
@@ -401,3 +412,12 @@
         }
     }
 }
+
+/// Tells whether an order renews a grant, after which nothing is due at once.
+fn is_renewal(shared: &Shared, order: &Order) -> bool {
+    let assignments = shared.assignments.borrow();
+    let range = assignments
+        .get(&order.service)
+        .and_then(|a| a.range(order.first));
+    range.is_some_and(|range| range.epoch == order.fence && range.is_held())
+}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -12,7 +12,7 @@
 };
 use ragwortrill_router::load::Samples;
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     call::{Call, Client},
@@ -23,10 +23,12 @@
 
 /// Path of the exchange on the port between hosts.
 pub(crate) const PATH: &str = "/exchange";
-/// Pause between two exchanges.
-const PAUSE: Duration = Duration::from_millis(300);
+/// Pause between an answer and the next report.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Time for which the leader keeps a report while no key changes its owner.
+const HELD: Duration = Duration::from_millis(250);
 /// Longest time for an answer.
-const ANSWER: Duration = Duration::from_millis(400);
+const ANSWER: Duration = Duration::from_millis(600);
 
 /// What a host tells the leader.
 #[derive(Debug, Deserialize, Serialize)]
@@ -143,9 +145,14 @@
     follow::advance(shared, subject, Offset(topic.next), read_at);
 }
 
-/// Answers a host's report.
-pub(crate) fn answer(shared: &Shared, body: &[u8]) -> Result<Vec<u8>> {
+/// Answers a host's report, as soon as a key changes its owner or after a time.
+pub(crate) async fn answer(shared: &Shared, body: &[u8]) -> Result<Vec<u8>> {
     let report: Report = ciborium::from_reader(body).context("the report can't be read")?;
+    let from = report.from.get(&Subject::Ownership).copied();
+    let is_new = follow::next(shared, Subject::Ownership).map(|next| next.0) > from;
+    if !is_new && !shared.is_stopping.get() {
+        let _ = timeout(HELD, shared.owners_changed.notified()).await;
+    }
     let now = shared.now();
     let mut heat = shared.heat.borrow_mut();
     for (service, counts) in &report.heat {
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -29,11 +29,11 @@
     pub(crate) body: Bytes,
 }
 
-/// Function that answers a question.
-pub(crate) type Answer = fn(&Shared, &Question) -> Reply;
-
 /// Answers questions until the listener is dropped.
-pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener, answer: Answer) {
+pub(crate) async fn accept<A>(shared: Rc<Shared>, listener: TcpListener, answer: A)
+where
+    A: AsyncFn(&Shared, &Question) -> Reply + Copy + 'static,
+{
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -47,12 +47,15 @@
     }
 }
 
-async fn serve(shared: Rc<Shared>, stream: TcpStream, answer: Answer) {
+async fn serve<A>(shared: Rc<Shared>, stream: TcpStream, answer: A)
+where
+    A: AsyncFn(&Shared, &Question) -> Reply,
+{
     let mut connection = Connection::new(stream);
     while let Some((request, body)) = receive(&mut connection).await {
         let path = String::from_utf8_lossy(&request.target);
         let path = path.split('?').next().unwrap_or_default().to_owned();
-        let reply = answer(&shared, &Question { path, body });
+        let reply = answer(&shared, &Question { path, body }).await;
         let closes = !request.keeps_alive || reply.closes;
         let wire = reply.encode(closes, request.method == "HEAD");
         if connection.write(&wire).await.is_err() || closes {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -53,6 +53,8 @@
     pub(crate) waiters: RefCell<BTreeMap<Ticket, Waiter>>,
     /// Notified when a request begins to wait.
     pub(crate) queued: Notify,
+    /// Notified when keys change their owners.
+    pub(crate) owners_changed: Notify,
     /// Whether free places are being given to waiting requests.
     pub(crate) is_serving: Cell<bool>,
     /// Whether the host takes part in a planned stop.
@@ -108,6 +110,7 @@
             queue: RefCell::default(),
             waiters: RefCell::default(),
             queued: Notify::new(),
+            owners_changed: Notify::new(),
             is_serving: Cell::new(false),
             is_stopping: Cell::new(false),
             is_closing: Cell::new(false),
--- a/crates/router/src/heat.rs
+++ b/crates/router/src/heat.rs
@@ -11,7 +11,7 @@
 /// Keys that are counted together. Busy keys are close to one another.
 const BUCKET: u32 = 16;
 /// Time in which a count loses half of its weight.
-const HALF_LIFE: Span = Span::from_millis(1_500);
+const HALF_LIFE: Span = Span::from_millis(3_000);
 
 /// Counts of requests by keys, of which older ones weigh less.
 #[derive(Clone, Debug)]
--- a/crates/router/src/plan.rs
+++ b/crates/router/src/plan.rs
@@ -14,9 +14,12 @@
 const LEAST_SHARE_PERCENT: u32 = 50;
 /// Requests, as counted by [`Heat`], below which the counts tell nothing.
 const LEAST_HEAT: f64 = 100.0;
-/// An owner with more than this multiple of the mean load passes keys on.
-const MOST_LOAD: f64 = 1.35;
-
+/// An owner passes keys on if its load is above the mean by this part of it...
+const MOST_SURPLUS: f64 = 0.25;
+/// ...and by this many standard deviations of its count.
+const NOISE_DEVIATIONS: f64 = 2.2;
+/// Ranges that are cut at once for the sake of balance.
+const MOST_CUTS: usize = 3;
 /// Part of a range's heat that moves at once at most.
 const MOST_MOVED: f64 = 0.6;
 
@@ -56,8 +59,8 @@
     if plan.inherit(input.must_leave) {
         return Some(plan.assignment);
     }
-    let settled = assignment.ranges.iter().all(Range::is_held);
-    if settled && (plan.fill() || input.may_balance && plan.cool(input)) {
+    let is_settled = assignment.ranges.iter().all(Range::is_held);
+    if is_settled && plan.fill() || input.may_balance && plan.cool(input) {
         return Some(plan.assignment);
     }
     None
@@ -212,30 +215,37 @@
         self.assignment.replace(range.epoch, vec![kept, moved]);
     }
 
-    /// Moves busy keys from the owner with the most work to that with the least.
+    /// Moves busy keys from the owners with the most work to those with the least.
     fn cool(&mut self, input: &Input<'_>) -> bool {
+        let cuts = (0..MOST_CUTS).take_while(|_| self.cool_busiest(input));
+        cuts.count() > 0
+    }
+
+    fn cool_busiest(&mut self, input: &Input<'_>) -> bool {
         let heat_of = |range: &Range| input.heat.of(range.first, range.last);
-        let mut loads: BTreeMap<&Life, f64> = self.widths.keys().map(|l| (l, 0.0)).collect();
+        let mut heats: BTreeMap<&Life, f64> = self.widths.keys().map(|l| (l, 0.0)).collect();
         for range in &self.assignment.ranges {
-            if let Some(load) = loads.get_mut(&range.owner) {
-                *load += heat_of(range) * (input.work)(&range.owner);
+            if let Some(heat) = heats.get_mut(&range.owner) {
+                *heat += heat_of(range);
             }
         }
-        let mean = loads.values().sum::<f64>() / loads.len().max(1) as f64;
-        let most = loads.iter().max_by(|a, b| a.1.total_cmp(b.1));
-        let least = loads.iter().min_by(|a, b| a.1.total_cmp(b.1));
-        let (Some((busiest, most)), Some((idlest, least))) = (most, least) else {
+        let total: f64 = heats.values().sum();
+        let loads: Vec<(&Life, f64, f64)> = heats
+            .into_iter()
+            .map(|(life, heat)| (life, heat, heat * (input.work)(life)))
+            .collect();
+        let mean = loads.iter().map(|(_, _, load)| load).sum::<f64>() / loads.len().max(1) as f64;
+        let most = loads.iter().max_by(|a, b| a.2.total_cmp(&b.2));
+        let least = loads.iter().min_by(|a, b| a.2.total_cmp(&b.2));
+        let (Some((busiest, count, most)), Some((idlest, _, least))) = (most, least) else {
             return false;
         };
-        let total: f64 = self.assignment.ranges.iter().map(heat_of).sum();
-        if total < LEAST_HEAT || *most < mean * MOST_LOAD {
+        let noise = NOISE_DEVIATIONS / count.max(1.0).sqrt();
+        if total < LEAST_HEAT || *most < mean * (1.0 + MOST_SURPLUS + noise) {
             return false;
         }
-        let owned = self
-            .assignment
-            .ranges
-            .iter()
-            .filter(|r| &r.owner == *busiest);
+        let owned = self.assignment.ranges.iter();
+        let owned = owned.filter(|r| &r.owner == *busiest && r.is_held());
         let hottest = owned.max_by(|a, b| heat_of(a).total_cmp(&heat_of(b)));
         let Some(range) = hottest.cloned() else {
             return false;
