--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -40,6 +40,7 @@
 /// Key prefixes of the ownership topic.
 pub(crate) const SERVICE: &str = "service/";
 pub(crate) const HOST: &str = "host/";
+pub(crate) const BARRED: &str = "barred/";
 
 /// A topic that hosts follow.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -281,7 +282,15 @@
         if entry.is_some() {
             listed.insert(id.clone());
         }
+        let earlier = shared
+            .fleet
+            .borrow()
+            .get(&id)
+            .map(|t| t.registration.life.clone());
         let change = shared.fleet.borrow_mut().apply(now, &id, entry);
+        if let Some(earlier) = earlier.filter(|_| change == Change::Started) {
+            shared.witness.borrow_mut().ended(now, &earlier);
+        }
         if change != Change::None {
             note(shared, Subject::Targets, &record);
             note_change(shared, now, &id, change);
@@ -346,6 +355,11 @@
             apply_host(shared, host, record.value.as_deref());
         } else if let Some(service) = record.key.strip_prefix(SERVICE) {
             apply_assignment(shared, service, &record);
+        } else if let Some(barred) = record.key.strip_prefix(BARRED) {
+            if let Ok(fingerprint) = barred.parse() {
+                log::warn!(fingerprint = barred; "requests are barred: they crash their targets");
+                shared.witness.borrow_mut().bar(shared.now(), fingerprint);
+            }
         } else if record.key == TERM {
             apply_term(shared, record.value.as_deref());
         }
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use ragwortrill_core::{
     name,
+    request::Fingerprint,
     time::{Instant, Span},
 };
 use ragwortrill_router::{
@@ -12,10 +13,11 @@
     registration::Life,
 };
 use rand::RngExt;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     message::Request,
-    reply::{Problem, RETRY_ABSENT_MS},
+    reply::{Problem, RETRY_ABSENT_MS, RETRY_BARRED_MS},
     shared::Shared,
 };
 
@@ -37,6 +39,8 @@
     pub(crate) rule: Rule,
     pub(crate) service: name::Service,
     pub(crate) id: String,
+    /// Hash of what makes two requests the same work.
+    pub(crate) fingerprint: Fingerprint,
     /// Key, if the service is partitioned.
     pub(crate) key: Option<u16>,
     pub(crate) deadline: Instant,
@@ -100,12 +104,22 @@
             }
             false => None,
         };
+        let fingerprint = fingerprint(&incoming, &authority);
+        if shared
+            .witness
+            .borrow()
+            .is_barred(incoming.received, fingerprint)
+        {
+            let reason = "requests like this one crashed their targets";
+            return Err(Problem::refusal(reason, RETRY_BARRED_MS));
+        }
         Ok(Self {
             deadline: incoming.received + (patience - ANSWER_MARGIN),
             incoming,
             rule,
             service,
             id,
+            fingerprint,
             key,
             config,
             tried: Vec::new(),
@@ -115,6 +129,17 @@
     }
 }
 
+fn fingerprint(incoming: &Incoming, authority: &str) -> Fingerprint {
+    let head = &incoming.head;
+    let mut hash = Xxh3::new();
+    for part in [&head.method, &head.target, &incoming.body] {
+        hash.update(part);
+        hash.update(&[0]);
+    }
+    hash.update(authority.as_bytes());
+    Fingerprint(hash.digest())
+}
+
 /// Returns the authority without port and the path without query.
 fn locate(head: &Request) -> Option<(String, String)> {
     let target = std::str::from_utf8(&head.target).ok()?;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,4 +28,4 @@
 mod shared;
 mod store;
 
-pub use run::run;
+pub use run::{run, run_until};
--- a/crates/entry/src/reign.rs
+++ b/crates/entry/src/reign.rs
@@ -32,7 +32,7 @@
 use crate::{
     call::{Client, Error, Reply},
     dialect::{Append, Record},
-    follow::{SERVICE, Subject},
+    follow::{BARRED, SERVICE, Subject},
     lead::Candidacy,
     shared::Shared,
     store::Store,
@@ -241,6 +241,7 @@
             if !self.is_in_force() {
                 bail!("the lease is lost or can't be renewed");
             }
+            self.bar_crashing_requests();
             for action in self.tick() {
                 match action {
                     Action::Send(order) => {
@@ -259,6 +260,22 @@
         }
     }
 
+    /// Writes which requests crash their targets, so that every host refuses them.
+    fn bar_crashing_requests(&self) {
+        let barred = self.shared.inquiry.borrow_mut().judge(self.shared.now());
+        for fingerprint in barred {
+            let shared = self.shared.clone();
+            tokio::task::spawn_local(async move {
+                let key = format!("{BARRED}{fingerprint}");
+                let topic = shared.dialect.topics.ownership;
+                let mut store = Store::new(shared);
+                if let Err(error) = store.append(topic, None, &key, b"1").await {
+                    log::error!(fingerprint = fingerprint.to_string(), error = format!("{error:#}"); "request not barred");
+                }
+            });
+        }
+    }
+
     /// Tells whether this host may send orders at this moment.
     fn is_in_force(&self) -> bool {
         let age = self.shared.now().since(self.proved.get());
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -1,16 +1,22 @@
 //! Exchange between hosts: each tells the leader how busy keys and targets are, and learns from it
 //! what is new in the store. It saves calls to the store; without it, each host reads for itself.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use anyhow::{Context, Result, bail};
 use bytes::Bytes;
 use ragwortrill_core::{
     name,
     number::Offset,
+    request::Fingerprint,
     time::{Instant, Span},
 };
-use ragwortrill_router::load::Samples;
+use ragwortrill_router::{crash::Crash, load::Samples, registration::Life};
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
@@ -39,12 +45,18 @@
     heat: BTreeMap<name::Service, BTreeMap<u16, u32>>,
     /// Work times by target, since the last report.
     work: Vec<(name::Target, f64, u32)>,
+    /// Crashes that the host saw, since the last report.
+    crashes: Vec<(Life, Vec<Fingerprint>)>,
+    /// Suspected requests that were answered, since the last report.
+    acquitted: BTreeSet<Fingerprint>,
 }
 
 /// What the leader tells a host.
 #[derive(Debug, Deserialize, Serialize)]
 struct News {
     topics: BTreeMap<Subject, Topic>,
+    /// Requests that may crash their targets.
+    suspects: BTreeSet<Fingerprint>,
 }
 
 /// News of one topic.
@@ -64,6 +76,8 @@
         sleep(PAUSE).await;
         let report = report(&shared);
         let Some(address) = leader(&shared) else {
+            // The host leads itself or knows no leader: what it saw counts for its own judgement.
+            judge(&shared, report.crashes, report.acquitted);
             client = None;
             continue;
         };
@@ -91,6 +105,7 @@
         let next = mirrors.get(&subject).and_then(|mirror| mirror.next());
         next.map(|next| (subject, next.0))
     };
+    let (crashes, acquitted) = shared.witness.borrow_mut().take();
     let mut heat = shared.heat.borrow_mut();
     let mut peers = shared.peers.borrow_mut();
     let work = peers.iter_mut().filter_map(|(life, peer)| {
@@ -100,6 +115,11 @@
     Report {
         from: Subject::ALL.into_iter().filter_map(from).collect(),
         work: work.collect(),
+        crashes: crashes
+            .into_iter()
+            .map(|crash| (crash.life, crash.in_flight))
+            .collect(),
+        acquitted,
         heat: heat
             .iter_mut()
             .map(|(service, heat)| (service.clone(), heat.take_fresh()))
@@ -123,12 +143,34 @@
     }
     let news: News =
         ciborium::from_reader(reply.body.as_ref()).context("the news can't be read")?;
+    shared.witness.borrow_mut().suspect(news.suspects);
     for (subject, topic) in news.topics {
         learn(shared, sent, subject, topic);
     }
     Ok(())
 }
 
+/// Adds what a host saw of crashes to the inquiry.
+fn judge(
+    shared: &Shared,
+    crashes: Vec<(Life, Vec<Fingerprint>)>,
+    acquitted: BTreeSet<Fingerprint>,
+) {
+    let now = shared.now();
+    let mut inquiry = shared.inquiry.borrow_mut();
+    for (life, in_flight) in crashes {
+        log::info!(
+            target = life.id.as_str(), born = life.born, in_flight = in_flight.len();
+            "target crashed with requests in flight"
+        );
+        inquiry.report(now, Crash { life, in_flight });
+    }
+    for fingerprint in acquitted {
+        inquiry.acquit(fingerprint);
+    }
+    shared.witness.borrow_mut().suspect(inquiry.suspects());
+}
+
 fn learn(shared: &Rc<Shared>, sent: Instant, subject: Subject, topic: Topic) {
     let record = |(key, value, offset): (String, Option<Vec<u8>>, u64)| Record {
         key,
@@ -168,6 +210,7 @@
             shared.with_peer(&life, |peer| peer.load.learn(Samples { sum, count }));
         }
     }
+    judge(shared, report.crashes, report.acquitted);
     let mirrors = shared.mirrors.borrow();
     let topic = |(subject, from): (&Subject, &u64)| {
         let mirror = mirrors.get(subject)?;
@@ -183,6 +226,7 @@
     };
     let news = News {
         topics: report.from.iter().filter_map(topic).collect(),
+        suspects: shared.inquiry.borrow().suspects(),
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&news, &mut encoded)?;
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -11,6 +11,8 @@
 pub(crate) const RETRY_BUSY_MS: u64 = 60;
 /// The same if a service has no target or a key no owner.
 pub(crate) const RETRY_ABSENT_MS: u64 = 200;
+/// The same for a request that crashes its targets.
+pub(crate) const RETRY_BARRED_MS: u64 = 60_000;
 
 /// An answer to a caller.
 #[derive(Debug)]
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -30,30 +30,46 @@
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
-/// Runs an entry host until it is told to stop.
+/// Runs an entry host until the process is told to stop.
 pub fn run(settings: Settings, dialect: Dialect, reload: fn() -> Result<Settings>) -> Result<()> {
+    block_on(async move {
+        let mut ending = signal(SignalKind::terminate())?;
+        let shared = Rc::new(Shared::new(settings, dialect));
+        tokio::task::spawn_local(watch_settings(shared.clone(), reload));
+        serve(shared, async move {
+            ending.recv().await;
+        })
+        .await
+    })
+}
+
+/// Runs an entry host until a future ends.
+pub fn run_until(
+    settings: Settings,
+    dialect: Dialect,
+    ending: impl Future<Output = ()>,
+) -> Result<()> {
+    block_on(serve(Rc::new(Shared::new(settings, dialect)), ending))
+}
+
+fn block_on(host: impl Future<Output = Result<()>>) -> Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("the event loop can't be started")?;
-    LocalSet::new().block_on(&runtime, serve(settings, dialect, reload))
+    LocalSet::new().block_on(&runtime, host)
 }
 
-async fn serve(
-    settings: Settings,
-    dialect: Dialect,
-    reload: fn() -> Result<Settings>,
-) -> Result<()> {
-    let mut ending = signal(SignalKind::terminate())?;
-    let callers = listen(settings.listen.callers)?;
-    let readiness = listen(settings.listen.ready)?;
-    let hosts = settings.listen.hosts.map(listen).transpose()?;
+async fn serve(shared: Rc<Shared>, ending: impl Future<Output = ()>) -> Result<()> {
+    let listen_on = shared.settings.borrow().listen.clone();
+    let callers = listen(listen_on.callers)?;
+    let readiness = listen(listen_on.ready)?;
+    let hosts = listen_on.hosts.map(listen).transpose()?;
     log::info!(
-        host = settings.host.as_str(), callers = settings.listen.callers.to_string(),
-        store = settings.store.to_string();
+        host = shared.settings.borrow().host.as_str(), callers = listen_on.callers.to_string(),
+        store = shared.settings.borrow().store.to_string();
         "host started"
     );
-    let shared = Rc::new(Shared::new(settings, dialect));
     let accepting = tokio::task::spawn_local(caller::accept(shared.clone(), callers));
     tokio::task::spawn_local(service::accept(shared.clone(), readiness, ready::answer));
     if let Some(hosts) = hosts {
@@ -65,8 +81,7 @@
     tokio::task::spawn_local(relay::exchange(shared.clone()));
     tokio::task::spawn_local(lead::lead(shared.clone()));
     tokio::task::spawn_local(place::attend(shared.clone()));
-    tokio::task::spawn_local(watch_settings(shared.clone(), reload));
-    ending.recv().await;
+    ending.await;
     stop(&shared, &accepting).await;
     Ok(())
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -12,6 +12,7 @@
     assignment::Assignment,
     breaker::Breaker,
     config::Config,
+    crash::{Inquiry, Witness},
     fleet::Fleet,
     heat::Heat,
     load::Load,
@@ -46,6 +47,9 @@
     pub(crate) told: RefCell<BTreeMap<Subject, Instant>>,
     pub(crate) peers: RefCell<BTreeMap<Life, Peer>>,
     pub(crate) heat: RefCell<BTreeMap<name::Service, Heat>>,
+    /// Requests that were in flight at crashes, as this host saw it and as the leader judges it.
+    pub(crate) witness: RefCell<Witness>,
+    pub(crate) inquiry: RefCell<Inquiry>,
     pub(crate) budgets: RefCell<BTreeMap<name::Service, Budget>>,
     pub(crate) random: RefCell<SmallRng>,
     /// Requests that wait for a place, and what each needs.
@@ -105,6 +109,8 @@
             told: RefCell::default(),
             peers: RefCell::default(),
             heat: RefCell::default(),
+            witness: RefCell::default(),
+            inquiry: RefCell::default(),
             budgets: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(rand::random())),
             queue: RefCell::default(),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod breaker;
 pub mod choice;
 pub mod config;
+pub mod crash;
 pub mod fleet;
 pub mod heat;
 pub mod leader;
