Keep the leader's work bounded with hundreds of targets and hosts

Cause: at 82 hosts and 264 partitioned targets the leader lost its lease every few seconds: the whole assignment (50 KB) went to every host with each change, 264 grants were due at the same moment, and the host that led had a tenth of a core and 10 Mbit/s.

Ruled out: a longer answer limit, which hides the queue instead.

Change: each range is a record of its own; renewals spread, at most 24 orders at once; hosts with less than half of the strongest host's processor time stay out of the group while a strong one lives; the leader keeps a report longer with more hosts, and the accepted age of news follows the drain bound; a target that was full gets nothing for 25 ms, doubling; a host prefers 10 targets of a service, so that connections are used again; keys are counted one by one, and more ranges are cut at once among more owners.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -188,6 +188,9 @@
         .and_then(shared.dialect.load);
     shared.with_peer(life, |peer| {
         peer.breaker.succeed();
+        if is_unrun && status != MISDIRECTED {
+            peer.load.shed(now);
+        }
         if let Some(report) = report {
             peer.load.report(now, report);
         }
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -149,8 +149,9 @@
     pub read: fn(topic: &str, from: Offset, wait: Span) -> Call,
     /// Decodes records.
     pub tail: fn(&Reply, from: Offset) -> anyhow::Result<Tail>,
-    /// Appends a record, on condition that the topic ends at an offset.
-    pub append: fn(topic: &str, at: Option<Offset>, key: &str, value: &[u8]) -> Call,
+    /// Appends records, all or none, on condition that the topic ends at an offset. An empty value
+    /// drops the key.
+    pub append: fn(topic: &str, at: Option<Offset>, records: &[(String, Vec<u8>)]) -> Call,
     /// Decodes the outcome of an append.
     pub appended: fn(&Reply) -> anyhow::Result<Append>,
     /// Joins the group of hosts, or stays in it.
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -1,6 +1,6 @@
 //! Tasks that follow the topics of the platform's store.
 
-use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use anyhow::Result;
 use ragwortrill_core::{
@@ -8,7 +8,7 @@
     number::Offset,
     time::{Instant, Span},
 };
-use ragwortrill_router::{assignment::Assignment, fleet::Change};
+use ragwortrill_router::{assignment::Range, fleet::Change};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -16,21 +16,22 @@
     dialect::{Command, Record, Tail},
     place,
     reign::{TERM, Term},
-    shared::Shared,
+    shared::{Host, Shared},
     store::Store,
 };
 
 /// Longest wait of a read for a new record. A silent connection is noticed soon after.
-const WAIT: Span = Span::from_millis(2_500);
+const WAIT: Span = Span::from_millis(2_000);
 /// Pause between two reads of the targets' entries, which change with every heartbeat.
 const TARGETS_PAUSE: Duration = Duration::from_millis(400);
 /// Pause after a failed call. It doubles up to the longest one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MOST_PAUSE: Duration = Duration::from_millis(300);
-/// Age up to which what the leader tells of the targets replaces an own read.
-const TARGETS_AGE: Span = Span::from_millis(900);
-/// The same for topics that are read with a wait, which tell nothing new while they wait.
-const WAITING_AGE: Span = Span::from_millis(3_600);
+/// Time that is left of the drain bound when news of the targets are too old and an own read
+/// takes their place.
+const DRAIN_MARGIN: Span = Span::from_millis(700);
+/// Age up to which what the leader tells replaces an own read that would wait for news.
+const WAITING_AGE: Span = Span::from_millis(4_300);
 /// Pause between two looks at whether the leader still tells what is new.
 const RELAY_LOOK: Duration = Duration::from_millis(150);
 
@@ -73,9 +74,10 @@
         }
     }
 
-    fn most_age(self) -> Span {
+    /// Returns the age up to which what the leader tells replaces an own read.
+    fn most_age(self, shared: &Shared) -> Span {
         match self {
-            Self::Targets => TARGETS_AGE,
+            Self::Targets => shared.settings.borrow().bounds.drain - DRAIN_MARGIN,
             _ => WAITING_AGE,
         }
     }
@@ -134,7 +136,7 @@
     }
     let told = shared.told.borrow();
     let read_at = told.get(&subject).copied().unwrap_or_default();
-    shared.now().since(read_at) < subject.most_age()
+    shared.now().since(read_at) < subject.most_age(shared)
 }
 
 /// Returns the offset from which a topic is read on.
@@ -163,13 +165,10 @@
     place::serve(shared);
 }
 
-fn note(shared: &Shared, subject: Subject, record: &Record) {
-    shared
-        .mirrors
-        .borrow_mut()
-        .entry(subject)
-        .or_default()
-        .note(record);
+/// Notes a record for the other hosts. Returns whether it is newer than the one known.
+fn note(shared: &Shared, subject: Subject, record: &Record) -> bool {
+    let mut mirrors = shared.mirrors.borrow_mut();
+    mirrors.entry(subject).or_default().note(record)
 }
 
 /// Waits until the targets' entries are read again, and removes meanwhile those that did not come
@@ -349,31 +348,51 @@
 }
 
 fn apply_ownership(shared: &Rc<Shared>, records: Vec<Record>) {
+    let mut ranges = 0;
     for record in records {
-        note(shared, Subject::Ownership, &record);
+        // A listing may be newer than the records that are read after it.
+        if !note(shared, Subject::Ownership, &record) {
+            continue;
+        }
         if let Some(host) = record.key.strip_prefix(HOST) {
             apply_host(shared, host, record.value.as_deref());
-        } else if let Some(service) = record.key.strip_prefix(SERVICE) {
-            apply_assignment(shared, service, &record);
+        } else if let Some(service) = service(&record.key) {
+            ranges += 1;
+            apply_range(shared, service, &record);
         } else if let Some(barred) = record.key.strip_prefix(BARRED) {
-            if let Ok(fingerprint) = barred.parse() {
-                log::warn!(fingerprint = barred; "requests are barred: they crash their targets");
-                shared.witness.borrow_mut().bar(shared.now(), fingerprint);
-            }
+            apply_barred(shared, barred);
         } else if record.key == TERM {
             apply_term(shared, record.value.as_deref());
         }
     }
+    if ranges > 0 {
+        log::info!(ranges = ranges; "ranges known");
+    }
+}
+
+/// Returns the service of a range's key.
+pub(crate) fn service(key: &str) -> Option<name::Service> {
+    let (service, _) = key.strip_prefix(SERVICE)?.split_once('/')?;
+    service.parse().ok()
+}
+
+fn apply_barred(shared: &Shared, fingerprint: &str) {
+    if let Ok(parsed) = fingerprint.parse() {
+        log::warn!(fingerprint = fingerprint; "requests are barred: they crash their targets");
+        shared.witness.borrow_mut().bar(shared.now(), parsed);
+    }
 }
 
 fn apply_host(shared: &Shared, host: &str, value: Option<&[u8]>) {
     let mut hosts = shared.hosts.borrow_mut();
     let before = hosts.len();
     match value {
-        Some(address) => {
-            let address = std::str::from_utf8(address).ok();
-            let address = address.and_then(|text| text.parse::<SocketAddr>().ok());
-            hosts.insert(host.to_owned(), address);
+        Some(value) => {
+            let known = serde_json::from_slice(value).unwrap_or_else(|error| {
+                log::warn!(host = host, error = error.to_string(); "a host's record can't be read");
+                Host::default()
+            });
+            hosts.insert(host.to_owned(), known);
         }
         None => {
             hosts.remove(host);
@@ -384,30 +403,17 @@
     }
 }
 
-fn apply_assignment(shared: &Shared, service: &str, record: &Record) {
+fn apply_range(shared: &Shared, service: name::Service, record: &Record) {
     let value = record.value.as_deref().unwrap_or_default();
-    let parsed = (
-        service.parse::<name::Service>(),
-        serde_json::from_slice::<Assignment>(value),
-    );
-    let (Ok(service), Ok(assignment)) = parsed else {
-        log::error!(key = record.key; "assignment can't be read");
-        return;
-    };
-    let mut assignments = shared.assignments.borrow_mut();
-    let known = assignments
-        .get(&service)
-        .map_or(0, |known| known.next_epoch);
-    // A listing may be newer than the records that are read after it.
-    if assignment.next_epoch < known {
-        return;
+    match serde_json::from_slice::<Range>(value) {
+        Ok(range) => {
+            let mut assignments = shared.assignments.borrow_mut();
+            assignments.entry(service).or_default().put(range);
+        }
+        Err(error) => {
+            log::error!(key = record.key, error = error.to_string(); "range can't be read")
+        }
     }
-    log::info!(
-        service = service.as_str(), offset = record.offset.0, ranges = assignment.ranges.len(),
-        moving = assignment.ranges.iter().filter(|r| !r.is_held()).count();
-        "assignment known"
-    );
-    assignments.insert(service, assignment);
 }
 
 fn apply_term(shared: &Shared, value: Option<&[u8]>) {
--- a/crates/entry/src/lead.rs
+++ b/crates/entry/src/lead.rs
@@ -1,16 +1,17 @@
 //! Candidacy for leadership. The platform's group of hosts names one candidate; it is a hint, and
 //! only the lease in the log gives the right to act.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use ragwortrill_core::time::{Instant, Span};
 use tokio::time::sleep;
 
 use crate::{
+    connection::Connection,
     dialect::{Append, Member, Membership},
     follow::HOST,
     reign,
-    shared::Shared,
+    shared::{Host, Shared},
     store::Store,
 };
 
@@ -18,6 +19,12 @@
 const GROUP_TTL: Span = Span::from_millis(2_000);
 /// Pause between two calls to the group.
 const GROUP_PAUSE: Duration = Duration::from_millis(600);
+/// Multiple of a host's processor time with which another host should lead in its place.
+const STRONGER: u32 = 2;
+/// Time for which a strong host counts as alive after it was reached.
+const STRONG_SEEN: Span = Span::from_millis(1_500);
+/// Longest time to reach a strong host.
+const PROBE: Duration = Duration::from_millis(300);
 /// Pause between two looks at the candidacy.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -63,26 +70,31 @@
     let host = shared.settings.borrow().host.to_string();
     let key = format!("{HOST}{host}");
     let topic = shared.dialect.topics.ownership;
-    let address = shared.settings.borrow().listen.hosts;
-    let address = address
-        .map(|address| address.to_string())
-        .unwrap_or_default();
+    let own = own_record(&shared);
+    let record = |value: &str| [(key.clone(), value.as_bytes().to_vec())];
     let mut generation = 0;
+    let mut is_member = false;
     let mut is_registered = false;
+    let mut strong = Strong::default();
     while !shared.is_stopping.get() {
         if !is_registered {
-            let appended = store.append(topic, None, &key, address.as_bytes()).await;
+            let appended = store.append(topic, None, &record(&own)).await;
             is_registered = matches!(appended, Ok(Append::Done(_)));
         }
-        let abstains = shared.now() < candidate.abstains_until.get();
+        let is_out = shared.now() < candidate.abstains_until.get();
+        let abstains = is_out || is_weak(&shared) && strong.is_alive(&shared).await;
         let member = Member {
             name: &host,
             ttl: GROUP_TTL,
             generation,
         };
         if abstains {
-            leave(&mut store, &member).await;
+            candidate.leads.set(false);
+            if std::mem::take(&mut is_member) {
+                leave(&mut store, &member).await;
+            }
         } else if let Some(membership) = join(&mut store, &member).await {
+            is_member = true;
             generation = membership.generation;
             if candidate.leads.replace(membership.leads) != membership.leads {
                 log::info!(leads = membership.leads, generation = generation; "candidacy changed");
@@ -97,11 +109,65 @@
         generation,
     };
     leave(&mut store, &member).await;
-    if let Err(error) = store.append(topic, None, &key, &[]).await {
+    if let Err(error) = store.append(topic, None, &record("")).await {
         log::warn!(error = format!("{error:#}"); "the host's record can't be removed");
     }
 }
 
+/// Returns what this host says of itself in the log.
+fn own_record(shared: &Shared) -> String {
+    let settings = shared.settings.borrow();
+    let host = Host {
+        address: settings.listen.hosts,
+        processor_percent: settings.limits.processor_percent,
+    };
+    serde_json::to_string(&host).unwrap_or_default()
+}
+
+/// Tells whether another host has so much more processor time that it should lead.
+fn is_weak(shared: &Shared) -> bool {
+    let own = shared.settings.borrow().limits.processor_percent;
+    strongest(shared) >= own * STRONGER
+}
+
+fn strongest(shared: &Shared) -> u32 {
+    let hosts = shared.hosts.borrow();
+    let all = hosts.values().map(|host| host.processor_percent);
+    all.max().unwrap_or_default()
+}
+
+/// Whether a host with more processor time lives. As long as one does, weak hosts stay out of the
+/// group.
+#[derive(Default)]
+struct Strong {
+    seen: Option<Instant>,
+}
+
+impl Strong {
+    async fn is_alive(&mut self, shared: &Shared) -> bool {
+        let now = shared.now();
+        let is_recent = |at: &Instant| now.since(*at) < STRONG_SEEN;
+        if self.seen.as_ref().is_some_and(is_recent) {
+            return true;
+        }
+        let most = strongest(shared);
+        let hosts: Vec<SocketAddr> = {
+            let hosts = shared.hosts.borrow();
+            let strong = hosts
+                .values()
+                .filter(|host| host.processor_percent * STRONGER > most);
+            strong.filter_map(|host| host.address).collect()
+        };
+        for address in hosts {
+            if Connection::open(address, PROBE).await.is_ok() {
+                self.seen = Some(now);
+                return true;
+            }
+        }
+        false
+    }
+}
+
 async fn join(store: &mut Store, member: &Member<'_>) -> Option<Membership> {
     match store.join(member).await {
         Ok(membership) => Some(membership),
--- a/crates/entry/src/mirror.rs
+++ b/crates/entry/src/mirror.rs
@@ -33,11 +33,16 @@
         self.read_at
     }
 
-    /// Notes a record that matters.
-    pub(crate) fn note(&mut self, record: &Record) {
+    /// Notes a record that matters. Returns whether it is newer than the one known.
+    pub(crate) fn note(&mut self, record: &Record) -> bool {
+        let known = self.records.get(&record.key);
+        if known.is_some_and(|(offset, _)| *offset > record.offset) {
+            return false;
+        }
         let value = (record.offset, record.value.clone());
         self.records.insert(record.key.clone(), value);
         self.trim();
+        true
     }
 
     /// Notes that everything before `next` is known.
--- a/crates/entry/src/reign.rs
+++ b/crates/entry/src/reign.rs
@@ -12,14 +12,13 @@
 };
 
 use anyhow::{Result, anyhow, bail};
-use bytes::Bytes;
 use ragwortrill_core::{
     name,
     number::Offset,
     time::{Instant, Span},
 };
 use ragwortrill_router::{
-    assignment::{Assignment, State},
+    assignment::{Assignment, Range, State},
     leader::{self, Action, Answer, Leader, Order, Tick, Verb},
     registration::Life,
 };
@@ -32,7 +31,7 @@
 use crate::{
     call::{Client, Error, Reply},
     dialect::{Append, Record},
-    follow::{BARRED, SERVICE, Subject},
+    follow::{self, BARRED, SERVICE, Subject},
     lead::Candidacy,
     shared::Shared,
     store::Store,
@@ -71,6 +70,12 @@
     is_over: bool,
 }
 
+impl Term {
+    fn record(&self) -> Result<(String, Vec<u8>)> {
+        Ok((TERM.to_owned(), serde_json::to_vec(self)?))
+    }
+}
+
 /// State of the leading host.
 struct Reign {
     shared: Rc<Shared>,
@@ -91,10 +96,10 @@
     let mut store = Store::new(shared.clone());
     let claim = claim(shared, &mut store).await?;
     let (assignments, end) = read(shared, &mut store).await?;
-    let record = serde_json::to_vec(&claim.term)?;
+    let record = [claim.term.record()?];
     let topic = shared.dialect.topics.ownership;
     // After this record, no earlier leader can write an assignment.
-    let Append::Done(end) = store.append(topic, Some(end), TERM, &record).await? else {
+    let Append::Done(end) = store.append(topic, Some(end), &record).await? else {
         bail!("another record came before the claim");
     };
     log::info!(
@@ -142,9 +147,9 @@
         is_over: false,
     };
     let proved = shared.now();
-    let record = serde_json::to_vec(&term)?;
+    let record = [term.record()?];
     let topic = shared.dialect.topics.terms;
-    let Append::Done(at) = store.append(topic, Some(at), TERM, &record).await? else {
+    let Append::Done(at) = store.append(topic, Some(at), &record).await? else {
         bail!("another host took the lease");
     };
     let max_hold = shared.settings.borrow().bounds.max_hold;
@@ -177,12 +182,12 @@
     store: &mut Store,
 ) -> Result<(BTreeMap<name::Service, Assignment>, Offset)> {
     let (records, end) = store.newest(shared.dialect.topics.ownership).await?;
-    let mut assignments = BTreeMap::new();
+    let mut assignments: BTreeMap<name::Service, Assignment> = BTreeMap::new();
     for Record { key, value, .. } in records {
-        let (Some(service), Some(value)) = (key.strip_prefix(SERVICE), value) else {
-            continue;
-        };
-        assignments.insert(service.parse()?, serde_json::from_slice(&value)?);
+        if let (Some(service), Some(value)) = (follow::service(&key), value) {
+            let range = serde_json::from_slice(&value)?;
+            assignments.entry(service).or_default().put(range);
+        }
     }
     Ok((assignments, end))
 }
@@ -191,7 +196,7 @@
 async fn keep_lease(reign: Rc<Reign>, mut at: Offset) -> Result<Offset> {
     let mut store = Store::new(reign.shared.clone());
     let topic = reign.shared.dialect.topics.terms;
-    let record = serde_json::to_vec(&reign.term)?;
+    let record = [reign.term.record()?];
     let mut pause = LEASE_PAUSE;
     loop {
         sleep(pause).await;
@@ -200,7 +205,7 @@
         }
         let sent = reign.shared.now();
         pause = LEASE_RETRY;
-        match store.append(topic, Some(at), TERM, &record).await {
+        match store.append(topic, Some(at), &record).await {
             Ok(Append::Done(end)) => {
                 at = end;
                 reign.proved.set(sent);
@@ -227,9 +232,9 @@
         is_over: true,
         ..reign.term.clone()
     };
-    let record = serde_json::to_vec(&term)?;
+    let record = [term.record()?];
     let topic = reign.shared.dialect.topics.terms;
-    store.append(topic, Some(at), TERM, &record).await.map(drop)
+    store.append(topic, Some(at), &record).await.map(drop)
 }
 
 impl Reign {
@@ -247,8 +252,8 @@
                     Action::Send(order) => {
                         tokio::task::spawn_local(self.clone().send(order));
                     }
-                    Action::Write(service, assignment) => {
-                        tokio::task::spawn_local(self.clone().write(service, assignment));
+                    Action::Write(service, ranges) => {
+                        tokio::task::spawn_local(self.clone().write(service, ranges));
                     }
                     Action::Resign => {
                         candidate.abstain(self.shared.now());
@@ -266,10 +271,10 @@
         for fingerprint in barred {
             let shared = self.shared.clone();
             tokio::task::spawn_local(async move {
-                let key = format!("{BARRED}{fingerprint}");
+                let record = [(format!("{BARRED}{fingerprint}"), b"1".to_vec())];
                 let topic = shared.dialect.topics.ownership;
                 let mut store = Store::new(shared);
-                if let Err(error) = store.append(topic, None, &key, b"1").await {
+                if let Err(error) = store.append(topic, None, &record).await {
                     log::error!(fingerprint = fingerprint.to_string(), error = format!("{error:#}"); "request not barred");
                 }
             });
@@ -315,12 +320,12 @@
         })
     }
 
-    async fn write(self: Rc<Self>, service: name::Service, assignment: Assignment) {
+    async fn write(self: Rc<Self>, service: name::Service, ranges: Vec<Range>) {
         let mut store = Store::new(self.shared.clone());
-        match self.try_write(&mut store, &service, &assignment).await {
+        match self.try_write(&mut store, &service, &ranges).await {
             Ok(end) => {
                 self.end.set(end);
-                self.note_moves(&service, &assignment);
+                self.note_moves(&service, &ranges);
                 self.leader.borrow_mut().written(&service);
                 self.progress.notify_one();
             }
@@ -332,8 +337,8 @@
     }
 
     /// Logs each range that got a new owner, for the audit trail.
-    fn note_moves(&self, service: &name::Service, assignment: &Assignment) {
-        for range in &assignment.ranges {
+    fn note_moves(&self, service: &name::Service, ranges: &[Range]) {
+        for range in ranges {
             let State::Moving(previous) = &range.state else {
                 continue;
             };
@@ -353,18 +358,18 @@
         &self,
         store: &mut Store,
         service: &name::Service,
-        assignment: &Assignment,
+        ranges: &[Range],
     ) -> Result<Offset> {
         if !self.is_in_force() {
             bail!("the lease is over");
         }
         let topic = self.shared.dialect.topics.ownership;
-        let value = Bytes::from(serde_json::to_vec(assignment)?);
-        let key = format!("{SERVICE}{service}");
-        match store
-            .append(topic, Some(self.end.get()), &key, &value)
-            .await?
-        {
+        let record = |range: &Range| -> Result<(String, Vec<u8>)> {
+            let key = format!("{SERVICE}{service}/{}", range.first);
+            Ok((key, serde_json::to_vec(range)?))
+        };
+        let records: Vec<(String, Vec<u8>)> = ranges.iter().map(record).collect::<Result<_>>()?;
+        match store.append(topic, Some(self.end.get()), &records).await? {
             Append::Done(end) => Ok(end),
             Append::Conflict(_) => Err(anyhow!("another record came first")),
             Append::Refused => Err(anyhow!("the store refused the record")),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -31,10 +31,15 @@
 pub(crate) const PATH: &str = "/exchange";
 /// Pause between an answer and the next report.
 const PAUSE: Duration = Duration::from_millis(50);
-/// Time for which the leader keeps a report while no key changes its owner.
+/// Time for which the leader keeps a report while nothing changes.
 const HELD: Duration = Duration::from_millis(250);
-/// Longest time for an answer.
-const ANSWER: Duration = Duration::from_millis(600);
+/// Hosts up to which that time suffices. With more, it grows in proportion, so that the leader
+/// answers as often.
+const HELD_HOSTS: u32 = 16;
+/// Longest time for which the leader keeps a report.
+const MOST_HELD: Duration = Duration::from_millis(800);
+/// Longest time for an answer besides that.
+const ANSWER: Duration = Duration::from_millis(400);
 
 /// What a host tells the leader.
 #[derive(Debug, Deserialize, Serialize)]
@@ -96,7 +101,14 @@
     let leader = shared.leader.borrow().clone()?;
     let is_own = leader == shared.settings.borrow().host.as_str();
     let hosts = shared.hosts.borrow();
-    hosts.get(&leader).copied().flatten().filter(|_| !is_own)
+    let address = hosts.get(&leader).and_then(|host| host.address);
+    address.filter(|_| !is_own)
+}
+
+/// Returns how long the leader keeps a report.
+fn held(shared: &Shared) -> Duration {
+    let hosts = shared.hosts.borrow().len() as u32;
+    (HELD * hosts.max(HELD_HOSTS) / HELD_HOSTS).min(MOST_HELD)
 }
 
 fn report(shared: &Shared) -> Report {
@@ -137,7 +149,7 @@
         body: Bytes::from(body),
     };
     let sent = shared.now();
-    let reply = client.call(&call, ANSWER).await?;
+    let reply = client.call(&call, held(shared) + ANSWER).await?;
     if reply.status != 200 {
         bail!("status {}", reply.status);
     }
@@ -187,13 +199,16 @@
     follow::advance(shared, subject, Offset(topic.next), read_at);
 }
 
-/// Answers a host's report, as soon as a key changes its owner or after a time.
+/// Answers a host's report, as soon as the configuration or an owner changes, or after a time.
 pub(crate) async fn answer(shared: &Shared, body: &[u8]) -> Result<Vec<u8>> {
     let report: Report = ciborium::from_reader(body).context("the report can't be read")?;
-    let from = report.from.get(&Subject::Ownership).copied();
-    let is_new = follow::next(shared, Subject::Ownership).map(|next| next.0) > from;
+    let is_new = |subject| {
+        let from = report.from.get(&subject).copied();
+        follow::next(shared, subject).map(|next| next.0) > from
+    };
+    let is_new = is_new(Subject::Ownership) || is_new(Subject::Operators);
     if !is_new && !shared.is_stopping.get() {
-        let _ = timeout(HELD, shared.owners_changed.notified()).await;
+        let _ = timeout(held(shared), shared.news.notified()).await;
     }
     let now = shared.now();
     let mut heat = shared.heat.borrow_mut();
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -15,6 +15,8 @@
     share::Cold,
 };
 
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
 use crate::{job::Job, shared::Shared};
 
 /// Most requests of one host at a target, as a multiple of its share of the slots.
@@ -29,6 +31,8 @@
 /// The same for requests with a large answer.
 const FAR_DOWNLOAD: f64 = 2.0;
 
+/// Targets of a service among which a host chooses, as long as they have room.
+const MOST_PREFERRED: usize = 10;
 /// Time for which a range is not used after its owner said that it does not hold the key.
 const DOUBT: Span = Span::from_millis(250);
 
@@ -124,6 +128,7 @@
     }
     let has_place = |target: &&Target| has_place(shared, wanted, target, now);
     let open: Vec<&Target> = serving.into_iter().filter(has_place).collect();
+    let open = nearest(shared, open);
     let is_fresh = |target: &&Target| !wanted.tried.contains(&target.registration.life);
     let fresh: Vec<&Target> = open.iter().copied().filter(is_fresh).collect();
     let pool = if fresh.is_empty() { open } else { fresh };
@@ -139,6 +144,25 @@
     }
 }
 
+/// Returns the targets that this host prefers: with many targets and hosts, connections would
+/// otherwise be idle for so long that each request needs a new one.
+fn nearest<'a>(shared: &Shared, targets: Vec<&'a Target>) -> Vec<&'a Target> {
+    if targets.len() <= MOST_PREFERRED {
+        return targets;
+    }
+    let settings = shared.settings.borrow();
+    let rank = |target: &&Target| {
+        let registration = &target.registration;
+        let seed = xxh3_64(settings.host.as_str().as_bytes());
+        let hash = xxh3_64_with_seed(registration.life.id.as_str().as_bytes(), seed);
+        (registration.data_centre != settings.data_centre, hash)
+    };
+    let mut ranked = targets;
+    ranked.sort_by_cached_key(rank);
+    ranked.truncate(MOST_PREFERRED);
+    ranked
+}
+
 fn cost(shared: &Shared, wanted: &Wanted, target: &Target, now: Instant) -> f64 {
     let registration = &target.registration;
     let is_near = registration.data_centre == shared.settings.borrow().data_centre;
@@ -163,7 +187,7 @@
     shared.with_peer(&registration.life, |peer| {
         let own = peer.load.in_flight();
         let is_deep = own > 0 && peer.load.depth(now) + 1.0 > f64::from(slots) * DEPTH;
-        if !peer.breaker.is_closed(now) || own >= most || is_deep {
+        if !peer.breaker.is_closed(now) || peer.load.is_shedding(now) || own >= most || is_deep {
             return false;
         }
         if !is_cold && !peer.breaker.is_doubtful() {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -37,6 +37,8 @@
 /// Limits of the host.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
+    /// Processor time, in percent of a core.
+    pub processor_percent: u32,
     /// Memory in megabytes.
     pub memory_mb: u64,
     /// File descriptors.
@@ -48,6 +50,8 @@
 pub struct Bounds {
     /// Time from the signal to end until the process is killed.
     pub grace: Span,
+    /// Time after which a leaving target gets no requests.
+    pub drain: Span,
     /// Longest lifetime of a grant.
     pub max_hold: Span,
     /// Retries that are allowed in proportion to the requests of a service.
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -22,6 +22,7 @@
     share::Share,
 };
 use rand::{SeedableRng, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
 use crate::{
@@ -38,7 +39,7 @@
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) assignments: RefCell<BTreeMap<name::Service, Assignment>>,
     /// Hosts of the system, as they registered in the log, with their addresses for each other.
-    pub(crate) hosts: RefCell<BTreeMap<String, Option<SocketAddr>>>,
+    pub(crate) hosts: RefCell<BTreeMap<String, Host>>,
     /// Host that leads, as the log says.
     pub(crate) leader: RefCell<Option<String>>,
     /// What is known of the topics.
@@ -57,8 +58,8 @@
     pub(crate) waiters: RefCell<BTreeMap<Ticket, Waiter>>,
     /// Notified when a request begins to wait.
     pub(crate) queued: Notify,
-    /// Notified when keys change their owners.
-    pub(crate) owners_changed: Notify,
+    /// Notified when the store has news for the other hosts that can't wait.
+    pub(crate) news: Notify,
     /// Whether free places are being given to waiting requests.
     pub(crate) is_serving: Cell<bool>,
     /// Whether the host takes part in a planned stop.
@@ -74,6 +75,15 @@
     pub(crate) requests: Cell<u32>,
 }
 
+/// What a host says of itself in the log.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub(crate) struct Host {
+    /// Address for the other hosts.
+    pub(crate) address: Option<SocketAddr>,
+    /// Processor time, in percent of a core.
+    pub(crate) processor_percent: u32,
+}
+
 /// What a host keeps of one life of a target.
 #[derive(Debug)]
 pub(crate) struct Peer {
@@ -116,7 +126,7 @@
             queue: RefCell::default(),
             waiters: RefCell::default(),
             queued: Notify::new(),
-            owners_changed: Notify::new(),
+            news: Notify::new(),
             is_serving: Cell::new(false),
             is_stopping: Cell::new(false),
             is_closing: Cell::new(false),
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -56,16 +56,15 @@
         (log.tail)(&reply, from)
     }
 
-    /// Appends a record, on condition that the topic ends at an offset if one is given.
+    /// Appends records, all or none, on condition that the topic ends at an offset if one is given.
     pub(crate) async fn append(
         &mut self,
         topic: &str,
         at: Option<Offset>,
-        key: &str,
-        value: &[u8],
+        records: &[(String, Vec<u8>)],
     ) -> Result<Append> {
         let log = self.shared.dialect.log;
-        let call = (log.append)(topic, at, key, value);
+        let call = (log.append)(topic, at, records);
         let reply = self.call(&call, ANSWER).await?;
         (log.appended)(&reply)
     }
--- a/crates/router/src/assignment.rs
+++ b/crates/router/src/assignment.rs
@@ -43,8 +43,9 @@
     pub fence: u64,
 }
 
-/// Ranges of one service, in order and without overlap.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+/// Ranges of one service, in order and without overlap. Each is a record of its own in the log, by
+/// its first key; a change never removes a first key.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Assignment {
     /// Epoch that the next change uses; above all that were used.
     pub next_epoch: u64,
@@ -67,8 +68,9 @@
 impl Assignment {
     /// Returns the range of a key.
     pub fn range(&self, key: Key) -> Option<&Range> {
-        let index = self.ranges.partition_point(|range| range.last < key);
-        self.ranges.get(index).filter(|range| range.first <= key)
+        let after = self.ranges.partition_point(|range| range.first <= key);
+        let range = self.ranges.get(after.checked_sub(1)?)?;
+        (key <= range.last).then_some(range)
     }
 
     /// Returns an epoch that was never used.
@@ -78,6 +80,24 @@
         self.next_epoch - 1
     }
 
+    /// Inserts a range as the log has it, in place of that with the same first key.
+    pub fn put(&mut self, range: Range) {
+        self.next_epoch = self.next_epoch.max(range.epoch + 1);
+        let index = self
+            .ranges
+            .partition_point(|known| known.first < range.first);
+        match self.ranges.get_mut(index) {
+            Some(known) if known.first == range.first => *known = range,
+            _ => self.ranges.insert(index, range),
+        }
+    }
+
+    /// Returns the ranges that differ from an earlier assignment.
+    pub fn changes<'a>(&'a self, earlier: &'a Self) -> impl Iterator<Item = &'a Range> {
+        let is_new = |range: &&Range| earlier.range(range.first) != Some(*range);
+        self.ranges.iter().filter(is_new)
+    }
+
     /// Replaces the range with this epoch by others.
     pub fn replace(&mut self, epoch: u64, ranges: Vec<Range>) {
         if let Some(index) = self.ranges.iter().position(|range| range.epoch == epoch) {
--- a/crates/router/src/heat.rs
+++ b/crates/router/src/heat.rs
@@ -8,8 +8,9 @@
 
 use crate::assignment::{KEYS, Key};
 
-/// Keys that are counted together. Busy keys are close to one another.
-const BUCKET: u32 = 4;
+/// Keys that are counted together. Among hundreds of targets, a few adjacent keys may be more than
+/// one target bears.
+const BUCKET: u32 = 1;
 /// Time in which a count loses half of its weight.
 const HALF_LIFE: Span = Span::from_millis(3_000);
 
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -25,6 +25,11 @@
 
 /// Time after an answered grant at which it is renewed.
 const RENEWAL: Span = Span::from_millis(1_000);
+/// Orders of one service that are sent at once. A host with a small share of a core can't handle
+/// the answers of hundreds of targets in time.
+const MOST_ORDERS: usize = 24;
+/// Time by which renewals differ, so that they don't fall together.
+const SPREAD: Span = Span::from_millis(300);
 /// Time after an unanswered order at which it is repeated.
 const REPETITION: Span = Span::from_millis(300);
 /// Orders in a row without an answer after which a target loses its keys.
@@ -88,8 +93,8 @@
 /// What the leader wants done.
 #[derive(Clone, Debug)]
 pub enum Action {
-    /// Write the assignment of a service to the log.
-    Write(name::Service, Assignment),
+    /// Write the changed ranges of a service to the log, all or none.
+    Write(name::Service, Vec<Range>),
     /// Send an order.
     Send(Order),
     /// Give up leadership: this host reaches hardly any target.
@@ -232,7 +237,16 @@
 
     /// Tells whether more than half of the owners answer nothing.
     fn is_isolated(&self) -> bool {
-        let owners: BTreeSet<&Life> = self.durable.ranges.iter().map(|r| &r.owner).collect();
+        let mut owners: BTreeSet<&Life> = self.durable.ranges.iter().map(|r| &r.owner).collect();
+        let moving = self
+            .durable
+            .ranges
+            .iter()
+            .filter_map(|range| match &range.state {
+                State::Held => None,
+                State::Moving(previous) => Some(previous),
+            });
+        owners.extend(moving.flatten().map(|previous| &previous.life));
         let silent = |life: &&&Life| self.silent.get(**life).is_some_and(|n| *n >= MOST_SILENT);
         owners.len() >= 3 && owners.iter().filter(silent).count() * 2 > owners.len()
     }
@@ -249,7 +263,8 @@
             && self.draft.is_none()
             && let Some(draft) = self.plan(service, tick)
         {
-            actions.push(Action::Write(service.clone(), draft.clone()));
+            let changes = draft.changes(&self.durable).cloned().collect();
+            actions.push(Action::Write(service.clone(), changes));
             self.draft = Some(draft);
         }
     }
@@ -262,19 +277,19 @@
         earlier_until: Instant,
         actions: &mut Vec<Action>,
     ) {
-        for range in self.durable.ranges.clone() {
-            if self.busy.contains(&range.epoch) {
-                continue;
-            }
-            let is_due = self
-                .due
-                .get(&range.epoch)
-                .is_none_or(|due| *due <= tick.now);
+        let is_due = |range: &&Range| {
+            let due = self.due.get(&range.epoch);
+            !self.busy.contains(&range.epoch) && due.is_none_or(|due| *due <= tick.now)
+        };
+        let mut due: Vec<Range> = self.durable.ranges.iter().filter(is_due).cloned().collect();
+        due.sort_by_key(|range| self.due.get(&range.epoch).copied());
+        due.truncate(MOST_ORDERS);
+        for range in due {
             let step = match &range.state {
                 State::Held => self.renewal(&range, tick),
                 State::Moving(previous) => self.advance(&range, previous, tick, earlier_until),
             };
-            let Some((life, fence, verb)) = step.filter(|_| is_due) else {
+            let Some((life, fence, verb)) = step else {
                 continue;
             };
             if let Verb::Grant { hold, .. } = &verb {
@@ -466,7 +481,7 @@
             }
         }
         let pause = match &answer {
-            Answer::Done(_) if order.verb != Verb::Release => RENEWAL,
+            Answer::Done(_) if order.verb != Verb::Release => RENEWAL + spread(order.range),
             Answer::Done(_) => Span::ZERO,
             _ => REPETITION,
         };
@@ -501,6 +516,11 @@
     }
 }
 
+/// Returns a part of the spread that differs between ranges.
+fn spread(epoch: u64) -> Span {
+    Span(epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15) % SPREAD.0)
+}
+
 fn grant(hold: Span, handover: Option<String>) -> Verb {
     Verb::Grant { hold, handover }
 }
--- a/crates/router/src/load.rs
+++ b/crates/router/src/load.rs
@@ -8,6 +8,8 @@
 const SAMPLE_WEIGHT: f64 = 0.2;
 /// Factor by which the mean of work times keeps its value over one sample.
 const WORK_KEPT: f64 = 0.92;
+/// Time for which a target that was full gets nothing. It doubles each time, four times at most.
+const FIRST_SHED_PAUSE: Span = Span::from_millis(25);
 /// Response time assumed of a target that has answered nothing yet.
 const ASSUMED_RESPONSE: Span = Span::from_millis(100);
 
@@ -32,6 +34,8 @@
     response: f64,
     work: f64,
     samples: Samples,
+    sheds: u32,
+    shed_until: Instant,
 }
 
 /// Work times since they were last shared with the leader.
@@ -51,6 +55,8 @@
             response: ASSUMED_RESPONSE.0 as f64,
             work: ASSUMED_RESPONSE.0 as f64,
             samples: Samples::default(),
+            sheds: 0,
+            shed_until: Instant::default(),
         }
     }
 }
@@ -73,6 +79,7 @@
 
     /// Notes the time that an answer took, and the load that came with it.
     pub fn respond(&mut self, elapsed: Span, report: Option<Report>) {
+        self.sheds = 0;
         let elapsed = elapsed.0 as f64;
         self.response += (elapsed - self.response) * SAMPLE_WEIGHT;
         let work = elapsed * report.map_or(1.0, working_part);
@@ -84,6 +91,19 @@
         });
     }
 
+    /// Notes that the target did not run a request because it is full. Other hosts fill it too, so
+    /// it gets nothing for a while.
+    pub fn shed(&mut self, now: Instant) {
+        let pause = FIRST_SHED_PAUSE.scale(1 << self.sheds.min(4), 1);
+        self.shed_until = now + pause;
+        self.sheds += 1;
+    }
+
+    /// Tells whether the target was full a moment ago.
+    pub fn is_shedding(&self, now: Instant) -> bool {
+        now < self.shed_until
+    }
+
     /// Notes work times, the own or those of another host.
     pub fn learn(&mut self, samples: Samples) {
         if samples.count > 0 {
--- a/crates/router/src/plan.rs
+++ b/crates/router/src/plan.rs
@@ -20,8 +20,10 @@
 const LEAST_MOVED: f64 = 4.0;
 /// Part of the difference between two owners that a move shifts at most.
 const MOST_USEFUL: f64 = 0.8;
-/// Ranges that are cut at once for the sake of balance.
-const MOST_CUTS: usize = 3;
+/// Ranges that are cut at once for the sake of balance: one for this many owners, within bounds.
+const OWNERS_PER_CUT: usize = 8;
+const LEAST_CUTS: usize = 3;
+const MOST_CUTS: usize = 16;
 /// A target that can own keys.
 #[derive(Clone, Debug)]
 pub struct Owner {
@@ -213,7 +215,8 @@
 
     /// Moves busy keys from the owners with the most work to those with the least.
     fn cool(&mut self, input: &Input<'_>) -> bool {
-        let cuts = (0..MOST_CUTS).take_while(|_| self.cool_busiest(input));
+        let most = (self.widths.len() / OWNERS_PER_CUT).clamp(LEAST_CUTS, MOST_CUTS);
+        let cuts = (0..most).take_while(|_| self.cool_busiest(input));
         cuts.count() > 0
     }
 
--- a/crates/router/tests/leader.rs
+++ b/crates/router/tests/leader.rs
@@ -97,8 +97,8 @@
     fn step(&mut self) -> bool {
         for action in self.tick() {
             match action {
-                Action::Write(_, assignment) => {
-                    self.durable = assignment;
+                Action::Write(_, ranges) => {
+                    ranges.into_iter().for_each(|range| self.durable.put(range));
                     self.leader.written(&service());
                 }
                 Action::Send(order) => {
