Split following, applying, lease and leadership; name them as the field does

The lease has a type of its own, records that are appended are drafts instead of tuples, and both metrics pages share one exporter. No behaviour changes, but for one: a lease that was lost is not given up in the log any more.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -2,17 +2,15 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Gauge, Histogram, Meter},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
 use ragwortrill_core::{report::Health, time::Span};
+use ragwortrill_entry::exporter::Exporter;
 
 /// Counters and histograms of a daemon.
 #[derive(Debug)]
 pub(crate) struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     duration: Histogram<f64>,
     refusals: Counter<u64>,
     frames: Counter<u64>,
@@ -35,14 +33,10 @@
 
 impl Metrics {
     pub(crate) fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("ragwortrill");
+        let exporter = Exporter::new()?;
+        let meter = exporter.meter();
         Ok(Self {
-            registry,
+            exporter,
             duration: meter
                 .f64_histogram("http.server.request.duration")
                 .with_unit("s")
@@ -65,7 +59,6 @@
                 .with_description("Snapshots that replaced the state")
                 .build(),
             alarms: Alarms::new(&meter),
-            _provider: provider,
         })
     }
 
@@ -110,11 +103,7 @@
 
     /// Returns the Prometheus text page.
     pub(crate) fn page(&self) -> Vec<u8> {
-        let mut page = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut page) {
-            log::warn!("metrics can't be encoded: {error}");
-        }
-        page
+        self.exporter.page()
     }
 }
 
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -95,8 +95,8 @@
             let now = shared.now();
             shared.with_peer(life, |peer| peer.breaker.fail(now));
             if matches!(fault, Fault::Broken(_)) {
-                let mut witness = shared.witness.borrow_mut();
-                witness.broke(now, life, job.fingerprint);
+                let mut crashes_seen = shared.crashes_seen.borrow_mut();
+                crashes_seen.broke(now, life, job.fingerprint);
             }
             Attempt::failed(Outcome::Unknown, fault.to_string())
         }
@@ -198,7 +198,7 @@
             peer.load.respond(elapsed, report);
         }
     });
-    shared.witness.borrow_mut().answered(job.fingerprint);
+    shared.crashes_seen.borrow_mut().answered(job.fingerprint);
     let is_signed = answer.headers.get(headers.signature).is_some();
     let is_encoded = answer.headers.get("content-encoding").is_some();
     let outcome = match status {
--- a/crates/entry/src/lead.rs
+++ b/crates/entry/src/candidacy.rs
@@ -7,10 +7,10 @@
 use tokio::time::sleep;
 
 use crate::{
+    apply::HOST,
     connection::Connection,
-    dialect::{Append, Member, Membership},
-    follow::HOST,
-    reign,
+    dialect::{Append, Draft, Member, Membership},
+    leadership,
     shared::{Host, Shared},
     store::Store,
 };
@@ -49,12 +49,12 @@
 }
 
 /// Keeps the host in the group and leads while the group names it.
-pub(crate) async fn lead(shared: Rc<Shared>) {
+pub(crate) async fn stand(shared: Rc<Shared>) {
     let candidate = Rc::new(Candidacy::default());
     tokio::task::spawn_local(stay(shared.clone(), candidate.clone()));
     loop {
         if candidate.leads.get() && !shared.is_stopping.get() {
-            let outcome = reign::reign(&shared, &candidate).await;
+            let outcome = leadership::lead(&shared, &candidate).await;
             match outcome {
                 Ok(()) => log::info!("leadership ended"),
                 Err(error) => log::warn!(error = format!("{error:#}"); "leadership lost"),
@@ -71,7 +71,12 @@
     let key = format!("{HOST}{host}");
     let topic = shared.dialect.topics.ownership;
     let own = own_record(&shared);
-    let record = |value: &str| [(key.clone(), value.as_bytes().to_vec())];
+    let record = |value: &str| {
+        [Draft {
+            key: key.clone(),
+            value: value.as_bytes().to_vec(),
+        }]
+    };
     let mut generation = 0;
     let mut is_member = false;
     let mut is_registered = false;
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -87,6 +87,15 @@
     pub offset: Offset,
 }
 
+/// A record that is to be appended. An empty value drops the key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Draft {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Vec<u8>,
+}
+
 /// One page of the newest records of all keys.
 #[derive(Clone, Debug)]
 pub struct Page {
@@ -149,9 +158,8 @@
     pub read: fn(topic: &str, from: Offset, wait: Span) -> Call,
     /// Decodes records.
     pub tail: fn(&Reply, from: Offset) -> anyhow::Result<Tail>,
-    /// Appends records, all or none, on condition that the topic ends at an offset. An empty value
-    /// drops the key.
-    pub append: fn(topic: &str, at: Option<Offset>, records: &[(String, Vec<u8>)]) -> Call,
+    /// Appends records, all or none, on condition that the topic ends at an offset.
+    pub append: fn(topic: &str, at: Option<Offset>, records: &[Draft]) -> Call,
     /// Decodes the outcome of an append.
     pub appended: fn(&Reply) -> anyhow::Result<Append>,
     /// Joins the group of hosts, or stays in it.
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -108,7 +108,7 @@
         };
         let fingerprint = fingerprint(&incoming, &authority);
         if shared
-            .witness
+            .crashes_seen
             .borrow()
             .is_barred(incoming.received, fingerprint)
         {
--- a/crates/entry/src/reign.rs
+++ b/crates/entry/src/leadership.rs
@@ -1,8 +1,7 @@
-//! A host's time as leader: it holds a lease in the log, writes assignments and sends orders.
+//! A host's time as leader: it holds the lease, writes ranges of keys and sends orders.
 //!
-//! A lease is renewed by a record that is written on condition of the topic's end, so that no two
-//! hosts renew it. A new leader counts every grant of the earlier one as in force until that
-//! leader's lease and the longest grant have run out.
+//! A new leader counts every grant of the earlier one as in force until that leader's lease and the
+//! longest grant have run out.
 
 use std::{
     cell::{Cell, RefCell},
@@ -12,39 +11,28 @@
 };
 
 use anyhow::{Result, anyhow, bail};
-use ragwortrill_core::{
-    name,
-    number::Offset,
-    time::{Instant, Span},
-};
+use ragwortrill_core::{name, number::Offset, time::Span};
 use ragwortrill_router::{
     assignment::{Assignment, Range, State},
-    leader::{self, Action, Answer, Leader, Order, Tick, Verb},
+    leader::{Action, Answer, Leader, Order, Tick, Verb},
     registration::Life,
 };
-use serde::{Deserialize, Serialize};
 use tokio::{
     sync::Notify,
     time::{sleep, timeout},
 };
 
 use crate::{
+    apply::{self, BARRED, SERVICE},
     call::{Client, Error, Reply},
-    dialect::{Append, Record},
-    follow::{self, BARRED, SERVICE, Subject},
-    lead::Candidacy,
+    candidacy::Candidacy,
+    dialect::{Append, Draft, Record},
+    follow::Subject,
+    lease::Lease,
     shared::Shared,
     store::Store,
 };
 
-/// Lifetime of the lease, from the moment at which its record was sent.
-const LEASE: Span = Span::from_millis(3_000);
-/// Drift between the clocks of two hosts, in percent.
-const DRIFT_PERCENT: u64 = 1;
-/// Pause between two renewals of the lease.
-const LEASE_PAUSE: Duration = Duration::from_millis(700);
-/// Pause after a renewal that was not answered.
-const LEASE_RETRY: Duration = Duration::from_millis(200);
 /// Age of the lease from which grants get the longest lifetime: the store fails, and keys shall
 /// still be owned after the lease is over.
 const LEASE_IN_DANGER: Span = Span::from_millis(1_700);
@@ -52,131 +40,63 @@
 const HOLD: Span = Span::from_millis(4_000);
 /// Age up to which the view of the targets permits to move keys.
 const VIEW_AGE: Span = Span::from_millis(1_500);
+/// Pause before ranges are read back after a write without an answer.
+const RELOAD: Duration = Duration::from_millis(200);
 /// Pause between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
 /// Longest time for a target's answer to a grant.
 const GRANT_ANSWER: Duration = Duration::from_millis(400);
 /// Longest time for a target's answer to a release, which waits for the work on the keys.
 const RELEASE_ANSWER: Duration = Duration::from_millis(2_500);
-/// Key of the lease.
-pub(crate) const TERM: &str = "term";
-
-/// The lease as it stands in the log.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) struct Term {
-    pub(crate) number: u64,
-    pub(crate) host: String,
-    /// Whether the holder gave the lease up and sends no order any more.
-    is_over: bool,
-}
-
-impl Term {
-    fn record(&self) -> Result<(String, Vec<u8>)> {
-        Ok((TERM.to_owned(), serde_json::to_vec(self)?))
-    }
-}
 
 /// State of the leading host.
-struct Reign {
+struct Leadership {
     shared: Rc<Shared>,
     leader: RefCell<Leader>,
-    term: Term,
-    /// When the latest record that renewed the lease was sent.
-    proved: Cell<Instant>,
-    /// End of the topic with the assignments, as this leader wrote it.
+    lease: Rc<Lease>,
+    /// End of the topic with the ranges, as this leader wrote it.
     end: Cell<Offset>,
-    is_over: Cell<bool>,
     clients: RefCell<BTreeMap<Life, Vec<Client>>>,
-    /// Notified when an order is answered or an assignment written.
+    /// Notified when an order is answered or ranges are written.
     progress: Notify,
 }
 
 /// Takes the lease and leads until it is lost, or until the host is no candidate any more.
-pub(crate) async fn reign(shared: &Rc<Shared>, candidate: &Candidacy) -> Result<()> {
+pub(crate) async fn lead(shared: &Rc<Shared>, candidate: &Candidacy) -> Result<()> {
     let mut store = Store::new(shared.clone());
-    let claim = claim(shared, &mut store).await?;
+    let lease = Lease::take(shared, &mut store).await?;
     let (assignments, end) = read(shared, &mut store).await?;
-    let record = [claim.term.record()?];
     let topic = shared.dialect.topics.ownership;
-    // After this record, no earlier leader can write an assignment.
-    let Append::Done(end) = store.append(topic, Some(end), &record).await? else {
+    let claim = [lease.term().record()?];
+    // After this record, no earlier leader can write a range.
+    let Append::Done(end) = store.append(topic, Some(end), &claim).await? else {
         bail!("another record came before the claim");
     };
     log::info!(
-        term = claim.term.number,
-        earlier_grants_ms = claim.earlier_until.since(shared.now()).as_millis();
+        term = lease.term().number,
+        earlier_grants_ms = lease.earlier_until().since(shared.now()).as_millis();
         "leadership taken"
     );
-    let reign = Rc::new(Reign {
+    let leadership = Rc::new(Leadership {
         shared: shared.clone(),
-        leader: RefCell::new(Leader::new(&assignments, claim.earlier_until)),
-        term: claim.term,
-        proved: Cell::new(claim.proved),
+        leader: RefCell::new(Leader::new(&assignments, lease.earlier_until())),
+        lease: lease.clone(),
         end: Cell::new(end),
-        is_over: Cell::new(false),
         clients: RefCell::default(),
         progress: Notify::new(),
     });
-    let lease = tokio::task::spawn_local(keep_lease(reign.clone(), claim.at));
-    let outcome = reign.clone().run(candidate).await;
-    reign.is_over.set(true);
-    let at = lease
-        .await
-        .unwrap_or(Err(anyhow!("the lease's task failed")));
-    if let Ok(at) = at {
-        give_up(&reign, &mut store, at).await?;
+    let keeping = tokio::task::spawn_local(lease.clone().keep());
+    let outcome = leadership.run(candidate).await;
+    let was_in_force = lease.is_in_force();
+    lease.end();
+    // A renewal that is on its way would stand after the record that gives the lease up.
+    let is_kept = matches!(keeping.await, Ok(Ok(())));
+    if is_kept && was_in_force {
+        lease.give_up(&mut store).await?;
     }
     outcome
 }
 
-/// A lease that was taken.
-struct Claim {
-    term: Term,
-    at: Offset,
-    proved: Instant,
-    earlier_until: Instant,
-}
-
-async fn claim(shared: &Shared, store: &mut Store) -> Result<Claim> {
-    let (earlier, at) = read_term(shared, store).await?;
-    let host = shared.settings.borrow().host.to_string();
-    let read_at = shared.now();
-    let term = Term {
-        number: earlier.as_ref().map_or(0, |term| term.number) + 1,
-        host: host.clone(),
-        is_over: false,
-    };
-    let proved = shared.now();
-    let record = [term.record()?];
-    let topic = shared.dialect.topics.terms;
-    let Append::Done(at) = store.append(topic, Some(at), &record).await? else {
-        bail!("another host took the lease");
-    };
-    let max_hold = shared.settings.borrow().bounds.max_hold;
-    let earlier_until = match earlier {
-        None => Instant::default(),
-        // The earlier process of this host has ended.
-        Some(term) if term.is_over || term.host == host => leader::expiry(read_at, max_hold),
-        Some(_) => leader::expiry(read_at + LEASE.scale(100 + DRIFT_PERCENT, 100), max_hold),
-    };
-    Ok(Claim {
-        term,
-        at,
-        proved,
-        earlier_until,
-    })
-}
-
-async fn read_term(shared: &Shared, store: &mut Store) -> Result<(Option<Term>, Offset)> {
-    let (records, end) = store.newest(shared.dialect.topics.terms).await?;
-    let record = records.into_iter().find(|record| record.key == TERM);
-    let value = record.and_then(|record| record.value);
-    let term = value
-        .map(|value| serde_json::from_slice(&value))
-        .transpose()?;
-    Ok((term, end))
-}
-
 async fn read(
     shared: &Shared,
     store: &mut Store,
@@ -184,7 +104,7 @@
     let (records, end) = store.newest(shared.dialect.topics.ownership).await?;
     let mut assignments: BTreeMap<name::Service, Assignment> = BTreeMap::new();
     for Record { key, value, .. } in records {
-        if let (Some(service), Some(value)) = (follow::service(&key), value) {
+        if let (Some(service), Some(value)) = (apply::service(&key), value) {
             let range = serde_json::from_slice(&value)?;
             assignments.entry(service).or_default().put(range);
         }
@@ -192,58 +112,13 @@
     Ok((assignments, end))
 }
 
-/// Renews the lease until the reign is over. Returns the offset after its last record.
-async fn keep_lease(reign: Rc<Reign>, mut at: Offset) -> Result<Offset> {
-    let mut store = Store::new(reign.shared.clone());
-    let topic = reign.shared.dialect.topics.terms;
-    let record = [reign.term.record()?];
-    let mut pause = LEASE_PAUSE;
-    loop {
-        sleep(pause).await;
-        if reign.is_over.get() {
-            return Ok(at);
-        }
-        let sent = reign.shared.now();
-        pause = LEASE_RETRY;
-        match store.append(topic, Some(at), &record).await {
-            Ok(Append::Done(end)) => {
-                at = end;
-                reign.proved.set(sent);
-                pause = LEASE_PAUSE;
-            }
-            Ok(Append::Conflict(end)) => {
-                // An earlier renewal without an answer may have been written.
-                let (term, _) = read_term(&reign.shared, &mut store).await?;
-                if term.as_ref() != Some(&reign.term) {
-                    reign.is_over.set(true);
-                    bail!("another host took the lease");
-                }
-                at = end;
-            }
-            Ok(Append::Refused) => {}
-            Err(error) => log::warn!(error = format!("{error:#}"); "lease not renewed"),
-        }
-    }
-}
-
-/// Notes in the log that this host sends no orders any more.
-async fn give_up(reign: &Reign, store: &mut Store, at: Offset) -> Result<()> {
-    let term = Term {
-        is_over: true,
-        ..reign.term.clone()
-    };
-    let record = [term.record()?];
-    let topic = reign.shared.dialect.topics.terms;
-    store.append(topic, Some(at), &record).await.map(drop)
-}
-
-impl Reign {
+impl Leadership {
     async fn run(self: Rc<Self>, candidate: &Candidacy) -> Result<()> {
         loop {
             if !candidate.leads.get() || self.shared.is_stopping.get() {
                 return Ok(());
             }
-            if !self.is_in_force() {
+            if !self.lease.is_in_force() {
                 bail!("the lease is lost or can't be renewed");
             }
             self.bar_crashing_requests();
@@ -267,11 +142,18 @@
 
     /// Writes which requests crash their targets, so that every host refuses them.
     fn bar_crashing_requests(&self) {
-        let barred = self.shared.inquiry.borrow_mut().judge(self.shared.now());
+        let barred = self
+            .shared
+            .crashes_merged
+            .borrow_mut()
+            .decide(self.shared.now());
         for fingerprint in barred {
             let shared = self.shared.clone();
             tokio::task::spawn_local(async move {
-                let record = [(format!("{BARRED}{fingerprint}"), b"1".to_vec())];
+                let record = [Draft {
+                    key: format!("{BARRED}{fingerprint}"),
+                    value: b"1".to_vec(),
+                }];
                 let topic = shared.dialect.topics.ownership;
                 let mut store = Store::new(shared);
                 if let Err(error) = store.append(topic, None, &record).await {
@@ -281,12 +163,6 @@
         }
     }
 
-    /// Tells whether this host may send orders at this moment.
-    fn is_in_force(&self) -> bool {
-        let age = self.shared.now().since(self.proved.get());
-        !self.is_over.get() && age < LEASE
-    }
-
     fn tick(&self) -> Vec<Action> {
         let now = self.shared.now();
         let config = self.shared.config.borrow().clone();
@@ -305,7 +181,7 @@
         let read_at = read_at.unwrap_or_default();
         drop(mirrors);
         let max_hold = self.shared.settings.borrow().bounds.max_hold;
-        let hold = match now.since(self.proved.get()) >= LEASE_IN_DANGER {
+        let hold = match self.lease.age() >= LEASE_IN_DANGER {
             true => max_hold,
             false => HOLD.min(max_hold),
         };
@@ -348,7 +224,7 @@
             log::info!(
                 service = service.as_str(), first = range.first, last = range.last,
                 epoch = range.epoch, from = from, target = range.owner.id.as_str(),
-                term = self.term.number;
+                term = self.lease.term().number;
                 "keys move"
             );
         }
@@ -360,15 +236,17 @@
         service: &name::Service,
         ranges: &[Range],
     ) -> Result<Offset> {
-        if !self.is_in_force() {
+        if !self.lease.is_in_force() {
             bail!("the lease is over");
         }
         let topic = self.shared.dialect.topics.ownership;
-        let record = |range: &Range| -> Result<(String, Vec<u8>)> {
-            let key = format!("{SERVICE}{service}/{}", range.first);
-            Ok((key, serde_json::to_vec(range)?))
+        let record = |range: &Range| -> Result<Draft> {
+            Ok(Draft {
+                key: format!("{SERVICE}{service}/{}", range.first),
+                value: serde_json::to_vec(range)?,
+            })
         };
-        let records: Vec<(String, Vec<u8>)> = ranges.iter().map(record).collect::<Result<_>>()?;
+        let records: Vec<Draft> = ranges.iter().map(record).collect::<Result<_>>()?;
         match store.append(topic, Some(self.end.get()), &records).await? {
             Append::Done(end) => Ok(end),
             Append::Conflict(_) => Err(anyhow!("another record came first")),
@@ -379,8 +257,8 @@
     /// Reads the assignment back after a write whose outcome is not known or that came second.
     async fn reload(&self, store: &mut Store, service: &name::Service) {
         loop {
-            sleep(LEASE_RETRY).await;
-            if !self.is_in_force() {
+            sleep(RELOAD).await;
+            if !self.lease.is_in_force() {
                 return;
             }
             match read(&self.shared, store).await {
@@ -396,7 +274,7 @@
     }
 
     async fn send(self: Rc<Self>, order: Order) {
-        let answer = match self.is_in_force() {
+        let answer = match self.lease.is_in_force() {
             true => self.call(&order).await,
             false => Answer::Silent,
         };
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,16 +1,20 @@
 //! An entry host that answers callers and sends their requests to targets itself.
 
+mod apply;
 mod attempt;
 pub mod call;
 mod caller;
+mod candidacy;
 pub mod clock;
 mod connection;
 pub mod dialect;
 mod exchange;
+pub mod exporter;
 mod follow;
 mod job;
 pub mod journal;
-mod lead;
+mod leadership;
+mod lease;
 mod link;
 pub mod message;
 mod metrics;
@@ -19,7 +23,7 @@
 mod pool;
 mod proxy;
 mod ready;
-mod reign;
+
 mod relay;
 mod reply;
 mod run;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -2,20 +2,17 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Gauge, Histogram, Meter},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
 use ragwortrill_core::time::Span;
 use ragwortrill_router::verdict::Outcome;
 
-use crate::{follow::Subject, shared::Shared};
+use crate::{exporter::Exporter, follow::Subject, shared::Shared};
 
 /// Counters, histograms and gauges of a host.
 #[derive(Debug)]
 pub(crate) struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     duration: Histogram<f64>,
     wait: Histogram<f64>,
     failures: Counter<u64>,
@@ -40,12 +37,8 @@
 
 impl Metrics {
     pub(crate) fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("ragwortrill");
+        let exporter = Exporter::new()?;
+        let meter = exporter.meter();
         let count = |name, description| {
             let counter = meter.u64_counter(name).with_description(description);
             counter.build()
@@ -80,8 +73,7 @@
                 "Grants and releases of keys, by answer",
             ),
             gauges: Gauges::new(&meter),
-            registry,
-            _provider: provider,
+            exporter,
         })
     }
 
@@ -136,11 +128,7 @@
     /// Returns the Prometheus text page.
     pub(crate) fn page(&self, shared: &Shared) -> Vec<u8> {
         self.gauges.read(shared);
-        let mut page = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut page) {
-            log::warn!(error = error.to_string(); "metrics can't be encoded");
-        }
-        page
+        self.exporter.page()
     }
 }
 
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -21,6 +21,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
+    apply,
     call::{Call, Client},
     dialect::Record,
     follow::{self, Subject},
@@ -82,7 +83,7 @@
         let report = report(&shared);
         let Some(address) = leader(&shared) else {
             // The host leads itself or knows no leader: what it saw counts for its own judgement.
-            judge(&shared, report.crashes, report.acquitted);
+            merge_crashes(&shared, report.crashes, report.acquitted);
             client = None;
             continue;
         };
@@ -117,7 +118,7 @@
         let next = mirrors.get(&subject).and_then(|mirror| mirror.next());
         next.map(|next| (subject, next.0))
     };
-    let (crashes, acquitted) = shared.witness.borrow_mut().take();
+    let (crashes, acquitted) = shared.crashes_seen.borrow_mut().take();
     let mut heat = shared.heat.borrow_mut();
     let mut peers = shared.peers.borrow_mut();
     let work = peers.iter_mut().filter_map(|(life, peer)| {
@@ -155,32 +156,35 @@
     }
     let news: News =
         ciborium::from_reader(reply.body.as_ref()).context("the news can't be read")?;
-    shared.witness.borrow_mut().suspect(news.suspects);
+    shared.crashes_seen.borrow_mut().suspect(news.suspects);
     for (subject, topic) in news.topics {
         learn(shared, sent, subject, topic);
     }
     Ok(())
 }
 
-/// Adds what a host saw of crashes to the inquiry.
-fn judge(
+/// Adds what a host saw of crashes to the crashes_merged.
+fn merge_crashes(
     shared: &Shared,
     crashes: Vec<(Life, Vec<Fingerprint>)>,
     acquitted: BTreeSet<Fingerprint>,
 ) {
     let now = shared.now();
-    let mut inquiry = shared.inquiry.borrow_mut();
+    let mut crashes_merged = shared.crashes_merged.borrow_mut();
     for (life, in_flight) in crashes {
         log::info!(
             target = life.id.as_str(), born = life.born, in_flight = in_flight.len();
             "target crashed with requests in flight"
         );
-        inquiry.report(now, Crash { life, in_flight });
+        crashes_merged.report(now, Crash { life, in_flight });
     }
     for fingerprint in acquitted {
-        inquiry.acquit(fingerprint);
+        crashes_merged.acquit(fingerprint);
     }
-    shared.witness.borrow_mut().suspect(inquiry.suspects());
+    shared
+        .crashes_seen
+        .borrow_mut()
+        .suspect(crashes_merged.suspects());
 }
 
 fn learn(shared: &Rc<Shared>, sent: Instant, subject: Subject, topic: Topic) {
@@ -195,7 +199,7 @@
     if known.is_none_or(|known| known.0 > topic.next) {
         return;
     }
-    follow::apply(shared, subject, records, false);
+    apply::apply(shared, subject, records, false);
     follow::advance(shared, subject, Offset(topic.next), read_at);
 }
 
@@ -225,7 +229,7 @@
             shared.with_peer(&life, |peer| peer.load.learn(Samples { sum, count }));
         }
     }
-    judge(shared, report.crashes, report.acquitted);
+    merge_crashes(shared, report.crashes, report.acquitted);
     let mirrors = shared.mirrors.borrow();
     let topic = |(subject, from): (&Subject, &u64)| {
         let mirror = mirrors.get(subject)?;
@@ -241,7 +245,7 @@
     };
     let news = News {
         topics: report.from.iter().filter_map(topic).collect(),
-        suspects: shared.inquiry.borrow().suspects(),
+        suspects: shared.crashes_merged.borrow().suspects(),
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&news, &mut encoded)?;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -12,10 +12,10 @@
 };
 
 use crate::{
-    caller,
+    caller, candidacy,
     dialect::Dialect,
     follow::{self, Subject},
-    lead, place, ready, relay, service,
+    place, ready, relay, service,
     settings::Settings,
     shared::Shared,
 };
@@ -80,7 +80,7 @@
         tokio::task::spawn_local(follow::follow(shared.clone(), subject));
     }
     tokio::task::spawn_local(relay::exchange(shared.clone()));
-    tokio::task::spawn_local(lead::lead(shared.clone()));
+    tokio::task::spawn_local(candidacy::stand(shared.clone()));
     tokio::task::spawn_local(place::attend(shared.clone()));
     ending.await;
     stop(&shared, &accepting).await;
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     call::{Call, Client, Reply},
-    dialect::{Append, Member, Membership, Record, Tail},
+    dialect::{Append, Draft, Member, Membership, Record, Tail},
     shared::Shared,
 };
 
@@ -61,7 +61,7 @@
         &mut self,
         topic: &str,
         at: Option<Offset>,
-        records: &[(String, Vec<u8>)],
+        records: &[Draft],
     ) -> Result<Append> {
         let log = self.shared.dialect.log;
         let call = (log.append)(topic, at, records);
--- a/crates/router/src/crash.rs
+++ b/crates/router/src/crash.rs
@@ -23,7 +23,7 @@
 
 /// What one host saw.
 #[derive(Clone, Debug, Default)]
-pub struct Witness {
+pub struct Observer {
     broken: BTreeMap<Life, Vec<(Instant, Fingerprint)>>,
     crashes: Vec<Crash>,
     suspects: BTreeSet<Fingerprint>,
@@ -40,7 +40,7 @@
     pub in_flight: Vec<Fingerprint>,
 }
 
-impl Witness {
+impl Observer {
     /// Notes that a request's connection broke before the answer.
     pub fn broke(&mut self, now: Instant, life: &Life, fingerprint: Fingerprint) {
         let broken = self.broken.entry(life.clone()).or_default();
@@ -95,13 +95,13 @@
 
 /// What the leader makes of the crashes that hosts saw.
 #[derive(Clone, Debug, Default)]
-pub struct Inquiry {
+pub struct Merger {
     quarantine: Quarantine,
     open: BTreeMap<Life, (Instant, BTreeSet<Fingerprint>)>,
     closed: BTreeSet<Life>,
 }
 
-impl Inquiry {
+impl Merger {
     /// Notes a crash that a host saw.
     pub fn report(&mut self, now: Instant, crash: Crash) {
         if !self.closed.contains(&crash.life) {
@@ -119,7 +119,7 @@
     }
 
     /// Judges the crashes of which all reports are in. Returns the fingerprints to bar.
-    pub fn judge(&mut self, now: Instant) -> Vec<Fingerprint> {
+    pub fn decide(&mut self, now: Instant) -> Vec<Fingerprint> {
         let complete = self
             .open
             .iter()
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -122,7 +122,7 @@
 /// The leader of all partitioned services.
 #[derive(Clone, Debug)]
 pub struct Leader {
-    desks: BTreeMap<name::Service, Desk>,
+    partitions: BTreeMap<name::Service, Partition>,
     /// When the last grant of an earlier leader has run out.
     earlier_until: Instant,
 }
@@ -136,11 +136,11 @@
     /// Creates the leader from the assignments in the log. Grants of an earlier leader may be in
     /// force until `earlier_until`.
     pub fn new(assignments: &BTreeMap<name::Service, Assignment>, earlier_until: Instant) -> Self {
-        let desk = |(service, assignment): (&name::Service, &Assignment)| {
-            (service.clone(), Desk::new(assignment.clone()))
+        let partition = |(service, assignment): (&name::Service, &Assignment)| {
+            (service.clone(), Partition::new(assignment.clone()))
         };
         Self {
-            desks: assignments.iter().map(desk).collect(),
+            partitions: assignments.iter().map(partition).collect(),
             earlier_until,
         }
     }
@@ -149,33 +149,33 @@
     pub fn tick(&mut self, tick: &Tick<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
         for service in tick.services {
-            let desk = self.desks.entry(service.clone()).or_default();
-            if desk.is_isolated() {
+            let partition = self.partitions.entry(service.clone()).or_default();
+            if partition.is_isolated() {
                 return vec![Action::Resign];
             }
-            desk.tick(service, tick, self.earlier_until, &mut actions);
+            partition.tick(service, tick, self.earlier_until, &mut actions);
         }
         actions
     }
 
     /// Notes that an assignment is in the log.
     pub fn written(&mut self, service: &name::Service) {
-        if let Some(desk) = self.desks.get_mut(service) {
-            desk.written();
+        if let Some(partition) = self.partitions.get_mut(service) {
+            partition.written();
         }
     }
 
     /// Replaces an assignment by what the log holds after a write without an answer.
     pub fn reload(&mut self, service: &name::Service, assignment: Assignment) {
-        let desk = self.desks.entry(service.clone()).or_default();
-        desk.durable = assignment;
-        desk.draft = None;
+        let partition = self.partitions.entry(service.clone()).or_default();
+        partition.durable = assignment;
+        partition.draft = None;
     }
 
     /// Notes the answer to an order.
     pub fn answer(&mut self, now: Instant, order: &Order, answer: Answer) {
-        if let Some(desk) = self.desks.get_mut(&order.service) {
-            desk.answer(now, order, answer);
+        if let Some(partition) = self.partitions.get_mut(&order.service) {
+            partition.answer(now, order, answer);
         }
     }
 }
@@ -202,7 +202,7 @@
 }
 
 #[derive(Clone, Debug, Default)]
-struct Desk {
+struct Partition {
     durable: Assignment,
     draft: Option<Assignment>,
     moves: BTreeMap<u64, Progress>,
@@ -217,7 +217,7 @@
     balanced: Instant,
 }
 
-impl Desk {
+impl Partition {
     fn new(durable: Assignment) -> Self {
         // An earlier leader may have granted the ranges that it moved.
         let moving = durable.ranges.iter().filter(|range| !range.is_held());
@@ -508,7 +508,7 @@
     }
 }
 
-impl Desk {
+impl Partition {
     /// Tells whether an order is about a range as it is written now.
     fn is_current(&self, order: &Order) -> bool {
         let range = self.durable.range(order.first);
--- a/crates/router/src/plan.rs
+++ b/crates/router/src/plan.rs
@@ -9,7 +9,7 @@
 };
 
 /// Targets among which the keys of a leaving target are divided.
-const HEIRS: u32 = 4;
+const MOST_RECEIVERS: u32 = 4;
 /// Requests, as counted by [`Heat`], below which the counts tell nothing.
 const LEAST_HEAT: f64 = 100.0;
 /// An owner passes keys on if its load is above the mean by this part of it...
@@ -57,11 +57,11 @@
         return Some(divide(assignment, &receivers));
     }
     let mut plan = Plan::new(assignment.clone(), receivers);
-    if plan.inherit(input.must_leave) {
+    if plan.reassign(input.must_leave) {
         return Some(plan.assignment);
     }
     let is_settled = assignment.ranges.iter().all(Range::is_held);
-    if is_settled && plan.fill() || input.may_balance && plan.cool(input) {
+    if is_settled && plan.fill() || input.may_balance && plan.balance(input) {
         return Some(plan.assignment);
     }
     None
@@ -117,14 +117,14 @@
     }
 
     /// Divides the ranges of leaving owners among those that have the fewest keys.
-    fn inherit(&mut self, must_leave: &dyn Fn(&Range) -> bool) -> bool {
+    fn reassign(&mut self, must_leave: &dyn Fn(&Range) -> bool) -> bool {
         let ranges = self.assignment.ranges.iter();
         let leaving: Vec<Range> = ranges.filter(|range| must_leave(range)).cloned().collect();
         for range in &leaving {
             let fair = KEYS / self.widths.len().max(1) as u32;
-            let parts = (range.width() * HEIRS)
+            let parts = (range.width() * MOST_RECEIVERS)
                 .div_ceil(fair.max(1))
-                .clamp(1, HEIRS);
+                .clamp(1, MOST_RECEIVERS);
             let parts = parts.min(self.widths.len() as u32).min(range.width());
             self.split(range, parts);
         }
@@ -137,8 +137,8 @@
         for part in 0..parts {
             let begin = first + range.width() * part / parts;
             let end = first + range.width() * (part + 1) / parts - 1;
-            let heir = self.narrowest(&range.owner);
-            pieces.push(self.moved(range, begin as Key, end as Key, heir));
+            let receiver = self.narrowest(&range.owner);
+            pieces.push(self.moved(range, begin as Key, end as Key, receiver));
         }
         self.assignment.replace(range.epoch, pieces);
     }
@@ -175,29 +175,32 @@
     /// decides: the owner of busy keys has few of them.
     fn fill(&mut self) -> bool {
         let fair = KEYS / self.widths.len().max(1) as u32;
-        let poor = self.widths.iter().min_by_key(|(_, width)| **width);
-        let Some((poor, width)) = poor.map(|(life, width)| (life.clone(), *width)) else {
+        let empty = self.widths.iter().min_by_key(|(_, width)| **width);
+        let Some((empty, width)) = empty.map(|(life, width)| (life.clone(), *width)) else {
             return false;
         };
         if width > 0 {
             return false;
         }
         let mut missing = fair;
-        for _ in 0..HEIRS {
-            let richest = self.widths.iter().max_by_key(|(_, width)| **width);
-            let Some((rich, width)) = richest.map(|(life, width)| (life.clone(), *width)) else {
+        for _ in 0..MOST_RECEIVERS {
+            let widest_owner = self.widths.iter().max_by_key(|(_, width)| **width);
+            let Some((owner, width)) = widest_owner.map(|(life, width)| (life.clone(), *width))
+            else {
                 break;
             };
             let held = self
                 .assignment
                 .ranges
                 .iter()
-                .filter(|r| r.owner == rich && r.is_held());
+                .filter(|r| r.owner == owner && r.is_held());
             let widest = held.max_by_key(|range| range.width()).cloned();
             let (Some(widest), true) = (widest, width > fair / 2 && missing > 0) else {
                 break;
             };
-            let wanted = missing.min(fair / HEIRS + 1).min(widest.width() / 2);
+            let wanted = missing
+                .min(fair / MOST_RECEIVERS + 1)
+                .min(widest.width() / 2);
             if wanted == 0 {
                 break;
             }
@@ -206,22 +209,22 @@
                 last: widest.last,
                 heat: 0.0,
             };
-            self.give(&widest, end, &poor);
-            *self.widths.entry(rich).or_default() -= wanted;
+            self.give(&widest, end, &empty);
+            *self.widths.entry(owner).or_default() -= wanted;
             missing -= wanted;
         }
         true
     }
 
     /// Moves busy keys from the owners with the most work to those with the least.
-    fn cool(&mut self, input: &Input<'_>) -> bool {
+    fn balance(&mut self, input: &Input<'_>) -> bool {
         let most = (self.widths.len() / OWNERS_PER_CUT).clamp(LEAST_CUTS, MOST_CUTS);
-        let cuts = (0..most).take_while(|_| self.cool_busiest(input));
+        let cuts = (0..most).take_while(|_| self.relieve_busiest(input));
         cuts.count() > 0
     }
 
     /// Takes keys from the busiest owner that can pass some on usefully.
-    fn cool_busiest(&mut self, input: &Input<'_>) -> bool {
+    fn relieve_busiest(&mut self, input: &Input<'_>) -> bool {
         let mut loads = self.loads(input);
         let total: f64 = loads.iter().map(|load| load.heat).sum();
         let mean = loads.iter().map(|load| load.work).sum::<f64>() / loads.len().max(1) as f64;
