Let a planned stop refuse what waits; read the store less while hosts register

Ruled out: the targets (they had answered after 0.2 s).

Change: during a planned stop one request of a connection runs at a time; after the load balancer has noticed, requests that wait or would try again are refused as not run; the stop ends at 88% of the grace period. The leader reads targets every 300 ms and answers reports within 550 ms; hosts read the ownership topic every 500 ms until one leads.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -153,7 +153,7 @@
 impl Session {
     /// Starts the requests that are complete.
     fn parse(&mut self) {
-        while !self.is_closed && self.pending.len() < MOST_PIPELINED {
+        while !self.is_closed && self.pending.len() < self.most_pending() {
             let started = match self.partial.take() {
                 Some(partial) => self.continue_body(partial),
                 None => self.start_head(),
@@ -166,6 +166,15 @@
         }
     }
 
+    /// Returns how many requests run at the same time. During a planned stop it is one: the answer
+    /// closes the connection, and requests behind it count as not read.
+    fn most_pending(&self) -> usize {
+        match self.shared.is_stopping.get() {
+            true => 1,
+            false => MOST_PIPELINED,
+        }
+    }
+
     fn start_head(&mut self) -> Result<bool, Problem> {
         let limits = self.limits();
         let head = message::take_request(&mut self.buffer, limits.header_bytes);
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -15,7 +15,10 @@
 /// Longest wait of a read for a new record. A silent connection is noticed soon after.
 const WAIT: Span = Span::from_millis(2_000);
 /// Pause between two reads of the targets' entries, which change with every heartbeat.
-const TARGETS_PAUSE: Duration = Duration::from_millis(400);
+const TARGETS_PAUSE: Duration = Duration::from_millis(300);
+/// Pause between two reads of the ownership topic until a host leads. All hosts register at that
+/// time, and a read that waits would end with each of them.
+const GATHERING_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after a failed call. It doubles up to the longest one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MOST_PAUSE: Duration = Duration::from_millis(300);
@@ -93,7 +96,11 @@
             continue;
         }
         // A read that waits would hide the store's return for as long.
-        let wait = if is_lost { Span::ZERO } else { subject.wait() };
+        let is_gathering = subject == Subject::Ownership && shared.leader.borrow().is_none();
+        let wait = match is_lost || is_gathering {
+            true => Span::ZERO,
+            false => subject.wait(),
+        };
         let outcome = step(&shared, &mut store, subject, wait).await;
         note_store(&shared, outcome.is_ok());
         let topic = subject.topic(&shared);
@@ -104,6 +111,9 @@
                 }
                 is_lost = false;
                 backoff = FIRST_PAUSE;
+                if is_gathering {
+                    sleep(GATHERING_PAUSE).await;
+                }
                 if subject == Subject::Targets {
                     pause(&shared).await;
                 }
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -48,6 +48,9 @@
             return Err(Problem::refusal(reason, RETRY_ABSENT_MS));
         }
     };
+    if shared.refuses_waiting.get() {
+        return Err(STOPPING);
+    }
     let reserve = reserve(job);
     let left = job.deadline.since(now);
     if left <= reserve {
@@ -77,6 +80,18 @@
     }
 }
 
+/// Refusal of a request that a planned stop leaves no time to wait.
+const STOPPING: Problem = Problem::refusal("the host stops", RETRY_BUSY_MS);
+
+/// Refuses the requests that wait, and lets none wait any more: the host stops soon.
+pub(crate) fn refuse_waiting(shared: &Shared) {
+    shared.refuses_waiting.set(true);
+    let waiters = std::mem::take(&mut *shared.waiters.borrow_mut());
+    for waiter in waiters.into_values() {
+        let _ = waiter.found.send(Err(STOPPING));
+    }
+}
+
 /// Time that a request needs at a target at least, so that waiting longer is in vain.
 fn reserve(job: &Job) -> Span {
     job.rule.objective.scale(1, 3)
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -97,6 +97,14 @@
             next = verdict::decide(job.rule.kind, attempt.outcome, job.may_have_run, left);
         }
         job.may_have_run |= attempt.outcome == Outcome::Unknown;
+        if next == Next::Retry && shared.refuses_waiting.get() {
+            // A planned stop leaves no time for another attempt.
+            next = if job.may_have_run {
+                Next::Fail
+            } else {
+                Next::Refuse
+            };
+        }
         shared.metrics.attempted(attempt.outcome);
         note(shared, &job, &target, &attempt, next);
         match (next, attempt.reply) {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -38,7 +38,7 @@
 /// answers as often.
 const HELD_HOSTS: u32 = 16;
 /// Longest time for which the leader keeps a report.
-const MOST_HELD: Duration = Duration::from_millis(800);
+const MOST_HELD: Duration = Duration::from_millis(550);
 /// Longest time for an answer besides that.
 const ANSWER: Duration = Duration::from_millis(400);
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -24,7 +24,7 @@
 /// connections.
 const NOTICE: Duration = Duration::from_millis(3_200);
 /// Part of the grace period, in percent, after which requests that still run are cut.
-const GRACE_PERCENT: u64 = 94;
+const GRACE_PERCENT: u64 = 88;
 /// Pause between two looks at the requests that still run.
 const LOOK: Duration = Duration::from_millis(20);
 /// Connections that wait to be accepted.
@@ -105,6 +105,7 @@
     accepting.abort();
     shared.is_closing.set(true);
     shared.closing.notify_waiters();
+    place::refuse_waiting(shared);
     let limit = grace.scale(GRACE_PERCENT, 100);
     let drained = async {
         while shared.callers.get() > 0 || shared.requests.get() > 0 {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -65,6 +65,8 @@
     pub(crate) is_serving: Cell<bool>,
     /// Whether the host takes part in a planned stop.
     pub(crate) is_stopping: Cell<bool>,
+    /// Whether requests are refused that would have to wait.
+    pub(crate) refuses_waiting: Cell<bool>,
     /// Whether idle connections of callers are closed, and the notice of it.
     pub(crate) is_closing: Cell<bool>,
     pub(crate) closing: Notify,
@@ -132,6 +134,7 @@
             news: Notify::new(),
             is_serving: Cell::new(false),
             is_stopping: Cell::new(false),
+            refuses_waiting: Cell::new(false),
             is_closing: Cell::new(false),
             closing: Notify::new(),
             knows_targets: Cell::new(false),
