Bound the age of the leader's news of the configuration

Change: the accepted age of these news follows the bound of a configuration, as that of the targets follows the drain bound (bound less 700 ms); the leader's reads of the topic wait 600 ms, so that their end tells in time that nothing is new.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -10,10 +10,13 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use crate::{apply::apply, dialect::Tail, shared::Shared, store::Store};
+use crate::{apply::apply, dialect::Tail, settings::Bounds, shared::Shared, store::Store};
 
 /// Longest wait of a read for a new record. A silent connection is noticed soon after.
 const WAIT: Span = Span::from_millis(2_000);
+/// The same for the operators' topic. A read tells that nothing is new only when it ends, and other
+/// hosts rely on that for less than the bound of a configuration.
+const OPERATORS_WAIT: Span = Span::from_millis(600);
 /// Pause between two reads of the targets' entries, which change with every heartbeat.
 const TARGETS_PAUSE: Duration = Duration::from_millis(300);
 /// Pause between two reads of the ownership topic until a host leads. All hosts register at that
@@ -22,9 +25,6 @@
 /// Pause after a failed call. It doubles up to the longest one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MOST_PAUSE: Duration = Duration::from_millis(300);
-/// Time that is left of the drain bound when news of the targets are too old and an own read
-/// takes their place.
-const DRAIN_MARGIN: Span = Span::from_millis(700);
 /// Age up to which what the leader tells replaces an own read that would wait for news.
 const WAITING_AGE: Span = Span::from_millis(4_300);
 /// Pause between two looks at whether the leader still tells what is new.
@@ -69,15 +69,18 @@
     fn wait(self) -> Span {
         match self {
             Self::Targets => Span::ZERO,
-            _ => WAIT,
+            Self::Operators => OPERATORS_WAIT,
+            Self::Ownership => WAIT,
         }
     }
 
     /// Returns the age up to which what the leader tells replaces an own read.
     fn most_age(self, shared: &Shared) -> Span {
+        let bounds = &shared.settings.borrow().bounds;
         match self {
-            Self::Targets => shared.settings.borrow().bounds.drain - DRAIN_MARGIN,
-            _ => WAITING_AGE,
+            Self::Targets => Bounds::news_age(bounds.drain),
+            Self::Operators => Bounds::news_age(bounds.config_apply),
+            Self::Ownership => WAITING_AGE,
         }
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -52,6 +52,8 @@
     pub grace: Span,
     /// Time after which a leaving target gets no requests.
     pub drain: Span,
+    /// Time after which a configuration is in force.
+    pub config_apply: Span,
     /// Longest lifetime of a grant.
     pub max_hold: Span,
     /// Retries that are allowed in proportion to the requests of a service.
@@ -65,3 +67,15 @@
     /// Bounds by the platform's names, for logs.
     pub stated: BTreeMap<String, String>,
 }
+
+/// Time that is left of a bound when news are too old and an own read takes their place: for the
+/// read, a repetition of it and the requests that are on their way.
+const READ_MARGIN: Span = Span::from_millis(700);
+
+impl Bounds {
+    /// Returns the age up to which news that another host tells replace an own read, if they must
+    /// be known within a time.
+    pub fn news_age(within: Span) -> Span {
+        within - READ_MARGIN
+    }
+}
