--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -201,19 +201,28 @@
     count: usize,
 }
 
+/// State of one service. Ranges are identified by their epochs.
 #[derive(Clone, Debug, Default)]
 struct Partition {
+    /// The ranges as they are written.
     durable: Assignment,
+    /// The ranges as they are being written.
     draft: Option<Assignment>,
     moves: BTreeMap<u64, Progress>,
     /// Ranges whose owner knows a higher epoch.
     refused: BTreeSet<u64>,
+    /// When the next order of a range is due.
     due: BTreeMap<u64, Instant>,
+    /// Ranges with an order that is not answered yet.
     busy: BTreeSet<u64>,
+    /// When the last grant to a target has run out.
     until: BTreeMap<Life, Instant>,
+    /// Orders in a row that a target has not answered.
     silent: BTreeMap<Life, u32>,
+    /// Targets that can't hold keys any more.
     ended: BTreeSet<Life>,
     gathering: Option<Gathering>,
+    /// When the balance was last looked at.
     balanced: Instant,
 }
 
@@ -283,8 +292,12 @@
         };
         let mut due: Vec<Range> = self.durable.ranges.iter().filter(is_due).cloned().collect();
         due.sort_by_key(|range| self.due.get(&range.epoch).copied());
-        due.truncate(MOST_ORDERS);
+        let mut sent = 0;
         for range in due {
+            // Ranges that can't be ordered at this moment must not keep the others waiting.
+            if sent == MOST_ORDERS {
+                break;
+            }
             let step = match &range.state {
                 State::Held => self.renewal(&range, tick),
                 State::Moving(previous) => self.advance(&range, previous, tick, earlier_until),
@@ -296,6 +309,7 @@
                 let until = self.until.entry(life.clone()).or_default();
                 *until = (*until).max(expiry(tick.now, *hold));
             }
+            sent += 1;
             self.busy.insert(range.epoch);
             actions.push(Action::Send(Order {
                 service: service.clone(),
--- a/crates/router/tests/leader.rs
+++ b/crates/router/tests/leader.rs
@@ -26,6 +26,7 @@
     grants: BTreeMap<(String, u16, u16), (u64, Instant)>,
     silent: Vec<String>,
     is_current: bool,
+    cannot_write: bool,
     orders: Vec<Order>,
 }
 
@@ -59,6 +60,7 @@
             grants: BTreeMap::new(),
             silent: Vec::new(),
             is_current: true,
+            cannot_write: false,
             orders: Vec::new(),
         };
         for id in targets {
@@ -97,6 +99,7 @@
     fn step(&mut self) -> bool {
         for action in self.tick() {
             match action {
+                Action::Write(..) if self.cannot_write => {}
                 Action::Write(_, ranges) => {
                     ranges.into_iter().for_each(|range| self.durable.put(range));
                     self.leader.written(&service());
@@ -365,6 +368,26 @@
     }
 }
 
+/// Guards against renewals that wait behind ranges of leaving targets, while no change can be
+/// written: with more than 24 such ranges, all other grants ran out.
+#[test]
+fn ranges_that_can_not_move_yet_delay_no_renewal() {
+    let names: Vec<String> = (0..60).map(|index| format!("t{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut world = World::new(&names);
+    world.run(Span::from_secs(4));
+    for name in &names[..30] {
+        world.drain(name);
+    }
+    world.cannot_write = true;
+    world.run(Span::from_secs(6));
+    let held = |name: &&str| {
+        let grants = world.grants.iter().filter(|((id, _, _), _)| id == *name);
+        grants.into_iter().any(|(_, (_, end))| *end > world.now)
+    };
+    assert!(names[30..].iter().all(|name| held(&name)));
+}
+
 /// Guards against a host that takes the keys of all targets because its own network is cut.
 #[test]
 fn leader_that_reaches_few_targets_resigns() {
