Register a host again if its record is removed late

Cause: found by reading: the record by which a stopped process leaves may be carried out after its successor has registered; the successor would have no address for the others and no share in limits.

Change: a host that is not among the known hosts registers again after 3 s.

--- a/crates/entry/src/candidacy.rs
+++ b/crates/entry/src/candidacy.rs
@@ -19,6 +19,8 @@
 const GROUP_TTL: Span = Span::from_millis(2_000);
 /// Pause between two calls to the group.
 const GROUP_PAUSE: Duration = Duration::from_millis(600);
+/// Time after which a host that is not among the known hosts registers again.
+const REGISTRATION: Span = Span::from_secs(3);
 /// Multiple of a host's processor time with which another host should lead in its place.
 const STRONGER: u32 = 2;
 /// Time for which a strong host counts as alive after it was reached.
@@ -79,12 +81,18 @@
     };
     let mut generation = 0;
     let mut is_member = false;
-    let mut is_registered = false;
+    let mut registered_at = None;
     let mut strong = Strong::default();
     while !shared.is_stopping.get() {
-        if !is_registered {
+        // An earlier process of this host may remove the record late.
+        let is_known = shared.hosts.borrow().contains_key(&host);
+        let now = shared.now();
+        let is_due = registered_at.is_none_or(|at| now.since(at) >= REGISTRATION);
+        if !is_known && is_due {
             let appended = store.append(topic, None, &record(&own)).await;
-            is_registered = matches!(appended, Ok(Append::Done(_)));
+            if matches!(appended, Ok(Append::Done(_))) {
+                registered_at = Some(now);
+            }
         }
         let is_out = shared.now() < candidate.abstains_until.get();
         let abstains = is_out || is_weak(&shared) && strong.is_alive(&shared).await;
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -14,7 +14,6 @@
     registration::{Life, Registration},
     share::Cold,
 };
-
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{job::Job, shared::Shared};
--- a/crates/router/tests/leader.rs
+++ b/crates/router/tests/leader.rs
@@ -382,10 +382,10 @@
     world.cannot_write = true;
     world.run(Span::from_secs(6));
     let held = |name: &&str| {
-        let grants = world.grants.iter().filter(|((id, _, _), _)| id == *name);
-        grants.into_iter().any(|(_, (_, end))| *end > world.now)
+        let mut grants = world.grants.iter().filter(|((id, _, _), _)| id == *name);
+        grants.any(|(_, (_, end))| *end > world.now)
     };
-    assert!(names[30..].iter().all(|name| held(&name)));
+    assert!(names[30..].iter().all(held));
 }
 
 /// Guards against a host that takes the keys of all targets because its own network is cut.
