Release the keys of a target's earlier life also when it restarted in place

The way found by reading that gives this: a target restarts with its id and address, a renewal meant for its earlier life reaches the new one just before the leader knows of it, and the leader takes the earlier life for ended.

Ruled out: nothing for certain.

Change: a later life proves an end only with another id at the address or another address of the id; otherwise the keys are released by a call, whose higher epoch also bars late grants.

Figures: next_life_with_the_same_id_releases_what_it_was_granted fails without the change.

--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -539,15 +539,21 @@
     Verb::Grant { hold, handover }
 }
 
-/// Tells whether a target's id or address belongs to a later life now, so that it has ended. An
-/// earlier life proves nothing: this host's view may be old.
+/// Tells whether a target's id or address belongs to a later life now, so that it has ended and
+/// takes no grant any more.
+///
+/// An earlier life proves nothing: this host's view may be old. Nor does a later life with the same
+/// id at the same address: it may have taken a grant that was meant for the earlier one, and
+/// releases it when asked.
 fn is_replaced(life: &Life, fleet: &Fleet) -> bool {
-    let lives = fleet
+    let mut lives = fleet
         .targets()
         .values()
         .map(|target| &target.registration.life);
-    let mut same = lives.filter(|other| other.id == life.id || other.address == life.address);
-    same.any(|other| other.born > life.born && life.born > 0)
+    lives.any(|other| {
+        let shares_one = (other.id == life.id) != (other.address == life.address);
+        shares_one && other.born > life.born && life.born > 0
+    })
 }
 
 impl Order {
--- a/crates/router/tests/leader.rs
+++ b/crates/router/tests/leader.rs
@@ -368,6 +368,22 @@
     }
 }
 
+/// Guards against a grant beside one that the next life of the earlier owner took: it restarted with
+/// its id and address, and a renewal reached it before the leader knew (OWNER on hunt-9551-3 of
+/// cnu-pasarela).
+#[test]
+fn next_life_with_the_same_id_releases_what_it_was_granted() {
+    let mut world = World::new(&["a", "b", "c"]);
+    world.run(Span::from_secs(3));
+    let before = world.orders.len();
+    world.register(registration("a", 2));
+    // Every grant is checked against the grants that targets hold, by their ids.
+    world.run(Span::from_secs(4));
+    assert!(world.is_settled());
+    let later = &world.orders[before..];
+    assert!(later.iter().any(|order| order.verb == Verb::Release));
+}
+
 /// Guards against renewals that wait behind ranges of leaving targets, while no change can be
 /// written: with more than 24 such ranges, all other grants ran out.
 #[test]
