Order nothing for ranges of which a change is being written

A new owner that had been silent was to lose a range before its first grant. While that change was being written, it answered again and got the grant; the written change did not count it, and the next owner was granted beside it.

Ruled out: late grants and restarts (the trace has neither: one leader sent both grants within 16 ms).

Change: while a change is being written, ranges that it replaces get no order.

Figures: range_that_is_being_changed_gets_no_grant fails without the change (a target still holds keys that another is granted) and passes with it.

--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -288,9 +288,15 @@
         earlier_until: Instant,
         actions: &mut Vec<Action>,
     ) {
+        let draft = self.draft.as_ref();
+        let kept = draft.map(|draft| draft.ranges.iter().map(|range| range.epoch).collect());
+        let kept: Option<BTreeSet<u64>> = kept;
         let is_due = |range: &&Range| {
             let due = self.due.get(&range.epoch);
-            !self.busy.contains(&range.epoch) && due.is_none_or(|due| *due <= tick.now)
+            // The change that is being written does not count a grant that is sent meanwhile.
+            let is_kept = kept.as_ref().is_none_or(|kept| kept.contains(&range.epoch));
+            let is_busy = self.busy.contains(&range.epoch);
+            is_kept && !is_busy && due.is_none_or(|due| *due <= tick.now)
         };
         let mut due: Vec<Range> = self.durable.ranges.iter().filter(is_due).cloned().collect();
         due.sort_by_key(|range| self.due.get(&range.epoch).copied());
--- a/crates/router/tests/leader.rs
+++ b/crates/router/tests/leader.rs
@@ -7,7 +7,7 @@
     time::{Instant, Span},
 };
 use ragwortrill_router::{
-    assignment::{Assignment, State},
+    assignment::{Assignment, Range, State},
     fleet::Fleet,
     leader::{Action, Answer, Leader, Order, Tick, Verb},
     registration::{Life, Registration},
@@ -29,6 +29,9 @@
     takes_late: bool,
     is_current: bool,
     cannot_write: bool,
+    /// Time that a write takes, and the writes on their way.
+    write_time: Span,
+    writes: Vec<(Instant, Vec<Range>)>,
     orders: Vec<Order>,
 }
 
@@ -64,6 +67,8 @@
             takes_late: false,
             is_current: true,
             cannot_write: false,
+            write_time: Span::ZERO,
+            writes: Vec::new(),
             orders: Vec::new(),
         };
         for id in targets {
@@ -100,12 +105,13 @@
 
     /// Carries out what is due. Returns whether the leader resigns.
     fn step(&mut self) -> bool {
+        self.complete_writes();
         for action in self.tick() {
             match action {
                 Action::Write(..) if self.cannot_write => {}
                 Action::Write(_, ranges) => {
-                    ranges.into_iter().for_each(|range| self.durable.put(range));
-                    self.leader.written(&service());
+                    self.writes.push((self.now + self.write_time, ranges));
+                    self.complete_writes();
                 }
                 Action::Send(order) => {
                     let answer = self.obey(&order);
@@ -118,6 +124,18 @@
         false
     }
 
+    fn complete_writes(&mut self) {
+        let writes = std::mem::take(&mut self.writes);
+        for (at, ranges) in writes {
+            if at > self.now {
+                self.writes.push((at, ranges));
+                continue;
+            }
+            ranges.into_iter().for_each(|range| self.durable.put(range));
+            self.leader.written(&service());
+        }
+    }
+
     fn tick(&mut self) -> Vec<Action> {
         self.leader.tick(&Tick {
             now: self.now,
@@ -325,6 +343,36 @@
     assert_eq!(world.owners(), ["b", "c"]);
 }
 
+/// Guards against a grant to a new owner while the change that takes the keys from it again is being
+/// written: the next owner was granted beside it (OWNER on trouble-1 of cnu-pasarela, seed
+/// 1016544882945).
+#[test]
+fn range_that_is_being_changed_gets_no_grant() {
+    let mut world = World::new(&["a", "b", "c", "d"]);
+    world.run(Span::from_secs(3));
+    let to_new_owner = world
+        .orders
+        .iter()
+        .rev()
+        .find(|o| o.life.id.as_str() == "c");
+    let renewal = to_new_owner.cloned().unwrap();
+    // Keys of `a` are on their way to `c` and others, and wait for its release.
+    world.silent.push("a".to_owned());
+    world.drain("a");
+    world.run(Span::from_millis(100));
+    // `c` gets no keys because it is silent, and answers while that is being written.
+    world.write_time = Span::from_millis(600);
+    for _ in 0..3 {
+        world.leader.answer(world.now, &renewal, Answer::Silent);
+    }
+    world.step();
+    world.leader.answer(world.now, &renewal, Answer::Done(None));
+    world.silent.clear();
+    // Every grant is checked against the grants that other targets hold.
+    world.run(Span::from_secs(6));
+    assert!(world.is_settled());
+}
+
 /// Guards against a change of leader that moves keys.
 #[test]
 fn new_leader_renews_the_same_grants() {
