Count the age of the leader's news from the store's statement

Cause: a host counted news from the moment at which it sent its report, though the leader keeps a report for up to 550 ms; so news seemed older than the bound and hosts read the store besides. Ruled out: news that are really too old: the leader reads each topic every 300 to 600 ms. Change: the leader states for how long it kept the report; router::news computes the moment.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -16,7 +16,7 @@
     request::Fingerprint,
     time::{Instant, Span},
 };
-use ragwortrill_router::{crash::Crash, load::Samples, registration::Life};
+use ragwortrill_router::{crash::Crash, load::Samples, news::Stamp, registration::Life};
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
@@ -60,6 +60,8 @@
 /// What the leader tells a host.
 #[derive(Debug, Deserialize, Serialize)]
 struct News {
+    /// Microseconds for which the leader kept the host's report.
+    held: u64,
     topics: BTreeMap<Subject, Topic>,
     /// Requests that may crash their targets.
     suspects: BTreeSet<Fingerprint>,
@@ -158,7 +160,12 @@
         ciborium::from_reader(reply.body.as_ref()).context("the news can't be read")?;
     shared.crashes_seen.borrow_mut().suspect(news.suspects);
     for (subject, topic) in news.topics {
-        learn(shared, sent, subject, topic);
+        let stamp = Stamp {
+            held: Span(news.held),
+            age: Span(topic.age),
+        };
+        let stated_at = stamp.stated_at(sent).min(shared.now());
+        learn(shared, stated_at, subject, topic);
     }
     Ok(())
 }
@@ -187,24 +194,24 @@
         .suspect(crashes_merged.suspects());
 }
 
-fn learn(shared: &Rc<Shared>, sent: Instant, subject: Subject, topic: Topic) {
+fn learn(shared: &Rc<Shared>, stated_at: Instant, subject: Subject, topic: Topic) {
     let record = |(key, value, offset): (String, Option<Vec<u8>>, u64)| Record {
         key,
         value: value.map(Bytes::from),
         offset: Offset(offset),
     };
     let records: Vec<Record> = topic.records.into_iter().map(record).collect();
-    let read_at = sent - Span(topic.age);
     let known = follow::next(shared, subject);
     if known.is_none_or(|known| known.0 > topic.next) {
         return;
     }
     apply::apply(shared, subject, records, false);
-    follow::advance(shared, subject, Offset(topic.next), read_at);
+    follow::advance(shared, subject, Offset(topic.next), stated_at);
 }
 
 /// Answers a host's report, as soon as the configuration or an owner changes, or after a time.
 pub(crate) async fn answer(shared: &Shared, body: &[u8]) -> Result<Vec<u8>> {
+    let arrived = shared.now();
     let report: Report = ciborium::from_reader(body).context("the report can't be read")?;
     let is_new = |subject| {
         let from = report.from.get(&subject).copied();
@@ -244,6 +251,7 @@
         Some((*subject, topic))
     };
     let news = News {
+        held: now.since(arrived).0,
         topics: report.from.iter().filter_map(topic).collect(),
         suspects: shared.crashes_merged.borrow().suspects(),
     };
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod heat;
 pub mod leader;
 pub mod load;
+pub mod news;
 pub mod plan;
 pub mod queue;
 pub mod rate;
