--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -17,8 +17,11 @@
 /// The same for the operators' topic. A read tells that nothing is new only when it ends, and other
 /// hosts rely on that for less than the bound of a configuration.
 const OPERATORS_WAIT: Span = Span::from_millis(600);
-/// Pause between two reads of the targets' entries, which change with every heartbeat.
-const TARGETS_PAUSE: Duration = Duration::from_millis(300);
+/// Pause of the leader between two reads of the targets' entries, which change with every
+/// heartbeat. It plans moves by them and tells the other hosts.
+const LEADERS_TARGETS_PAUSE: Duration = Duration::from_millis(300);
+/// The same of another host, which reads only while the leader tells nothing.
+const TARGETS_PAUSE: Duration = Duration::from_millis(600);
 /// Pause between two reads of the ownership topic until a host leads. All hosts register at that
 /// time, and a read that waits would end with each of them.
 const GATHERING_PAUSE: Duration = Duration::from_millis(500);
@@ -135,12 +138,7 @@
 
 /// Tells whether the leader's news of a topic are new enough.
 fn is_told(shared: &Shared, subject: Subject) -> bool {
-    let leader = shared.leader.borrow();
-    let own = shared.settings.borrow().host.clone();
-    if leader
-        .as_deref()
-        .is_none_or(|leader| leader == own.as_str())
-    {
+    if shared.leader.borrow().is_none() || is_leader(shared) {
         return false;
     }
     let told = shared.told.borrow();
@@ -148,6 +146,12 @@
     shared.now().since(read_at) < subject.most_age(shared)
 }
 
+/// Tells whether this host leads, as far as the log says.
+fn is_leader(shared: &Shared) -> bool {
+    let leader = shared.leader.borrow();
+    leader.as_deref() == Some(shared.settings.borrow().host.as_str())
+}
+
 /// Returns the offset from which a topic is read on.
 pub(crate) fn next(shared: &Shared, subject: Subject) -> Option<Offset> {
     let mirrors = shared.mirrors.borrow();
@@ -170,12 +174,16 @@
     let now = shared.now();
     let expires_at = shared.fleet.borrow().expires_at();
     let left = expires_at.map(|at| at.since(now).as_duration());
-    let Some(left) = left.filter(|left| *left < TARGETS_PAUSE) else {
-        return sleep(TARGETS_PAUSE).await;
+    let pause = match is_leader(shared) {
+        true => LEADERS_TARGETS_PAUSE,
+        false => TARGETS_PAUSE,
+    };
+    let Some(left) = left.filter(|left| *left < pause) else {
+        return sleep(pause).await;
     };
     sleep(left).await;
     expire(shared);
-    sleep(TARGETS_PAUSE - left).await;
+    sleep(pause - left).await;
 }
 
 /// Reads a topic once.
