Look for the return of the store with one task of a host

Ruled out: a longer pause of every task, which would delay the news of a configuration. Change: the first topic that is lost looks for the store; the others wait for its success, or a second, since the store may be down in part.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -8,7 +8,7 @@
     time::{Instant, Span},
 };
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{apply::apply, dialect::Tail, settings::Bounds, shared::Shared, store::Store};
 
@@ -28,6 +28,9 @@
 /// Pause after a failed call. It doubles up to the longest one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MOST_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after a failed call while another topic's task looks for the store's return. The store may
+/// be down in part, so the topic is tried by itself too.
+const PROBED_PAUSE: Duration = Duration::from_millis(1_000);
 /// Age up to which what the leader tells replaces an own read that would wait for news.
 const WAITING_AGE: Span = Span::from_millis(4_300);
 /// Pause between two looks at whether the leader still tells what is new.
@@ -95,6 +98,7 @@
     let mut is_lost = false;
     loop {
         if is_told(&shared, subject) {
+            shared.lost.borrow_mut().remove(&subject);
             sleep(RELAY_LOOK).await;
             if subject == Subject::Targets {
                 expire(&shared);
@@ -117,6 +121,8 @@
                 }
                 is_lost = false;
                 backoff = FIRST_PAUSE;
+                shared.lost.borrow_mut().remove(&subject);
+                shared.store_returned.notify_waiters();
                 if is_gathering {
                     sleep(GATHERING_PAUSE).await;
                 }
@@ -129,13 +135,26 @@
                     log::warn!(topic = topic, error = format!("{error:#}"); "store lost");
                 }
                 is_lost = true;
-                sleep(backoff).await;
+                shared.lost.borrow_mut().insert(subject);
+                wait_for_store(&shared, subject, backoff).await;
                 backoff = (backoff * 2).min(MOST_PAUSE);
             }
         }
     }
 }
 
+/// Waits after a failed call. One task looks for the store's return on behalf of all, so that many
+/// hosts do not load a store that comes back.
+async fn wait_for_store(shared: &Shared, subject: Subject, backoff: Duration) {
+    let first = shared.lost.borrow().first().copied();
+    match first {
+        Some(first) if first != subject => {
+            let _ = timeout(PROBED_PAUSE, shared.store_returned.notified()).await;
+        }
+        _ => sleep(backoff).await,
+    }
+}
+
 /// Tells whether the leader's news of a topic are new enough.
 fn is_told(shared: &Shared, subject: Subject) -> bool {
     if shared.leader.borrow().is_none() || is_leader(shared) {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
 };
@@ -44,6 +44,9 @@
     pub(crate) leader: RefCell<Option<String>>,
     /// What is known of the topics.
     pub(crate) mirrors: RefCell<BTreeMap<Subject, Mirror>>,
+    /// Topics whose last read failed, and the notice that the store answers again.
+    pub(crate) lost: RefCell<BTreeSet<Subject>>,
+    pub(crate) store_returned: Notify,
     /// Up to which moment the leader told what is new in a topic.
     pub(crate) told: RefCell<BTreeMap<Subject, Instant>>,
     pub(crate) peers: RefCell<BTreeMap<Life, Peer>>,
@@ -120,6 +123,8 @@
             hosts: RefCell::default(),
             leader: RefCell::default(),
             mirrors: RefCell::default(),
+            lost: RefCell::default(),
+            store_returned: Notify::new(),
             told: RefCell::default(),
             peers: RefCell::default(),
             heat: RefCell::default(),
