Stop a replaced leader at once, and take no lease by an old view of the group

A host that had been cut off believed that the group still named it, and took the lease of a live leader. That leader's write came second; it read the assignments back and, since its lease had 3 s to run, went on with moves that its successor had planned. The successor does not know of such grants: it counts the target as one that never got the keys and passes it over. Ruled out: late grants of the earlier leader's own moves, which the log shows to the successor. Change: a leader that finds another claim in the log ends its lease before it reads ranges back, and checks the log's claim at each tick; its own claim is applied when it is written.

--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -20,11 +20,15 @@
 
 /// Applies records. A complete listing has the newest record of every key.
 pub(crate) fn apply(shared: &Rc<Shared>, subject: Subject, records: Vec<Record>, complete: bool) {
+    let is_urgent = subject != Subject::Targets && !records.is_empty();
     match subject {
         Subject::Operators => apply_commands(shared, records, complete),
         Subject::Targets => apply_entries(shared, records, complete),
         Subject::Ownership => apply_ownership(shared, records),
     }
+    if is_urgent {
+        shared.news.notify_waiters();
+    }
     place::serve(shared);
 }
 
--- a/crates/entry/src/candidacy.rs
+++ b/crates/entry/src/candidacy.rs
@@ -38,11 +38,19 @@
 pub(crate) struct Candidacy {
     /// Whether the group names this host.
     pub(crate) leads: Cell<bool>,
+    /// When the group last said so.
+    heard_at: Cell<Instant>,
     /// Until when this host stays out of the group.
     abstains_until: Cell<Instant>,
 }
 
 impl Candidacy {
+    /// Tells whether the host may take the lease. What the group said before the store was out of
+    /// reach may be over, and taking the lease of a live leader costs the keys their renewals.
+    fn may_lead(&self, now: Instant) -> bool {
+        self.leads.get() && now.since(self.heard_at.get()) < GROUP_TTL
+    }
+
     /// Leaves the group for a while, so that another host is named.
     pub(crate) fn abstain(&self, now: Instant) {
         self.leads.set(false);
@@ -55,7 +63,7 @@
     let candidate = Rc::new(Candidacy::default());
     tokio::task::spawn_local(stay(shared.clone(), candidate.clone()));
     loop {
-        if candidate.leads.get() && !shared.is_stopping.get() {
+        if candidate.may_lead(shared.now()) && !shared.is_stopping.get() {
             let outcome = leadership::lead(&shared, &candidate).await;
             match outcome {
                 Ok(()) => log::info!("leadership ended"),
@@ -108,6 +116,7 @@
             }
         } else if let Some(membership) = join(&mut store, &member).await {
             is_member = true;
+            candidate.heard_at.set(now);
             generation = membership.generation;
             if candidate.leads.replace(membership.leads) != membership.leads {
                 log::info!(leads = membership.leads, generation = generation; "candidacy changed");
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -11,6 +11,7 @@
 };
 
 use anyhow::{Result, anyhow, bail};
+use bytes::Bytes;
 use ragwortrill_core::{name, number::Offset, time::Span};
 use ragwortrill_router::{
     assignment::{Assignment, Range, State},
@@ -28,7 +29,7 @@
     candidacy::Candidacy,
     dialect::{Append, Draft, Record},
     follow::Subject,
-    lease::Lease,
+    lease::{Lease, TERM, Term},
     shared::Shared,
     store::Store,
 };
@@ -65,13 +66,15 @@
 pub(crate) async fn lead(shared: &Rc<Shared>, candidate: &Candidacy) -> Result<()> {
     let mut store = Store::new(shared.clone());
     let lease = Lease::take(shared, &mut store).await?;
-    let (assignments, end) = read(shared, &mut store).await?;
+    let known = read(shared, &mut store).await?;
     let topic = shared.dialect.topics.ownership;
-    let claim = [lease.term().record()?];
+    let claim = lease.term().record()?;
     // After this record, no earlier leader can write a range.
-    let Append::Done(end) = store.append(topic, Some(end), &claim).await? else {
+    let claims = std::slice::from_ref(&claim);
+    let Append::Done(end) = store.append(topic, Some(known.end), claims).await? else {
         bail!("another record came before the claim");
     };
+    apply::apply(shared, Subject::Ownership, written(vec![claim], end), false);
     log::info!(
         term = lease.term().number,
         earlier_grants_ms = lease.earlier_until().since(shared.now()).as_millis();
@@ -79,7 +82,7 @@
     );
     let leadership = Rc::new(Leadership {
         shared: shared.clone(),
-        leader: RefCell::new(Leader::new(&assignments, lease.earlier_until())),
+        leader: RefCell::new(Leader::new(&known.assignments, lease.earlier_until())),
         lease: lease.clone(),
         end: Cell::new(end),
         clients: RefCell::default(),
@@ -97,19 +100,44 @@
     outcome
 }
 
-async fn read(
-    shared: &Shared,
-    store: &mut Store,
-) -> Result<(BTreeMap<name::Service, Assignment>, Offset)> {
+/// What the ownership topic holds.
+struct Known {
+    assignments: BTreeMap<name::Service, Assignment>,
+    /// Term of the host that wrote the last claim.
+    term: Option<Term>,
+    end: Offset,
+}
+
+async fn read(shared: &Shared, store: &mut Store) -> Result<Known> {
     let (records, end) = store.newest(shared.dialect.topics.ownership).await?;
-    let mut assignments: BTreeMap<name::Service, Assignment> = BTreeMap::new();
+    let mut known = Known {
+        assignments: BTreeMap::new(),
+        term: None,
+        end,
+    };
     for Record { key, value, .. } in records {
-        if let (Some(service), Some(value)) = (apply::service(&key), value) {
+        let Some(value) = value else {
+            continue;
+        };
+        if let Some(service) = apply::service(&key) {
             let range = serde_json::from_slice(&value)?;
-            assignments.entry(service).or_default().put(range);
+            known.assignments.entry(service).or_default().put(range);
+        } else if key == TERM {
+            known.term = Some(serde_json::from_slice(&value)?);
         }
     }
-    Ok((assignments, end))
+    Ok(known)
+}
+
+/// Returns records as they stand in a topic that ends with them.
+fn written(drafts: Vec<Draft>, end: Offset) -> Vec<Record> {
+    let first = end.0 - drafts.len() as u64;
+    let record = |(index, draft): (usize, Draft)| Record {
+        key: draft.key,
+        value: Some(Bytes::from(draft.value)),
+        offset: Offset(first + index as u64),
+    };
+    drafts.into_iter().enumerate().map(record).collect()
 }
 
 impl Leadership {
@@ -121,6 +149,10 @@
             if !self.lease.is_in_force() {
                 bail!("the lease is lost or can't be renewed");
             }
+            if self.is_replaced() {
+                self.lease.end();
+                bail!("another host claims the keys");
+            }
             self.bar_crashing_requests();
             for action in self.tick() {
                 match action {
@@ -140,6 +172,12 @@
         }
     }
 
+    /// Tells whether the log names another host as leader.
+    fn is_replaced(&self) -> bool {
+        let leader = self.shared.leader.borrow();
+        leader.as_ref() != Some(&self.lease.term().host)
+    }
+
     /// Writes which requests crash their targets, so that every host refuses them.
     fn bar_crashing_requests(&self) {
         let barred = self
@@ -262,10 +300,15 @@
                 return;
             }
             match read(&self.shared, store).await {
-                Ok((mut assignments, end)) => {
-                    self.end.set(end);
-                    let known = assignments.remove(service).unwrap_or_default();
-                    self.leader.borrow_mut().reload(service, known);
+                // A later leader does not know which of its moves this host would go on with.
+                Ok(known) if known.term.as_ref() != Some(self.lease.term()) => {
+                    self.lease.end();
+                    return;
+                }
+                Ok(mut known) => {
+                    self.end.set(known.end);
+                    let assignment = known.assignments.remove(service).unwrap_or_default();
+                    self.leader.borrow_mut().reload(service, assignment);
                     return;
                 }
                 Err(error) => log::warn!(error = format!("{error:#}"); "assignments can't be read"),
