Explain a request, target or key from log lines

Damaged lines and those of other programs are counted. explain KEY with a daemon stays as it was; its line in the help text names the new words.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -10,7 +10,8 @@
 /// A command.
 pub(crate) struct Command {
     pub(crate) name: &'static str,
-    /// Names of the words after the command's name; those in brackets may be left out.
+    /// Names of the words after the command's name; those in brackets may be left out, and the last
+    /// may be repeated if it has dots.
     pub(crate) words: &'static [&'static str],
     pub(crate) options: &'static [&'static [&'static str]],
     pub(crate) summary: &'static str,
@@ -93,9 +94,11 @@
     command!("audit" [] [&["--since", "--service", "--limit"], READ] look::audit,
         "list the records of the log",
         ["ragwortrill audit --since 4100 --service orders --limit 50"]),
-    command!("explain" ["KEY"] [&["--service"], READ] look::explain,
-        "explain where a key is served and why",
-        ["ragwortrill explain 1701 --service orders"]),
+    command!("explain" ["[KEY|FILE...]"] [&["--request", "--target", "--key", "--service"], READ] look::explain,
+        "explain where a key is served, or what log lines tell of a request, target or key",
+        ["ragwortrill explain 1701 --service orders",
+         "ragwortrill explain --request 38a85897cbc339a0 entry-*.log",
+         "ragwortrill explain --key 1701 --service orders < all.log"]),
     command!("request" ["ID"] [READ] look::request,
         "show how far a request got",
         ["ragwortrill request 0123456789abcdef-0123456789abcdef"]),
@@ -127,11 +130,12 @@
     /// Checks the number of words and that the command has the given options.
     pub(crate) fn check(&self, arguments: &Arguments, words: &[String]) -> Result<(), Error> {
         let usage = || format!("usage: {}", self.usage());
-        if let Some(word) = words.get(self.words.len()) {
+        let is_open = self.words.last().is_some_and(|word| word.contains("..."));
+        if let Some(word) = words.get(self.words.len()).filter(|_| !is_open) {
             let message = format!("{word:?} is one word too many for '{}'", self.name);
             return Err(Error::usage(message, usage()));
         }
-        let missing = self.words[words.len()..].first();
+        let missing = self.words.get(words.len());
         if let Some(word) = missing.filter(|word| !word.starts_with('[')) {
             let message = format!("{word} is missing after '{}'", self.name);
             return Err(Error::usage(message, usage()));
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -22,6 +22,8 @@
     File { path: PathBuf, cause: io::Error },
     #[error("{path} has {count}:\n{list}", path = path.display(), count = count(faults.len(), "fault"), list = list(faults))]
     Faults { path: PathBuf, faults: Vec<Fault> },
+    #[error("{what}; {hint}")]
+    Absent { what: String, hint: String },
     #[error("can't write the result: {0}; check where stdout goes")]
     Output(io::Error),
     #[error("{0}")]
@@ -65,6 +67,7 @@
         match self {
             Self::Usage { .. } => "usage",
             Self::File { .. } => "file",
+            Self::Absent { .. } => "absent",
             Self::Output(_) => "output",
             Self::Faults { .. } => "faults",
             Self::Broken(_) => "connection",
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -14,6 +14,7 @@
 mod option;
 mod page;
 mod status;
+mod story;
 mod submit;
 mod table;
 
--- a/crates/cli/src/look.rs
+++ b/crates/cli/src/look.rs
@@ -12,6 +12,7 @@
     grid::{self, cell, join},
     page::Page,
     status::contract,
+    story::{self, Subject},
 };
 
 /// Shows which targets own keys.
@@ -80,8 +81,18 @@
     Ok(Page::new(grid::render(heading, &rows), records))
 }
 
-/// Explains where a key is served.
+/// Explains where a key is served, or what log lines tell of a request, target or key.
 pub(crate) fn explain(context: &Context) -> Result<Page, Error> {
+    let from_lines = ["--request", "--target", "--key"];
+    if from_lines.iter().any(|option| context.has(option)) {
+        return story::tell(context, &subject(context)?);
+    }
+    if context.words.len() != 1 {
+        return Err(Error::usage(
+            "one KEY is needed, or an option that says what to look for in log lines",
+            "give KEY --service NAME, --request ID, --target ID, or --key KEY --service NAME",
+        ));
+    }
     let Some(service) = context.service()? else {
         return Err(Error::usage(
             "a key belongs to a service",
@@ -105,6 +116,28 @@
     Ok(Page::new(text, explanation))
 }
 
+/// Returns what the options look for in log lines.
+fn subject(context: &Context) -> Result<Subject, Error> {
+    let key = context.parsed::<u64>("--key")?;
+    let (request, target) = (context.option("--request"), context.option("--target"));
+    match (request, target, key, context.service()?) {
+        (Some(id), None, None, None) => Ok(Subject::Request(id.to_owned())),
+        (None, Some(id), None, None) => Ok(Subject::Target(id.to_owned())),
+        (None, None, Some(key), Some(service)) => Ok(Subject::Key {
+            service: service.to_string(),
+            key,
+        }),
+        (None, None, Some(_), None) => Err(Error::usage(
+            "a key belongs to a service",
+            "give --service NAME",
+        )),
+        _ => Err(Error::usage(
+            "the options look for more than one thing",
+            "give one of --request, --target and --key",
+        )),
+    }
+}
+
 /// Shows how far a request got.
 pub(crate) fn request(context: &Context) -> Result<Page, Error> {
     let id: request::Id = context.word(0)?;
--- a/crates/cli/src/option.rs
+++ b/crates/cli/src/option.rs
@@ -25,7 +25,7 @@
 }
 
 /// All options, in the order in which help shows them.
-pub(crate) const ALL: [Choice; 15] = [
+pub(crate) const ALL: [Choice; 17] = [
     valued(
         "--base",
         "VERSION",
@@ -44,6 +44,8 @@
     ),
     valued("--service", "NAME", "the service"),
     valued("--key", "KEY", "the key"),
+    valued("--request", "ID", "the request, in log lines"),
+    valued("--target", "ID", "the target, in log lines"),
     valued("--since", "OFFSET", "only records after this offset"),
     valued("--limit", "N", "at most this many records"),
     flag(
--- a/crates/cli/tests/cli/look.rs
+++ b/crates/cli/tests/cli/look.rs
@@ -330,3 +330,95 @@
             .expect(expected);
     }
 }
+
+/// Lines of two entry hosts: a request that is lost with its target, and others.
+const NORTH: &str = r#"{"level":"INFO","message":"attempt ended","module":"m","next":"Fail","outcome":"Unknown","cause":"the connection broke","request":"c35e","target":"i-e6a4","time_ms":2000}
+{"level":"WARN","message":"request failed","module":"m","reason":"the target gave no usable answer","request":"c35e","status":502,"time_ms":2001}
+{"level":"WARN","message":"request failed","module":"m","reason":"too many requests wait","request":"e086","status":503,"waiting":6,"time_ms":2002}
+{"level":"WARN","message":"request fai
+a line of another program
+"#;
+const SOUTH: &str = r#"south-1 {"level":"INFO","message":"target changed","module":"m","change":"Gone","target":"i-e6a4","time_ms":4600}
+south-1 {"level":"INFO","message":"keys move","module":"m","service":"lookup","first":100,"last":199,"from":"i-e6a4","target":"i-77aa","epoch":12,"time_ms":4700}
+south-1 {"level":"INFO","message":"keys move","module":"m","service":"lookup","first":200,"last":299,"from":"i-9999","target":"i-77aa","epoch":14,"time_ms":9700}
+"#;
+
+/// Guards against a cause that stays hidden in the lines of several hosts, or that damaged lines
+/// and lines of other programs hide.
+#[test]
+fn tells_the_story_of_a_request_target_or_key() {
+    let cases = [
+        (
+            "explain --request c35e north.log south.log",
+            expect![[r#"
+                status 0
+                --- stdout
+                      0 ms  north.log  attempt ended  cause=the connection broke  next=Fail  outcome=Unknown  request=c35e  target=i-e6a4
+                      1 ms  north.log  request failed  reason=the target gave no usable answer  request=c35e  status=502
+                   2600 ms  south-1  target changed  change=Gone  target=i-e6a4
+                passed over: 1 line of other programs, 1 damaged line
+            "#]],
+        ),
+        (
+            "explain --request e086 north.log",
+            expect![[r#"
+                status 0
+                --- stdout
+                      0 ms  north.log  request failed  reason=too many requests wait  request=e086  status=503  waiting=6
+                passed over: 1 line of other programs, 1 damaged line
+            "#]],
+        ),
+        (
+            "explain --target i-9999 south.log",
+            expect![[r#"
+            status 0
+            --- stdout
+                  0 ms  south-1  keys move  epoch=14  first=200  from=i-9999  last=299  service=lookup  target=i-77aa
+        "#]],
+        ),
+        (
+            "explain --key 150 --service lookup south.log",
+            expect![[r#"
+                status 0
+                --- stdout
+                      0 ms  south-1  keys move  epoch=12  first=100  from=i-e6a4  last=199  service=lookup  target=i-77aa
+            "#]],
+        ),
+        (
+            "explain --request ffff north.log",
+            expect![[r#"
+                status 1
+                --- stderr
+                error: no line is about request ffff; 5 lines read, 1 line of other programs, 1 damaged line; check the id and give the files of all daemons
+            "#]],
+        ),
+        (
+            "explain --request c35e none.log",
+            expect![[r#"
+            status 1
+            --- stderr
+            error: can't read none.log: No such file or directory (os error 2); check the path and its permissions
+        "#]],
+        ),
+        (
+            "explain --key 150 south.log",
+            expect![[r#"
+            status 2
+            --- stderr
+            error: a key belongs to a service; give --service NAME
+        "#]],
+        ),
+        (
+            "explain --request c35e --target i-e6a4 south.log",
+            expect![[r#"
+                status 2
+                --- stderr
+                error: the options look for more than one thing; give one of --request, --target and --key
+            "#]],
+        ),
+    ];
+    for (line, expected) in cases {
+        let session = Session::new(line).file("north.log", NORTH);
+        session.file("south.log", SOUTH).expect(expected);
+    }
+}
--- a/crates/cli/tests/cli/usage.rs
+++ b/crates/cli/tests/cli/usage.rs
@@ -304,7 +304,7 @@
               status                      show the hosts, targets and warnings that a daemon sees
               owners                      show which targets own keys and which processes hold the targets
               audit                       list the records of the log
-              explain KEY                 explain where a key is served and why
+              explain [KEY|FILE...]       explain where a key is served, or what log lines tell of a request, target or key
               request ID                  show how far a request got
               release FINGERPRINT         release requests from quarantine
               help [COMMAND] [COMMAND]    show help for a command
