Apply the leader's own writes, and read the ownership topic once a second while leading

It also learned of its own moves a read later than it wrote them. Ruled out: waiting without an end: other hosts register in the topic. Change: what was written is applied at once; while leading, the topic is read once a second.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -25,6 +25,9 @@
 /// Pause between two reads of the ownership topic until a host leads. All hosts register at that
 /// time, and a read that waits would end with each of them.
 const GATHERING_PAUSE: Duration = Duration::from_millis(500);
+/// Pause of the leader between two reads of the ownership topic. It knows what it wrote itself;
+/// others write when hosts start and end.
+const LEADERS_PAUSE: Duration = Duration::from_millis(1_000);
 /// Pause after a failed call. It doubles up to the longest one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MOST_PAUSE: Duration = Duration::from_millis(300);
@@ -80,6 +83,12 @@
         }
     }
 
+    /// Tells whether reads do not wait for news, since each would end with a record that this host
+    /// wrote, or that other hosts write at the same time.
+    fn is_polled(self, shared: &Shared) -> bool {
+        self == Self::Ownership && (shared.leader.borrow().is_none() || shared.is_leading.get())
+    }
+
     /// Returns the age up to which what the leader tells replaces an own read.
     fn most_age(self, shared: &Shared) -> Span {
         let bounds = &shared.settings.borrow().bounds;
@@ -106,8 +115,7 @@
             continue;
         }
         // A read that waits would hide the store's return for as long.
-        let is_gathering = subject == Subject::Ownership && shared.leader.borrow().is_none();
-        let wait = match is_lost || is_gathering {
+        let wait = match is_lost || subject.is_polled(&shared) {
             true => Span::ZERO,
             false => subject.wait(),
         };
@@ -123,11 +131,13 @@
                 backoff = FIRST_PAUSE;
                 shared.lost.borrow_mut().remove(&subject);
                 shared.store_returned.notify_waiters();
-                if is_gathering {
-                    sleep(GATHERING_PAUSE).await;
-                }
-                if subject == Subject::Targets {
-                    pause(&shared).await;
+                match subject {
+                    Subject::Targets => pause(&shared).await,
+                    Subject::Ownership if shared.is_leading.get() => sleep(LEADERS_PAUSE).await,
+                    Subject::Ownership if subject.is_polled(&shared) => {
+                        sleep(GATHERING_PAUSE).await;
+                    }
+                    _ => {}
                 }
             }
             Err(error) => {
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -12,7 +12,11 @@
 
 use anyhow::{Result, anyhow, bail};
 use bytes::Bytes;
-use ragwortrill_core::{name, number::Offset, time::Span};
+use ragwortrill_core::{
+    name,
+    number::Offset,
+    time::{Instant, Span},
+};
 use ragwortrill_router::{
     assignment::{Assignment, Range, State},
     leader::{Action, Answer, Leader, Order, Tick, Verb},
@@ -28,7 +32,7 @@
     call::{Client, Error, Reply},
     candidacy::Candidacy,
     dialect::{Append, Draft, Record},
-    follow::Subject,
+    follow::{self, Subject},
     lease::{Lease, TERM, Term},
     shared::Shared,
     store::Store,
@@ -89,7 +93,9 @@
         progress: Notify::new(),
     });
     let keeping = tokio::task::spawn_local(lease.clone().keep());
+    shared.is_leading.set(true);
     let outcome = leadership.run(candidate).await;
+    shared.is_leading.set(false);
     let was_in_force = lease.is_in_force();
     lease.end();
     // A renewal that is on its way would stand after the record that gives the lease up.
@@ -236,9 +242,11 @@
 
     async fn write(self: Rc<Self>, service: name::Service, ranges: Vec<Range>) {
         let mut store = Store::new(self.shared.clone());
+        let sent = self.shared.now();
         match self.try_write(&mut store, &service, &ranges).await {
-            Ok(end) => {
+            Ok((records, end)) => {
                 self.end.set(end);
+                self.know(records, end, sent);
                 self.note_moves(&service, &ranges);
                 self.leader.borrow_mut().written(&service);
                 self.progress.notify_one();
@@ -250,6 +258,20 @@
         }
     }
 
+    /// Applies records that this host wrote, so that they need not be read.
+    fn know(&self, records: Vec<Record>, end: Offset, sent: Instant) {
+        let first = records.first().map(|record| record.offset);
+        apply::apply(&self.shared, Subject::Ownership, records, false);
+        // Records of others may stand between what was read and what was written.
+        if follow::next(&self.shared, Subject::Ownership) == first {
+            let mut mirrors = self.shared.mirrors.borrow_mut();
+            mirrors
+                .entry(Subject::Ownership)
+                .or_default()
+                .advance(end, sent);
+        }
+    }
+
     /// Logs each range that got a new owner, for the audit trail.
     fn note_moves(&self, service: &name::Service, ranges: &[Range]) {
         for range in ranges {
@@ -273,7 +295,7 @@
         store: &mut Store,
         service: &name::Service,
         ranges: &[Range],
-    ) -> Result<Offset> {
+    ) -> Result<(Vec<Record>, Offset)> {
         if !self.lease.is_in_force() {
             bail!("the lease is over");
         }
@@ -286,7 +308,7 @@
         };
         let records: Vec<Draft> = ranges.iter().map(record).collect::<Result<_>>()?;
         match store.append(topic, Some(self.end.get()), &records).await? {
-            Append::Done(end) => Ok(end),
+            Append::Done(end) => Ok((written(records, end), end)),
             Append::Conflict(_) => Err(anyhow!("another record came first")),
             Append::Refused => Err(anyhow!("the store refused the record")),
         }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -42,6 +42,8 @@
     pub(crate) hosts: RefCell<BTreeMap<String, Host>>,
     /// Host that leads, as the log says.
     pub(crate) leader: RefCell<Option<String>>,
+    /// Whether this host holds the lease and orders grants.
+    pub(crate) is_leading: Cell<bool>,
     /// What is known of the topics.
     pub(crate) mirrors: RefCell<BTreeMap<Subject, Mirror>>,
     /// Topics whose last read failed, and the notice that the store answers again.
@@ -122,6 +124,7 @@
             assignments: RefCell::default(),
             hosts: RefCell::default(),
             leader: RefCell::default(),
+            is_leading: Cell::new(false),
             mirrors: RefCell::default(),
             lost: RefCell::default(),
             store_returned: Notify::new(),
