Take a target that answers again during an outage of the store as cold

Hosts noticed that it failed, avoided it, and sent at the full rate as soon as it answered. Ruled out: the store's entry, which no host could read at that time. Change: a target that was avoided and answers again while the view of the targets is older than 1.5 s counts as cold for the service's cold start.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -23,6 +23,8 @@
 const LEAST_PATIENCE: Span = Span::from_millis(150);
 /// Part of the time left, in percent, that a target is given at most if there is another one.
 const MOST_PATIENCE_PERCENT: u64 = 60;
+/// Age of the view of the targets up to which it tells of a restart.
+const CURRENT_VIEW: Span = Span::from_millis(1_500);
 /// Status by which a target says that it is not the expected one or does not hold the key.
 const MISDIRECTED: u16 = 421;
 
@@ -186,8 +188,14 @@
         .headers
         .get(headers.load)
         .and_then(shared.dialect.load);
+    let was_avoided = shared.with_peer(life, |peer| peer.breaker.succeed());
+    if was_avoided && shared.view_age(now) > CURRENT_VIEW {
+        let spec = job.config.services.get(&job.service);
+        let cold_start = spec.map_or(Span::ZERO, |spec| spec.cold_start);
+        let mut fleet = shared.fleet.borrow_mut();
+        fleet.suspect_restart(now, &life.id, cold_start);
+    }
     shared.with_peer(life, |peer| {
-        peer.breaker.succeed();
         if is_unrun && status != MISDIRECTED {
             peer.load.shed(now);
         }
@@ -222,7 +230,6 @@
     if let Some(link) = link.filter(|_| is_reusable) {
         link.give_back(idle_timeout);
     }
-    let _ = job;
     Attempt {
         outcome,
         reply,
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -218,12 +218,6 @@
                     .map(|(name, _)| name.clone())
             })
             .collect();
-        let mirrors = self.shared.mirrors.borrow();
-        let read_at = mirrors
-            .get(&Subject::Targets)
-            .map(|mirror| mirror.read_at());
-        let read_at = read_at.unwrap_or_default();
-        drop(mirrors);
         let max_hold = self.shared.settings.borrow().bounds.max_hold;
         let hold = match self.lease.age() >= LEASE_IN_DANGER {
             true => max_hold,
@@ -236,7 +230,7 @@
             work: &|life| self.shared.with_peer(life, |peer| peer.load.work()),
             services: &services,
             hold,
-            is_current: now.since(read_at) < VIEW_AGE,
+            is_current: self.shared.view_age(now) < VIEW_AGE,
         })
     }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -7,7 +7,11 @@
     rc::Rc,
 };
 
-use ragwortrill_core::{name, retry::Budget, time::Instant};
+use ragwortrill_core::{
+    name,
+    retry::Budget,
+    time::{Instant, Span},
+};
 use ragwortrill_router::{
     assignment::Assignment,
     breaker::Breaker,
@@ -167,6 +171,13 @@
             .or_insert_with(|| Peer::new(self.clock.now())))
     }
 
+    /// Returns the age of the view of the targets.
+    pub(crate) fn view_age(&self, now: Instant) -> Span {
+        let mirrors = self.mirrors.borrow();
+        let read_at = mirrors.get(&Subject::Targets).map(Mirror::read_at);
+        now.since(read_at.unwrap_or_default())
+    }
+
     /// Returns this host's share of limits that hold for all hosts.
     pub(crate) fn share(&self) -> Share {
         Share::among(self.hosts.borrow().len())
--- a/crates/router/src/breaker.rs
+++ b/crates/router/src/breaker.rs
@@ -18,10 +18,10 @@
 }
 
 impl Breaker {
-    /// Notes an answer.
-    pub fn succeed(&mut self) {
+    /// Notes an answer. Returns whether the target was avoided before.
+    pub fn succeed(&mut self) -> bool {
         self.failures = 0;
-        self.trips = 0;
+        std::mem::take(&mut self.trips) > 0
     }
 
     /// Notes a failure to connect or an answer that never came.
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -158,6 +158,14 @@
         was_evacuated
     }
 
+    /// Notes that a target answers again after it was avoided, while the store does not tell whether
+    /// it has restarted under the same id: it may be cold.
+    pub fn suspect_restart(&mut self, now: Instant, id: &name::Target, cold_start: Span) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.cold_until = target.cold_until.max(now + cold_start);
+        }
+    }
+
     /// Returns the evacuated data centres.
     pub fn evacuated(&self) -> &BTreeSet<name::DataCentre> {
         &self.evacuated
