--- /dev/null
+++ b/crates/daemon/tests/soak.rs
@@ -0,0 +1,65 @@
+//! Short runs of the fault soak with the daemon's program: a system that keeps its promises, and
+//! for each promise a run in which it is broken on purpose.
+
+use std::{env, path::PathBuf, process::Command};
+
+use serde_json::Value;
+use test_case::test_case;
+
+/// Runs the soak. Returns its report.
+fn soak(arguments: &[&str]) -> Value {
+    let tests = env::current_exe().unwrap();
+    let profile = tests.parent().and_then(|deps| deps.parent()).unwrap();
+    let soak: PathBuf = profile.join("examples").join("soak");
+    assert!(
+        soak.is_file(),
+        "the example soak is not built; run cargo test --workspace"
+    );
+    let output = Command::new(soak)
+        .args([
+            "--size",
+            "small",
+            "--daemon",
+            env!("CARGO_BIN_EXE_ragwortrilld"),
+        ])
+        .args(arguments)
+        .output()
+        .unwrap();
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    let report = text
+        .lines()
+        .last()
+        .and_then(|line| serde_json::from_str(line).ok());
+    let mut report: Value = report.unwrap_or_else(|| panic!("no report: {text} {errors}"));
+    report["text"] = text.into();
+    report
+}
+
+/// Guards against promises that faults break. Each seed that ever failed is a case.
+#[test_case("1"; "any seed")]
+// A target restarted under its id while the store was down, and got too many requests while cold.
+#[test_case("132"; "cold target during an outage of the store")]
+fn promises_hold(seed: &str) {
+    let report = soak(&["--seed", seed, "--seconds", "42"]);
+    assert_eq!(report["is_good"], true, "{report:#}");
+}
+
+/// Guards against checks that see nothing: each finds its promise broken.
+#[test_case("owner", "1")]
+#[test_case("epoch", "1")]
+#[test_case("once", "1")]
+#[test_case("refusal", "1")]
+#[test_case("whole", "1")]
+#[test_case("stop", "3")]
+#[test_case("drain", "2")]
+#[test_case("evacuation", "1")]
+#[test_case("config", "12")]
+#[test_case("budget", "1")]
+#[test_case("cold", "1")]
+#[test_case("recovery", "1")]
+fn broken_promises_are_found(check: &str, seed: &str) {
+    let report = soak(&["--seed", seed, "--seconds", "30", "--break", check]);
+    let broken = report["judged_excused_broken"][check][2].as_u64();
+    assert!(broken.is_some_and(|count| count > 0), "{report:#}");
+}
