Log which requests a planned stop cuts off and what each waited for

The stop said only that it was not drained, with a count that left out replies that were ready and held behind an earlier request of their connection.

Every request is now in a register until its reply is written, with what it waits for: a target with capacity, a connection, a target's response, an earlier reply of its connection, or the caller. The stop logs each one that is left. Metrics: ragwortrill_replies_held and ragwortrill_reply_hold_seconds. No decision changes.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::{
+    activity::Stage,
     job::Job,
     reply::{Problem, RETRY_AFTER_ABSENT_MS, RETRY_AFTER_BUSY_MS},
     search::{self, Criteria, Search},
@@ -59,6 +60,7 @@
             RETRY_AFTER_BUSY_MS,
         ));
     }
+    job.incoming.activity.set(Stage::Queued);
     let max_waiting = capacity(shared, job, &resource, now);
     let start_by = job.incoming.received + (job.rule.objective - min_service_time);
     let (found, outcome) = oneshot::channel();
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -7,6 +7,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    activity::Stage,
     admission::Permit,
     checkout::Checkout,
     connection::Connection,
@@ -59,6 +60,8 @@
     _permit: Permit,
 ) -> Attempt {
     let incarnation = &target.registration.incarnation;
+    let activity = &job.incoming.activity;
+    activity.set(Stage::Connecting(incarnation.id.clone()));
     let mut checkout = match Checkout::open(shared, job, incarnation).await {
         Ok(checkout) => checkout,
         Err(error) => return Attempt::failed(Outcome::NotSent, error.to_string()),
@@ -72,6 +75,7 @@
         checkout.give_back(None);
         return Attempt::failed(Outcome::NotSent, "no time is left".to_owned());
     }
+    activity.set(Stage::Sent(incarnation.id.clone()));
     let wire = encode(shared, job, target, left);
     let attempt_timeout = attempt_timeout(shared, job, target, left);
     let outcome = match exchange(shared, job, connection, &wire, attempt_timeout).await {
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::{
+    activity::{Guard, Stage},
     connection::Connection,
     job::Incoming,
     message::{self, Decoder, Request},
@@ -71,12 +72,18 @@
     reply: Reply,
     keeps_alive: bool,
     to_head: bool,
+    /// When the reply was ready.
+    ready: Instant,
+    /// None if the request can't be read.
+    activity: Option<Guard>,
 }
 
 type Pending = FuturesOrdered<Pin<Box<dyn Future<Output = Response>>>>;
 
 struct Session {
     shared: Rc<Shared>,
+    /// Number of the connection.
+    number: u64,
     buffer: BytesMut,
     pending: Pending,
     /// Request whose body is not complete yet.
@@ -100,8 +107,11 @@
     let (stream, buffer) = Connection::new(stream).into_parts();
     let (mut reader, mut writer) = stream.into_split();
     let now = shared.now();
+    let number = shared.accepted_connections.get() + 1;
+    shared.accepted_connections.set(number);
     let mut session = Session {
         shared: shared.clone(),
+        number,
         buffer,
         pending: FuturesOrdered::new(),
         partial: None,
@@ -229,21 +239,29 @@
         let keeps_alive = partial.head.keeps_alive;
         let to_head = partial.head.method == "HEAD";
         self.is_closed |= !keeps_alive;
+        let received = partial.received;
+        let id_header = shared.protocol.headers.request_id;
+        let id = partial.head.headers.get(id_header).unwrap_or_default();
+        let register = &shared.active_requests;
+        let activity = register.add(id.to_owned(), self.number, received);
         let incoming = Incoming {
             head: partial.head,
             body: partial.body.freeze(),
-            received: partial.received,
+            received,
+            activity: activity.0.clone(),
         };
         self.pending.push_back(Box::pin(async move {
-            let _guard = CountGuard::new(&shared.active_requests);
-            let received = incoming.received;
             let reply = proxy::serve(shared.clone(), incoming).await;
-            let elapsed = shared.now().since(received);
+            activity.0.set(Stage::Held);
+            let ready = shared.now();
+            let elapsed = ready.since(received);
             shared.metrics.record_response(reply.status, elapsed);
             Response {
                 reply,
                 keeps_alive,
                 to_head,
+                ready,
+                activity: Some(activity),
             }
         }));
     }
@@ -252,11 +270,14 @@
         log::warn!(status = problem.status, reason = problem.reason; "request rejected");
         self.is_closed = true;
         let reply = Reply::problem(problem, None);
+        let ready = self.shared.now();
         self.pending.push_back(Box::pin(async move {
             Response {
                 reply,
                 keeps_alive: false,
                 to_head: false,
+                ready,
+                activity: None,
             }
         }));
     }
@@ -307,7 +328,13 @@
         reply,
         keeps_alive,
         to_head,
+        ready,
+        activity,
     } = response;
+    if let Some(activity) = &activity {
+        activity.0.set(Stage::Replying);
+        shared.metrics.record_hold(shared.now().since(ready));
+    }
     let closes = reply.closes || !keeps_alive || shared.is_stopping.get();
     let wire = reply.encode(closes, to_head);
     let written = timeout(STALL_TIMEOUT, writer.write_all(&wire)).await;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,5 +1,6 @@
 //! An entry host: it accepts callers' requests and sends them to targets directly.
 
+mod activity;
 mod admission;
 mod apply;
 mod attempt;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -15,6 +15,7 @@
     exporter: Exporter,
     duration: Histogram<f64>,
     wait: Histogram<f64>,
+    hold: Histogram<f64>,
     failures: Counter<u64>,
     attempts: Counter<u64>,
     store: Counter<u64>,
@@ -27,6 +28,7 @@
 struct Gauges {
     waiting: Gauge<u64>,
     requests: Gauge<u64>,
+    held: Gauge<u64>,
     callers: Gauge<u64>,
     hosts: Gauge<u64>,
     targets: Gauge<u64>,
@@ -56,6 +58,10 @@
                 "ragwortrill.queue.wait",
                 "Time that requests waited for a place at a target",
             ),
+            hold: seconds(
+                "ragwortrill.reply.hold",
+                "Time that replies waited for earlier replies of their connections",
+            ),
             failures: count(
                 "ragwortrill.failures",
                 "Requests that the host answered itself, by status and reason",
@@ -86,6 +92,10 @@
         self.wait.record(elapsed.0 as f64 / 1e6, &[]);
     }
 
+    pub(crate) fn record_hold(&self, elapsed: Span) {
+        self.hold.record(elapsed.0 as f64 / 1e6, &[]);
+    }
+
     pub(crate) fn record_failure(&self, status: u16, reason: &'static str) {
         let status = KeyValue::new("http.response.status_code", i64::from(status));
         self.failures
@@ -141,6 +151,10 @@
         Self {
             waiting: gauge("ragwortrill.queue.length", "Requests that wait for a place"),
             requests: gauge("ragwortrill.requests.active", "Requests without an answer"),
+            held: gauge(
+                "ragwortrill.replies.held",
+                "Replies that wait for earlier replies of their connections",
+            ),
             callers: gauge("ragwortrill.callers", "Open connections of callers"),
             hosts: gauge("ragwortrill.hosts", "Hosts of the system"),
             targets: gauge("ragwortrill.targets", "Known targets"),
@@ -159,8 +173,9 @@
 
     fn update(&self, shared: &Shared) {
         self.waiting.record(shared.queue.borrow().len() as u64, &[]);
-        self.requests
-            .record(u64::from(shared.active_requests.get()), &[]);
+        let active = &shared.active_requests;
+        self.requests.record(active.len() as u64, &[]);
+        self.held.record(active.held() as u64, &[]);
         self.callers
             .record(u64::from(shared.caller_connections.get()), &[]);
         self.hosts.record(shared.hosts.borrow().len() as u64, &[]);
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -100,7 +100,7 @@
 async fn stop(shared: &Shared, accepting: &JoinHandle<()>) {
     let began = shared.now();
     let grace = shared.settings.borrow().bounds.grace;
-    log::info!(callers = shared.caller_connections.get(), requests = shared.active_requests.get(); "planned stop started");
+    log::info!(callers = shared.caller_connections.get(), requests = shared.active_requests.len(); "planned stop started");
     shared.is_stopping.set(true);
     sleep(UNREADY_NOTICE.min(grace.as_duration() / 2)).await;
     accepting.abort();
@@ -109,17 +109,35 @@
     admission::reject_waiting(shared);
     let limit = grace.scale(GRACE_PERCENT, 100);
     let drained = async {
-        while shared.caller_connections.get() > 0 || shared.active_requests.get() > 0 {
+        while shared.caller_connections.get() > 0 || shared.active_requests.len() > 0 {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
     };
     let left = limit - shared.now().since(began);
     let is_drained = timeout(left.as_duration(), drained).await.is_ok();
-    log::info!(is_drained = is_drained, requests = shared.active_requests.get(); "host stopped");
+    log_cut_requests(shared);
+    log::info!(
+        is_drained = is_drained, requests = shared.active_requests.len(),
+        callers = shared.caller_connections.get();
+        "host stopped"
+    );
     // Lets the logging thread write its last lines before the process ends.
     sleep(Span::from_millis(60).as_duration()).await;
 }
 
+/// Logs the requests that end without a complete reply because the process ends.
+fn log_cut_requests(shared: &Shared) {
+    let now = shared.now();
+    for activity in shared.active_requests.list() {
+        log::warn!(
+            request = activity.request.as_str(), connection = activity.connection,
+            waits_for = activity.stage.to_string(), target = activity.stage.target(),
+            elapsed_ms = now.since(activity.received).as_millis();
+            "request cut off by the planned stop"
+        );
+    }
+}
+
 /// Reloads the settings on every hangup signal.
 async fn reload_on_hangup(shared: Rc<Shared>, reload: fn() -> Result<Settings>) {
     let Ok(mut hangups) = signal(SignalKind::hangup()) else {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -30,8 +30,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    admission::Waiter, clock::Clock, follow::Topic, metrics::Metrics, pool::Pool,
-    protocol::Protocol, replica::Replica, settings::Settings,
+    activity::Register, admission::Waiter, clock::Clock, follow::Topic, metrics::Metrics,
+    pool::Pool, protocol::Protocol, replica::Replica, settings::Settings,
 };
 
 /// State of a host.
@@ -88,8 +88,10 @@
     pub(crate) has_listed_targets: Cell<bool>,
     /// Open connections of callers.
     pub(crate) caller_connections: Cell<u32>,
-    /// Requests that have no reply yet.
-    pub(crate) active_requests: Cell<u32>,
+    /// Connections of callers since the host started, open and closed.
+    pub(crate) accepted_connections: Cell<u64>,
+    /// Requests that have no complete reply yet.
+    pub(crate) active_requests: Rc<Register>,
 }
 
 /// Record of a registered host in the store.
@@ -156,7 +158,8 @@
             closing: Notify::new(),
             has_listed_targets: Cell::new(false),
             caller_connections: Cell::new(0),
-            active_requests: Cell::new(0),
+            accepted_connections: Cell::new(0),
+            active_requests: Rc::default(),
         })
     }
 
