Close a caller's connection with its last reply, not with the first that closes

What callers saw: of several requests on one connection, the first reply after SIGTERM carried Connection: close, and the others ended without an answer, although targets ran them. The same after a reply with status 400 that is no fault of the framing, such as a missing key.

Cause: a reply that closes the connection ended the session at once, and with it the requests behind it that were already at targets.

Why the fix works: a reply closes its connection only if no other is pending; until then no further request is read, so the last reply always exists and carries Connection: close. Requests that were not started when the connection closes still count as not read.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -131,7 +131,8 @@
             biased;
             Some(response) = session.pending.next() => {
                 session.idle_since = shared.now();
-                if !write(&mut writer, &shared, response).await {
+                let closes = session.closes_after(&response);
+                if !write(&mut writer, &shared, response, closes).await || closes {
                     break;
                 }
             }
@@ -282,6 +283,14 @@
         }));
     }
 
+    /// Returns whether the connection is closed after a response. One that still has to close it
+    /// while others are pending leaves that to the last of them: those requests are at targets.
+    fn closes_after(&mut self, response: &Response) -> bool {
+        self.is_closed |= response.reply.closes || !response.keeps_alive;
+        let is_closing = self.is_closed || self.shared.is_stopping.get();
+        is_closing && self.pending.is_empty()
+    }
+
     fn limits(&self) -> ragwortrill_router::config::Limits {
         let config = self.shared.config.borrow();
         config
@@ -322,28 +331,32 @@
     }
 }
 
-/// Writes a reply. Returns false if the connection is to be closed after it.
-async fn write(writer: &mut OwnedWriteHalf, shared: &Shared, response: Response) -> bool {
+/// Writes a reply. Returns false if the caller did not get all of it.
+async fn write(
+    writer: &mut OwnedWriteHalf,
+    shared: &Shared,
+    response: Response,
+    closes: bool,
+) -> bool {
     let Response {
         reply,
-        keeps_alive,
         to_head,
         ready,
         activity,
+        ..
     } = response;
     if let Some(activity) = &activity {
         activity.0.set(Stage::Replying);
         shared.metrics.record_hold(shared.now().since(ready));
     }
-    let closes = reply.closes || !keeps_alive || shared.is_stopping.get();
     let wire = reply.encode(closes, to_head);
     let written = timeout(STALL_TIMEOUT, writer.write_all(&wire)).await;
     if !matches!(written, Ok(Ok(()))) {
         return false;
     }
     match reply.remainder {
-        Some(remainder) => stream_remainder(writer, remainder).await && !closes,
-        None => !closes,
+        Some(remainder) => stream_remainder(writer, remainder).await,
+        None => true,
     }
 }
 
