Answer held replies and unanswered requests before a planned stop ends

Cause: the end of the process was the only end of a planned stop for a request at a target. Routes allow up to 15 s, the grace period is 6 s. Such a request got no reply, and with it every reply that was ready and held behind it on its connection.

Why the fix works: at 86 % of the grace period (5.16 s, in its last sixth) a request that still waits for its target gets a reply of this host: 504, as it may have run, or 503 if nothing was sent. So every pending reply of a connection is ready, they go out in order, and the last one closes the connection. The process ends when callers have them, at 95 % at the latest.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -69,6 +69,10 @@
     let Some(connection) = checkout.connection() else {
         return Attempt::failed(Outcome::NotSent, "no connection".to_owned());
     };
+    if shared.is_giving_up.get() {
+        checkout.give_back(None);
+        return Attempt::failed(Outcome::NotSent, "the host stops".to_owned());
+    }
     let sent = shared.now();
     let left = job.deadline.since(sent);
     if left.as_millis() == 0 {
@@ -80,7 +84,7 @@
     let attempt_timeout = attempt_timeout(shared, job, target, left);
     let outcome = match exchange(shared, job, connection, &wire, attempt_timeout).await {
         Ok(outcome) => outcome,
-        Err(is_retry_charged) => {
+        Err(Unanswered::Timeout { is_retry_charged }) => {
             let now = shared.now();
             shared.with_endpoint(incarnation, |endpoint| endpoint.breaker.record_failure(now));
             return Attempt {
@@ -88,6 +92,10 @@
                 ..Attempt::failed(Outcome::Unknown, "no response in time".to_owned())
             };
         }
+        Err(Unanswered::Stop) => {
+            let cause = "no response before the host's planned stop ended".to_owned();
+            return Attempt::failed(Outcome::Unknown, cause);
+        }
     };
     match outcome {
         Ok(received) => accept(
@@ -110,9 +118,37 @@
     }
 }
 
+/// Reason why a target is no longer waited for.
+enum Unanswered {
+    /// No response came in time.
+    Timeout {
+        /// Whether the retry budget has been charged for another attempt.
+        is_retry_charged: bool,
+    },
+    /// A planned stop of the host leaves no more time.
+    Stop,
+}
+
+/// Sends a request and reads its response, unless a planned stop of the host ends first.
+async fn exchange(
+    shared: &Shared,
+    job: &Job,
+    connection: &mut Connection,
+    wire: &[u8],
+    attempt_timeout: Span,
+) -> Result<Result<Received, Error>, Unanswered> {
+    tokio::select! {
+        biased;
+        outcome = exchange_in_time(shared, job, connection, wire, attempt_timeout) => {
+            outcome.map_err(|is_retry_charged| Unanswered::Timeout { is_retry_charged })
+        }
+        () = shared.gives_up() => Err(Unanswered::Stop),
+    }
+}
+
 /// Sends a request and reads its response. The outer error means that none came in time, and holds
 /// whether the retry budget has been charged for another attempt.
-async fn exchange(
+async fn exchange_in_time(
     shared: &Shared,
     job: &Job,
     connection: &mut Connection,
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -125,6 +125,9 @@
                 let is_late = job.deadline <= shared.now();
                 let problem = match is_late {
                     true => Problem::new(504, "the target gave no answer in time"),
+                    false if shared.is_giving_up.get() => {
+                        Problem::new(504, "the host stopped before the target answered")
+                    }
                     false => Problem::new(502, "the target gave no usable answer"),
                 };
                 return fail(shared, &job, problem);
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use anyhow::{Context, Result};
-use ragwortrill_core::time::Span;
+use ragwortrill_core::time::{Instant, Span};
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
@@ -23,8 +23,12 @@
 /// Time within which the load balancer notices that the host is not ready and sends it no new
 /// connections.
 const UNREADY_NOTICE: Duration = Duration::from_millis(3_200);
-/// Part of the grace period, in percent, after which requests that still run are cut off.
-const GRACE_PERCENT: u64 = 88;
+/// Part of the grace period, in percent, after which requests that still run at targets get a reply
+/// of this host. Before the last sixth of the grace period, no running request may be given up.
+const REPLY_PERCENT: u64 = 86;
+/// Part of the grace period, in percent, after which the process ends even if callers have not
+/// accepted their replies.
+const EXIT_PERCENT: u64 = 95;
 /// Interval between two checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Length of a listener's queue of connections that wait to be accepted.
@@ -96,7 +100,8 @@
 }
 
 /// Stops without cutting off a request: first the readiness check reports that the host is not
-/// ready, then callers' connections are closed as they become idle.
+/// ready, then callers' connections are closed as they become idle, and at last requests that still
+/// run get a reply of this host, so that those behind them on their connections get theirs.
 async fn stop(shared: &Shared, accepting: &JoinHandle<()>) {
     let began = shared.now();
     let grace = shared.settings.borrow().bounds.grace;
@@ -107,14 +112,12 @@
     shared.is_closing.set(true);
     shared.closing.notify_waiters();
     admission::reject_waiting(shared);
-    let limit = grace.scale(GRACE_PERCENT, 100);
-    let drained = async {
-        while shared.caller_connections.get() > 0 || shared.active_requests.len() > 0 {
-            sleep(DRAIN_POLL_INTERVAL).await;
-        }
-    };
-    let left = limit - shared.now().since(began);
-    let is_drained = timeout(left.as_duration(), drained).await.is_ok();
+    let mut is_drained = drain(shared, began + grace.scale(REPLY_PERCENT, 100)).await;
+    if !is_drained {
+        shared.is_giving_up.set(true);
+        shared.giving_up.notify_waiters();
+        is_drained = drain(shared, began + grace.scale(EXIT_PERCENT, 100)).await;
+    }
     log_cut_requests(shared);
     log::info!(
         is_drained = is_drained, requests = shared.active_requests.len(),
@@ -125,6 +128,18 @@
     sleep(Span::from_millis(60).as_duration()).await;
 }
 
+/// Waits until all callers' connections and requests have ended. Returns false if some have not
+/// ended by a time.
+async fn drain(shared: &Shared, until: Instant) -> bool {
+    let drained = async {
+        while shared.caller_connections.get() > 0 || shared.active_requests.len() > 0 {
+            sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    };
+    let left = until.since(shared.now());
+    timeout(left.as_duration(), drained).await.is_ok()
+}
+
 /// Logs the requests that end without a complete reply because the process ends.
 fn log_cut_requests(shared: &Shared) {
     let now = shared.now();
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -84,6 +84,10 @@
     pub(crate) is_closing: Cell<bool>,
     /// Notified when `is_closing` is set.
     pub(crate) closing: Notify,
+    /// Whether requests without a response of their target get a reply of this host.
+    pub(crate) is_giving_up: Cell<bool>,
+    /// Notified when `is_giving_up` is set.
+    pub(crate) giving_up: Notify,
     /// Whether the first complete list of the targets has been read.
     pub(crate) has_listed_targets: Cell<bool>,
     /// Open connections of callers.
@@ -156,6 +160,8 @@
             is_queue_closed: Cell::new(false),
             is_closing: Cell::new(false),
             closing: Notify::new(),
+            is_giving_up: Cell::new(false),
+            giving_up: Notify::new(),
             has_listed_targets: Cell::new(false),
             caller_connections: Cell::new(0),
             accepted_connections: Cell::new(0),
@@ -230,6 +236,14 @@
         f(budget)
     }
 
+    /// Waits until a planned stop leaves no more time for responses of targets.
+    pub(crate) async fn gives_up(&self) {
+        let notified = self.giving_up.notified();
+        if !self.is_giving_up.get() {
+            notified.await;
+        }
+    }
+
     /// Returns whether the host can serve requests.
     pub(crate) fn is_ready(&self) -> bool {
         self.config.borrow().is_some() && self.has_listed_targets.get() && !self.is_stopping.get()
