Answer requests that have arrived when a planned stop closes idle connections

What callers saw: a request sent to a stopping host shortly before idle connections are closed ended with a closed connection, neither passed on nor refused; a connection that the kernel had established and the host had not accepted yet was reset.

Cause: an idle connection was closed without a look at its socket. A busy event loop learns of new bytes only after the tasks that are ready, and lingering then read the request and discarded it, so that its caller had no right to send it again. The accepting task was aborted with connections in the listener's queue. A connection counted as open only once its task had run, so the stop could miss it.

Change: before it closes an idle connection the host asks the kernel for unread bytes, and serves the connection if there are some. It closes an idle connection without lingering, so that a request that crosses the closing stays unread. The accepting task ends by itself after it has accepted what waits in the queue, and the stop waits for it. Connections count from their acceptance.

Why it works: between the look at the socket and the closing nothing is awaited, so a request is answered if it arrived before and unread if after. No reply is cut off without lingering, since the last reply of an idle connection was written before the stop began.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -1,7 +1,7 @@
 //! Connections of callers. Requests of one connection run concurrently; their replies are sent in
 //! the order of the requests.
 
-use std::{cell::Cell, pin::Pin, rc::Rc, time::Duration};
+use std::{io, pin::Pin, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, stream::FuturesOrdered};
@@ -17,7 +17,7 @@
 
 use crate::{
     activity::{Guard, Stage},
-    connection::Connection,
+    connection::{self, Connection},
     job::Incoming,
     message::{self, Decoder, Request},
     proxy,
@@ -35,35 +35,61 @@
 /// Longest time for which a closed connection waits for the caller to close it too.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Accepts connections of callers for as long as its task runs.
+/// Accepts connections of callers until a planned stop closes idle connections.
 pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let shared = shared.clone();
-                tokio::task::spawn_local(async move { serve(shared, stream).await });
-            }
+    while !shared.is_closing.get() {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.closing.notified() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => start(&shared, stream),
             Err(error) => {
                 log::warn!(error = error.to_string(); "connection of a caller can't be accepted");
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
     }
+    if let Err(error) = accept_waiting(&shared, listener) {
+        log::warn!(error = error.to_string(); "waiting connections of callers can't be accepted");
+    }
+}
+
+/// Accepts the connections that wait in the listener's queue, since closing the listener resets
+/// them. The event loop may not have reported them yet, so this asks the kernel.
+fn accept_waiting(shared: &Rc<Shared>, listener: TcpListener) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    for stream in listener.incoming().map_while(Result::ok) {
+        stream.set_nonblocking(true)?;
+        start(shared, TcpStream::from_std(stream)?);
+    }
+    Ok(())
 }
 
-/// Increments a counter, and decrements it when dropped.
-struct CountGuard<'a>(&'a Cell<u32>);
+/// Starts a task that serves a connection.
+fn start(shared: &Rc<Shared>, stream: TcpStream) {
+    // Counted before the task first runs, since a planned stop waits until the count is 0.
+    let guard = CountGuard::new(shared.clone());
+    tokio::task::spawn_local(async move {
+        serve(guard.0.clone(), stream).await;
+    });
+}
+
+/// Counts a connection as open until it is dropped.
+struct CountGuard(Rc<Shared>);
 
-impl<'a> CountGuard<'a> {
-    fn new(cell: &'a Cell<u32>) -> Self {
-        cell.set(cell.get() + 1);
-        Self(cell)
+impl CountGuard {
+    fn new(shared: Rc<Shared>) -> Self {
+        let count = &shared.caller_connections;
+        count.set(count.get() + 1);
+        Self(shared)
     }
 }
 
-impl Drop for CountGuard<'_> {
+impl Drop for CountGuard {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        let count = &self.0.caller_connections;
+        count.set(count.get() - 1);
     }
 }
 
@@ -103,7 +129,6 @@
 }
 
 async fn serve(shared: Rc<Shared>, stream: TcpStream) {
-    let _guard = CountGuard::new(&shared.caller_connections);
     let (stream, buffer) = Connection::new(stream).into_parts();
     let (mut reader, mut writer) = stream.into_split();
     let now = shared.now();
@@ -124,6 +149,11 @@
         if session.is_finished() {
             break;
         }
+        if session.closes_idle(reader.as_ref()) {
+            // Not lingering: the last reply was written before the stop started, and a request that
+            // arrives from now on stays unread, so its caller may send it again.
+            return;
+        }
         let reads = session.buffer.len() < MAX_READ_AHEAD_BYTES;
         let wakes_at = session.wakes_at();
         session.buffer.reserve(4 * 1024);
@@ -157,7 +187,7 @@
     let drained = async {
         writer.shutdown().await?;
         while reader.read(&mut discarded).await? > 0 {}
-        std::io::Result::Ok(())
+        io::Result::Ok(())
     };
     let _ = timeout(LINGER_TIMEOUT, drained).await;
 }
@@ -301,9 +331,17 @@
 
     /// Returns whether the connection can be closed.
     fn is_finished(&self) -> bool {
-        let is_idle = self.pending.is_empty() && self.partial.is_none();
-        let is_closing = self.shared.is_closing.get() && self.buffer.is_empty();
-        is_idle && (self.is_closed || is_closing)
+        self.is_closed && self.is_idle()
+    }
+
+    fn is_idle(&self) -> bool {
+        self.pending.is_empty() && self.partial.is_none()
+    }
+
+    /// Returns whether a planned stop closes the connection because it is idle.
+    fn closes_idle(&self, stream: &TcpStream) -> bool {
+        let is_idle = self.is_idle() && self.buffer.is_empty();
+        self.shared.is_closing.get() && is_idle && !connection::has_unread_bytes(stream)
     }
 
     fn wakes_at(&self) -> tokio::time::Instant {
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -1,6 +1,6 @@
 //! A TCP connection with its read buffer.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, mem::MaybeUninit, net::SocketAddr, time::Duration};
 
 use bytes::BytesMut;
 use socket2::{SockRef, TcpKeepalive};
@@ -73,6 +73,14 @@
     }
 }
 
+/// Returns whether bytes have arrived that are not read yet. Asks the kernel, since the event loop
+/// may not have reported them yet.
+pub(crate) fn has_unread_bytes(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    let peeked = SockRef::from(stream).peek(&mut byte);
+    peeked.is_ok_and(|length| length > 0)
+}
+
 fn set_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -88,7 +88,7 @@
     tokio::task::spawn_local(candidacy::run(shared.clone()));
     tokio::task::spawn_local(admission::run(shared.clone()));
     ending.await;
-    stop(&shared, &accepting).await;
+    stop(&shared, accepting).await;
     Ok(())
 }
 
@@ -102,16 +102,19 @@
 /// Stops without cutting off a request: first the readiness check reports that the host is not
 /// ready, then callers' connections are closed as they become idle, and at last requests that still
 /// run get a reply of this host, so that those behind them on their connections get theirs.
-async fn stop(shared: &Shared, accepting: &JoinHandle<()>) {
+async fn stop(shared: &Shared, accepting: JoinHandle<()>) {
     let began = shared.now();
     let grace = shared.settings.borrow().bounds.grace;
     log::info!(callers = shared.caller_connections.get(), requests = shared.active_requests.len(); "planned stop started");
     shared.is_stopping.set(true);
     sleep(UNREADY_NOTICE.min(grace.as_duration() / 2)).await;
-    accepting.abort();
     shared.is_closing.set(true);
     shared.closing.notify_waiters();
     admission::reject_waiting(shared);
+    // Connections that wait to be accepted must be counted before the host waits for all to end.
+    if let Err(error) = accepting.await {
+        log::error!(error = error.to_string(); "task that accepts callers' connections failed");
+    }
     let mut is_drained = drain(shared, began + grace.scale(REPLY_PERCENT, 100)).await;
     if !is_drained {
         shared.is_giving_up.set(true);
