--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -51,7 +51,7 @@
         }
     }
     if let Err(error) = accept_waiting(&shared, listener) {
-        log::warn!(error = error.to_string(); "waiting connections of callers can't be accepted");
+        log::warn!(error = error.to_string(); "connection of a caller can't be accepted");
     }
 }
 
