--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -69,6 +69,11 @@
         self.0 / 1_000
     }
 
+    /// Returns the span in seconds.
+    pub const fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
     /// Returns the span as the standard library's type.
     pub const fn as_duration(self) -> std::time::Duration {
         std::time::Duration::from_micros(self.0)
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -67,7 +67,7 @@
             "http.response.status_code",
             i64::from(status),
         )];
-        self.duration.record(elapsed.0 as f64 / 1e6, &attributes);
+        self.duration.record(elapsed.as_secs_f64(), &attributes);
     }
 
     pub(crate) fn request_refused(&self, kind: impl Into<String>) {
@@ -91,7 +91,7 @@
     /// Records the gauges of the node's state.
     pub(crate) fn record_gauges(&self, values: &Gauges) {
         let gauges = &self.gauges;
-        let age = values.proof_age.map_or(-1.0, |age| age.0 as f64 / 1e6);
+        let age = values.proof_age.map_or(-1.0, |age| age.as_secs_f64());
         gauges.proof_age.record(age, &[]);
         gauges.differing_peers.record(values.differing_peers, &[]);
         gauges.unheard_peers.record(values.unheard_peers, &[]);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -85,15 +85,15 @@
 
     pub(crate) fn record_response(&self, status: u16, elapsed: Span) {
         let status = KeyValue::new("http.response.status_code", i64::from(status));
-        self.duration.record(elapsed.0 as f64 / 1e6, &[status]);
+        self.duration.record(elapsed.as_secs_f64(), &[status]);
     }
 
     pub(crate) fn record_wait(&self, elapsed: Span) {
-        self.wait.record(elapsed.0 as f64 / 1e6, &[]);
+        self.wait.record(elapsed.as_secs_f64(), &[]);
     }
 
     pub(crate) fn record_hold(&self, elapsed: Span) {
-        self.hold.record(elapsed.0 as f64 / 1e6, &[]);
+        self.hold.record(elapsed.as_secs_f64(), &[]);
     }
 
     pub(crate) fn record_failure(&self, status: u16, reason: &'static str) {
@@ -194,7 +194,7 @@
         for topic in Topic::ALL {
             let replicas = shared.replicas.borrow();
             let read_at = replicas.get(&topic).map(|replica| replica.read_at());
-            let age = read_at.map_or(-1.0, |at| now.since(at).0 as f64 / 1e6);
+            let age = read_at.map_or(-1.0, |at| now.since(at).as_secs_f64());
             self.age
                 .record(age, &[KeyValue::new("topic", topic.label())]);
         }
--- a/crates/router/src/load.rs
+++ b/crates/router/src/load.rs
@@ -116,7 +116,7 @@
     /// rate and the one expected from its requests in flight.
     pub fn throughput(&self, now: Instant) -> f64 {
         let recent =
-            self.answers * self.answers_weight(now) / (THROUGHPUT_WINDOW.0 as f64 / US_PER_SECOND);
+            self.answers * self.answers_weight(now) / THROUGHPUT_WINDOW.as_secs_f64();
         let expected = f64::from(self.in_flight) * US_PER_SECOND / self.response_us.max(1.0);
         recent.max(expected)
     }
--- a/crates/router/src/queue.rs
+++ b/crates/router/src/queue.rs
@@ -18,8 +18,6 @@
 
 use crate::{registration::Incarnation, share::Share};
 
-/// Microseconds in a second.
-const US_PER_SECOND: f64 = 1e6;
 /// Requests of all hosts that may wait for an owner regardless of its recent throughput, as a
 /// multiple of its slots.
 const MIN_WAITING_PER_SLOT: u32 = 3;
@@ -149,7 +147,7 @@
     /// share rounds down to zero: a request that arrives when the owner has capacity is served
     /// sooner than one that waited.
     pub fn limit(self, max_wait: Span) -> u32 {
-        let answered = self.per_second * max_wait.0 as f64 / US_PER_SECOND;
+        let answered = self.per_second * max_wait.as_secs_f64();
         let minimum = self.share.of(f64::from(self.slots * MIN_WAITING_PER_SLOT));
         answered.max(minimum) as u32
     }
--- a/crates/router/src/rate.rs
+++ b/crates/router/src/rate.rs
@@ -2,9 +2,6 @@
 
 use ragwortrill_core::time::Instant;
 
-/// Microseconds in a second.
-const US_PER_SECOND: f64 = 1e6;
-
 /// A token bucket that limits events per second and bursts.
 #[derive(Clone, Debug)]
 pub struct Rate {
@@ -39,7 +36,7 @@
     }
 
     fn refill(&mut self, now: Instant, per_second: f64, burst: f64) {
-        let elapsed = now.since(self.filled_at).0 as f64 / US_PER_SECOND;
+        let elapsed = now.since(self.filled_at).as_secs_f64();
         self.tokens = (self.tokens + elapsed * per_second).min(burst);
         self.filled_at = now;
     }
