--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -200,8 +200,7 @@
 /// Records that the leader has relayed all records before an offset, as the store held them at
 /// `read_at`.
 pub(crate) fn advance(shared: &Shared, topic: Topic, next: Offset, read_at: Instant) {
-    let mut replicas = shared.replicas.borrow_mut();
-    replicas.entry(topic).or_default().advance(next, read_at);
+    shared.advance_replica(topic, next, read_at);
     shared.relayed_at.borrow_mut().insert(topic, read_at);
     if topic == Topic::Targets && is_relayed(shared, topic) {
         record_store_result(shared, true);
@@ -233,19 +232,14 @@
     let Some(from) = next_offset(shared, topic) else {
         let (records, next) = store.newest(name).await?;
         apply(shared, topic, records, true);
-        let mut replicas = shared.replicas.borrow_mut();
-        replicas.entry(topic).or_default().advance(next, sent);
+        shared.advance_replica(topic, next, sent);
         return Ok(());
     };
     match store.read(name, from, wait).await? {
         Read::Records(records, next) => {
             let read_at = shared.now() - RESPONSE_AGE;
             apply(shared, topic, records, false);
-            let mut replicas = shared.replicas.borrow_mut();
-            replicas
-                .entry(topic)
-                .or_default()
-                .advance(next, read_at.max(sent));
+            shared.advance_replica(topic, next, read_at.max(sent));
         }
         Read::Expired => {
             log::info!(topic = name, from = from.0; "records expired before they were read; reading the newest record of each key");
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -280,11 +280,7 @@
         // The read position advances only without a gap: records of other hosts may stand between
         // the last record read and the first one written.
         if follow::next_offset(&self.shared, Topic::Ownership) == first {
-            let mut replicas = self.shared.replicas.borrow_mut();
-            replicas
-                .entry(Topic::Ownership)
-                .or_default()
-                .advance(end, sent);
+            self.shared.advance_replica(Topic::Ownership, end, sent);
         }
     }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -9,6 +9,7 @@
 
 use ragwortrill_core::{
     name,
+    number::Offset,
     retry::Budget,
     time::{Instant, Span},
 };
@@ -196,6 +197,13 @@
         now.since(read_at.unwrap_or_default())
     }
 
+    /// Records that this host's copy of a topic holds all records before an offset, as the store
+    /// held them at `read_at`.
+    pub(crate) fn advance_replica(&self, topic: Topic, next: Offset, read_at: Instant) {
+        let mut replicas = self.replicas.borrow_mut();
+        replicas.entry(topic).or_default().advance(next, read_at);
+    }
+
     /// Returns this host's share of limits that hold for all hosts.
     pub(crate) fn share(&self) -> Share {
         Share::among(self.hosts.borrow().len())
--- a/crates/router/src/load.rs
+++ b/crates/router/src/load.rs
@@ -115,8 +115,7 @@
     /// Returns the answers per second that this host gets from the target: the higher of the recent
     /// rate and the one expected from its requests in flight.
     pub fn throughput(&self, now: Instant) -> f64 {
-        let recent =
-            self.answers * self.answers_weight(now) / THROUGHPUT_WINDOW.as_secs_f64();
+        let recent = self.answers * self.answers_weight(now) / THROUGHPUT_WINDOW.as_secs_f64();
         let expected = f64::from(self.in_flight) * US_PER_SECOND / self.response_us.max(1.0);
         recent.max(expected)
     }
