Keep the phases of a planned stop in one module

Four flags and two notifications, set in pairs, said how far a planned stop is. They are one ordered phase now, beside the code that enters it. The queue is closed and idle connections are closed in the same phase, as before. No behaviour changes.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -19,6 +19,7 @@
     reply::{Problem, RETRY_AFTER_ABSENT_MS, RETRY_AFTER_BUSY_MS},
     search::{self, Criteria, Search},
     shared::Shared,
+    stop::Phase,
 };
 
 /// Interval at which targets are searched for waiting requests. Requests that end at a target start
@@ -49,7 +50,7 @@
             return Err(Problem::refusal(reason, RETRY_AFTER_ABSENT_MS));
         }
     };
-    if shared.is_queue_closed.get() {
+    if shared.stop.has_reached(Phase::Closing) {
         return Err(HOST_STOPPING);
     }
     let min_service_time = min_service_time(job);
@@ -88,9 +89,8 @@
 /// Refusal of a request that would have to wait although the host is stopping.
 const HOST_STOPPING: Problem = Problem::refusal("the host stops", RETRY_AFTER_BUSY_MS);
 
-/// Refuses all waiting requests and closes the queue, since the host stops soon.
+/// Refuses all waiting requests, since the host stops soon.
 pub(crate) fn reject_waiting(shared: &Shared) {
-    shared.is_queue_closed.set(true);
     let waiters = std::mem::take(&mut *shared.waiters.borrow_mut());
     for waiter in waiters.into_values() {
         let _ = waiter.found.send(Err(HOST_STOPPING));
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -16,6 +16,7 @@
     message::{self, Framing},
     reply::{Remainder, Reply},
     shared::Shared,
+    stop::Phase,
 };
 
 /// Multiple of the target's usual response time after which a request is sent to another target.
@@ -69,7 +70,7 @@
     let Some(connection) = checkout.connection() else {
         return Attempt::failed(Outcome::NotSent, "no connection".to_owned());
     };
-    if shared.is_giving_up.get() {
+    if shared.stop.has_reached(Phase::GivingUp) {
         checkout.give_back(None);
         return Attempt::failed(Outcome::NotSent, "the host stops".to_owned());
     }
@@ -142,7 +143,7 @@
         outcome = exchange_in_time(shared, job, connection, wire, attempt_timeout) => {
             outcome.map_err(|is_retry_charged| Unanswered::Timeout { is_retry_charged })
         }
-        () = shared.gives_up() => Err(Unanswered::Stop),
+        () = shared.stop.reached(Phase::GivingUp) => Err(Unanswered::Stop),
     }
 }
 
@@ -178,7 +179,7 @@
 /// and charges the retry budget. If the budget allows no further attempt, waiting on is better for
 /// the caller. During a planned stop no running attempt is given up.
 fn abandons_target(shared: &Shared, job: &Job) -> bool {
-    !shared.is_stopping.get() && shared.withdraw_retry(&job.service)
+    !shared.stop.has_reached(Phase::Stopping) && shared.withdraw_retry(&job.service)
 }
 
 fn encode(shared: &Shared, job: &Job, target: &Target, left: Span) -> bytes::BytesMut {
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -23,6 +23,7 @@
     proxy,
     reply::{self, Problem, Reply},
     shared::Shared,
+    stop::Phase,
 };
 
 /// Largest number of requests of one connection that run concurrently.
@@ -37,10 +38,10 @@
 
 /// Accepts connections of callers until a planned stop closes idle connections.
 pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
-    while !shared.is_closing.get() {
+    while !shared.stop.has_reached(Phase::Closing) {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = shared.closing.notified() => break,
+            () = shared.stop.reached(Phase::Closing) => break,
         };
         match accepted {
             Ok((stream, _)) => start(&shared, stream),
@@ -170,7 +171,7 @@
                 Ok(0) | Err(_) => return,
                 Ok(_) => {}
             },
-            () = shared.closing.notified() => {}
+            () = shared.stop.reached(Phase::Closing), if !shared.stop.has_reached(Phase::Closing) => {}
             () = sleep_until(wakes_at) => {
                 if !session.handle_timeout() {
                     break;
@@ -211,7 +212,7 @@
     /// Returns how many requests may run concurrently. During a planned stop it is one, since its
     /// reply closes the connection; requests after it count as not read and are not run.
     fn max_pending(&self) -> usize {
-        match self.shared.is_stopping.get() {
+        match self.shared.stop.has_reached(Phase::Stopping) {
             true => 1,
             false => MAX_PIPELINED_REQUESTS,
         }
@@ -317,7 +318,7 @@
     /// while others are pending leaves that to the last of them: those requests are at targets.
     fn closes_after(&mut self, response: &Response) -> bool {
         self.is_closed |= response.reply.closes || !response.keeps_alive;
-        let is_closing = self.is_closed || self.shared.is_stopping.get();
+        let is_closing = self.is_closed || self.shared.stop.has_reached(Phase::Stopping);
         is_closing && self.pending.is_empty()
     }
 
@@ -341,7 +342,9 @@
     /// Returns whether a planned stop closes the connection because it is idle.
     fn closes_idle(&self, stream: &TcpStream) -> bool {
         let is_idle = self.is_idle() && self.buffer.is_empty();
-        self.shared.is_closing.get() && is_idle && !connection::has_unread_bytes(stream)
+        self.shared.stop.has_reached(Phase::Closing)
+            && is_idle
+            && !connection::has_unread_bytes(stream)
     }
 
     fn wakes_at(&self) -> tokio::time::Instant {
--- a/crates/entry/src/candidacy.rs
+++ b/crates/entry/src/candidacy.rs
@@ -12,6 +12,7 @@
     leadership,
     protocol::{Append, Draft, Member, Membership},
     shared::{Host, Shared},
+    stop::Phase,
     store::Store,
 };
 
@@ -65,7 +66,7 @@
     let candidate = Rc::new(Candidacy::default());
     tokio::task::spawn_local(maintain_membership(shared.clone(), candidate.clone()));
     loop {
-        if candidate.may_lead(shared.now()) && !shared.is_stopping.get() {
+        if candidate.may_lead(shared.now()) && !shared.stop.has_reached(Phase::Stopping) {
             let outcome = leadership::lead(&shared, &candidate).await;
             match outcome {
                 Ok(()) => log::info!("leadership ended"),
@@ -93,7 +94,7 @@
     let mut is_member = false;
     let mut registered_at = None;
     let mut liveness = Liveness::default();
-    while !shared.is_stopping.get() {
+    while !shared.stop.has_reached(Phase::Stopping) {
         // An earlier process of this host removes the record when it stops, which may happen after
         // this process has registered.
         let is_known = shared.hosts.borrow().contains_key(&host);
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -36,6 +36,7 @@
     lease::{Lease, TERM_KEY, Term},
     protocol::{Append, Draft, Record},
     shared::Shared,
+    stop::Phase,
     store::Store,
 };
 
@@ -166,7 +167,7 @@
 impl Leadership {
     async fn run(self: Rc<Self>, candidate: &Candidacy) -> Result<()> {
         loop {
-            if !candidate.is_nominated.get() || self.shared.is_stopping.get() {
+            if !candidate.is_nominated.get() || self.shared.stop.has_reached(Phase::Stopping) {
                 return Ok(());
             }
             if !self.lease.is_valid() {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,6 +31,7 @@
 mod service;
 pub mod settings;
 mod shared;
+mod stop;
 mod store;
 
 pub use run::{run, run_until};
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -14,6 +14,7 @@
     reply::{Problem, RETRY_AFTER_BUSY_MS, Reply},
     search,
     shared::Shared,
+    stop::Phase,
 };
 
 /// Serves a request. A request that is not idempotent is completed even if its caller leaves.
@@ -103,7 +104,7 @@
             next = retry::decide(job.rule.kind, attempt.outcome, job.may_have_run, left);
         }
         job.may_have_run |= attempt.outcome == Outcome::Unknown;
-        if next == Decision::Retry && shared.is_queue_closed.get() {
+        if next == Decision::Retry && shared.stop.has_reached(Phase::Closing) {
             // A planned stop leaves no time for another attempt.
             next = if job.may_have_run {
                 Decision::Fail
@@ -125,7 +126,7 @@
                 let is_late = job.deadline <= shared.now();
                 let problem = match is_late {
                     true => Problem::new(504, "the target gave no answer in time"),
-                    false if shared.is_giving_up.get() => {
+                    false if shared.stop.has_reached(Phase::GivingUp) => {
                         Problem::new(504, "the host stopped before the target answered")
                     }
                     false => Problem::new(502, "the target gave no usable answer"),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -27,6 +27,7 @@
     follow::{self, Topic},
     protocol::Record,
     shared::Shared,
+    stop::Phase,
 };
 
 /// Path of the exchange on the port between hosts.
@@ -241,7 +242,7 @@
         follow::next_offset(shared, topic).map(|next| next.0) > from
     };
     let is_new = is_new(Topic::Ownership) || is_new(Topic::Operators);
-    if !is_new && !shared.is_stopping.get() {
+    if !is_new && !shared.stop.has_reached(Phase::Stopping) {
         let _ = timeout(hold_time(shared), shared.update_ready.notified()).await;
     }
     let now = shared.now();
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -31,8 +31,16 @@
 use tokio::sync::Notify;
 
 use crate::{
-    activity::Register, admission::Waiter, clock::Clock, follow::Topic, metrics::Metrics,
-    pool::Pool, protocol::Protocol, replica::Replica, settings::Settings,
+    activity::Register,
+    admission::Waiter,
+    clock::Clock,
+    follow::Topic,
+    metrics::Metrics,
+    pool::Pool,
+    protocol::Protocol,
+    replica::Replica,
+    settings::Settings,
+    stop::{Phase, Progress},
 };
 
 /// State of a host.
@@ -77,18 +85,8 @@
     pub(crate) update_ready: Notify,
     /// Whether waiting requests are being dispatched, so that dispatching does not recurse.
     pub(crate) is_dispatching: Cell<bool>,
-    /// Whether a planned stop of the host has started.
-    pub(crate) is_stopping: Cell<bool>,
-    /// Whether requests that would have to wait are refused.
-    pub(crate) is_queue_closed: Cell<bool>,
-    /// Whether idle connections of callers are closed.
-    pub(crate) is_closing: Cell<bool>,
-    /// Notified when `is_closing` is set.
-    pub(crate) closing: Notify,
-    /// Whether requests without a response of their target get a reply of this host.
-    pub(crate) is_giving_up: Cell<bool>,
-    /// Notified when `is_giving_up` is set.
-    pub(crate) giving_up: Notify,
+    /// Progress of a planned stop of the host.
+    pub(crate) stop: Progress,
     /// Whether the first complete list of the targets has been read.
     pub(crate) has_listed_targets: Cell<bool>,
     /// Open connections of callers.
@@ -157,12 +155,7 @@
             queued: Notify::new(),
             update_ready: Notify::new(),
             is_dispatching: Cell::new(false),
-            is_stopping: Cell::new(false),
-            is_queue_closed: Cell::new(false),
-            is_closing: Cell::new(false),
-            closing: Notify::new(),
-            is_giving_up: Cell::new(false),
-            giving_up: Notify::new(),
+            stop: Progress::default(),
             has_listed_targets: Cell::new(false),
             caller_connections: Cell::new(0),
             accepted_connections: Cell::new(0),
@@ -244,17 +237,11 @@
         f(budget)
     }
 
-    /// Waits until a planned stop leaves no more time for responses of targets.
-    pub(crate) async fn gives_up(&self) {
-        let notified = self.giving_up.notified();
-        if !self.is_giving_up.get() {
-            notified.await;
-        }
-    }
-
     /// Returns whether the host can serve requests.
     pub(crate) fn is_ready(&self) -> bool {
-        self.config.borrow().is_some() && self.has_listed_targets.get() && !self.is_stopping.get()
+        self.config.borrow().is_some()
+            && self.has_listed_targets.get()
+            && !self.stop.has_reached(Phase::Stopping)
     }
 }
 
