Send no body in the reply to a HEAD request

What callers saw: after a HEAD request that the host answers itself (404, 503, 504), the body of the problem without a length, which they read as the start of the next reply of the connection.

Cause: Reply::encode left out the length for HEAD, but not the body.

Why the fix works: nothing follows the head of a reply to HEAD. Since requests get a reply of the host at the end of a planned stop, such replies are more frequent there.

--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -101,7 +101,8 @@
         }
     }
 
-    /// Encodes the head and the buffered part of the body.
+    /// Encodes the head and the buffered part of the body. The reply to a `HEAD` request, for which
+    /// `to_head` is set, has no body.
     pub(crate) fn encode(&self, closes: bool, to_head: bool) -> BytesMut {
         let mut wire = BytesMut::with_capacity(256 + self.body.len());
         wire.put_slice(
@@ -137,6 +138,7 @@
             .as_ref()
             .is_some_and(|remainder| remainder.length.is_none());
         match is_chunked {
+            _ if to_head => {}
             true => put_chunk(&mut wire, &self.body),
             false => wire.put_slice(&self.body),
         }
