Do not refuse a request that a target ran and failed

What callers saw: status 503, which states that a request was not run, for a repeatable request that a target ran and answered with a failure. During a planned stop every such answer was replaced that way once the queue was closed.

Cause: a failure counted as not run when the next attempt was refused, and when a planned stop left no time for one.

Evidence: two new tests fail before: a target that fails 3.5 s after the stop (503 in place of its 500), and one target that fails beside one that sheds (503 after a run). Both pass now.

Why the fix works: a request that failed at a target may have run, so 502 or 504 takes the place of a refusal, and during a planned stop, where no retry follows, the caller gets the target's own answer.

--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -102,13 +102,13 @@
             };
             next = retry::decide(job.rule.kind, attempt.outcome, job.may_have_run, left);
         }
-        job.may_have_run |= attempt.outcome == Outcome::Unknown;
+        job.may_have_run |= matches!(attempt.outcome, Outcome::Failure | Outcome::Unknown);
         if next == Decision::Retry && shared.is_queue_closed.get() {
             // A planned stop leaves no time for another attempt.
-            next = if job.may_have_run {
-                Decision::Fail
-            } else {
-                Decision::Refuse
+            next = match attempt.outcome {
+                Outcome::Failure => Decision::Deliver,
+                _ if job.may_have_run => Decision::Fail,
+                _ => Decision::Refuse,
             };
         }
         shared.metrics.record_attempt(attempt.outcome);
@@ -140,7 +140,7 @@
 /// attempt may have run it.
 fn fail(shared: &Shared, job: &Job, mut problem: Problem) -> Reply {
     if job.may_have_run && problem.status == 503 {
-        problem = Problem::new(504, "an earlier attempt gave no answer");
+        problem = Problem::new(504, "an earlier attempt may have run");
     }
     shared
         .metrics
