Wait at a planned stop for orders whose callers have left

What operators saw: a host that stops as planned ended 60 ms after it closed idle connections, and cut off requests that must not be repeated at their targets, because their callers had left. Targets drop such a request.

Cause: a request counted as active only until its caller left, though one that is not idempotent is completed without its caller.

Why the fix works: the request itself holds its entry in the register, so the stop waits for it as for any other, until requests are given up.

--- a/crates/entry/src/activity.rs
+++ b/crates/entry/src/activity.rs
@@ -66,13 +66,13 @@
 }
 
 impl Register {
-    /// Adds a request. Dropping the guard removes it.
+    /// Adds a request. Dropping the last guard removes it.
     pub(crate) fn add(
         self: &Rc<Self>,
         request: String,
         connection: u64,
         received: Instant,
-    ) -> Guard {
+    ) -> Rc<Guard> {
         let number = self.next.replace(self.next.get() + 1);
         let activity = Activity {
             request,
@@ -81,7 +81,7 @@
             stage: Stage::default(),
         };
         self.activities.borrow_mut().insert(number, activity);
-        Guard(Handle {
+        Rc::new(Guard {
             register: self.clone(),
             number,
         })
@@ -107,23 +107,12 @@
 
 /// A request's entry in the register. Dropping it removes the request.
 #[derive(Debug)]
-pub(crate) struct Guard(pub(crate) Handle);
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        let mut activities = self.0.register.activities.borrow_mut();
-        activities.remove(&self.0.number);
-    }
-}
-
-/// Access to a request's entry, without effect once that is removed.
-#[derive(Clone, Debug)]
-pub(crate) struct Handle {
+pub(crate) struct Guard {
     register: Rc<Register>,
     number: u64,
 }
 
-impl Handle {
+impl Guard {
     /// Records what the request waits for from now on.
     pub(crate) fn set(&self, stage: Stage) {
         let mut activities = self.register.activities.borrow_mut();
@@ -132,3 +121,10 @@
         }
     }
 }
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let mut activities = self.register.activities.borrow_mut();
+        activities.remove(&self.number);
+    }
+}
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -75,7 +75,7 @@
     /// When the reply was ready.
     ready: Instant,
     /// None if the request can't be read.
-    activity: Option<Guard>,
+    activity: Option<Rc<Guard>>,
 }
 
 type Pending = FuturesOrdered<Pin<Box<dyn Future<Output = Response>>>>;
@@ -249,11 +249,11 @@
             head: partial.head,
             body: partial.body.freeze(),
             received,
-            activity: activity.0.clone(),
+            activity: activity.clone(),
         };
         self.pending.push_back(Box::pin(async move {
             let reply = proxy::serve(shared.clone(), incoming).await;
-            activity.0.set(Stage::Held);
+            activity.set(Stage::Held);
             let ready = shared.now();
             let elapsed = ready.since(received);
             shared.metrics.record_response(reply.status, elapsed);
@@ -346,7 +346,7 @@
         ..
     } = response;
     if let Some(activity) = &activity {
-        activity.0.set(Stage::Replying);
+        activity.set(Stage::Replying);
         shared.metrics.record_hold(shared.now().since(ready));
     }
     let wire = reply.encode(closes, to_head);
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    activity::Handle,
+    activity::Guard,
     message::Request,
     reply::{Problem, RETRY_AFTER_ABSENT_MS, RETRY_AFTER_QUARANTINED_MS},
     shared::Shared,
@@ -31,7 +31,9 @@
     pub(crate) head: Request,
     pub(crate) body: Bytes,
     pub(crate) received: Instant,
-    pub(crate) activity: Handle,
+    /// A request that is not idempotent stays in the register until it ends, even if its caller
+    /// leaves.
+    pub(crate) activity: Rc<Guard>,
 }
 
 /// A request with its rule, service and deadline, and the state of its attempts.
