Install the handler of the hangup signal before an entry host listens

What operators saw: an entry host that gets a hangup signal, by which the platform states that the settings have changed, ended while it started.

Cause: the task that reloads the settings installed the handler when it first ran, after the host had bound its ports. Until then the signal's default ends the process.

Why the fix works: the handler is installed before the ports are bound, beside that of the termination signal. A signal before that, while the settings are read, still ends the process; nothing is served then.

--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -6,7 +6,7 @@
 use std::{
     fs,
     io::{BufRead, BufReader, Read},
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
     time::Instant,
@@ -447,3 +447,51 @@
         sleep(Millis(50)).await;
     }
 }
+
+/// Number of times that an entry host is started, since the time until its handlers are installed
+/// is short.
+const HANGUP_STARTS: usize = 20;
+
+/// Guards against an entry host that ends at a hangup signal while it starts.
+#[ntex::test]
+async fn hangup_during_the_start_does_not_end_an_entry_host() {
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("hangup");
+    fs::create_dir_all(&directory).expect("the directory can be created");
+    // Below the ephemeral ports of the kernel, which an outgoing connection could take.
+    let first = 10_000 + std::process::id() % 9_000;
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port as u16));
+    let mut free = (first..)
+        .map(address)
+        .filter(|address| TcpListener::bind(address).is_ok());
+    let mut free = || free.next().expect("a port is free");
+    let (callers, ready, store) = (free(), free(), free());
+    let settings = serde_json::json!({
+        "Node": "entry", "Ip": "127.0.0.1", "Zone": "north",
+        "Listen": {"Front": callers, "Ready": ready}, "InternalPorts": [],
+        "Heartbeat": "870ms", "Limits": {"MemoryMb": 260, "MaxFds": 4100},
+        "Bounds": [], "Platform": {"Address": store},
+    });
+    let path = directory.join("node.json");
+    fs::write(&path, settings.to_string()).expect("the settings can be written");
+    for start in 0..HANGUP_STARTS {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ragwortrilld"));
+        command
+            .arg("--platform")
+            .env("RAGWORTRILL_NODE_FILE", &path);
+        command.stdout(Stdio::null()).stderr(Stdio::null());
+        let mut child = command.spawn().expect("the host starts");
+        let began = Instant::now();
+        while TcpStream::connect(callers).is_err() {
+            assert!(began.elapsed() < TIMEOUT, "the host does not listen");
+        }
+        let sent = Command::new("kill")
+            .args(["-HUP", &child.id().to_string()])
+            .status();
+        assert!(sent.expect("the signal is sent").success());
+        sleep(Millis(20)).await;
+        let ended = child.try_wait().expect("the process can be checked");
+        let _ = child.kill();
+        let _ = child.wait();
+        assert_eq!(ended, None, "start {start}");
+    }
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -6,7 +6,7 @@
 use ragwortrill_core::time::{Instant, Span};
 use tokio::{
     net::TcpListener,
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     task::{JoinHandle, LocalSet},
     time::{sleep, timeout},
 };
@@ -39,8 +39,9 @@
 pub fn run(settings: Settings, protocol: Protocol, reload: fn() -> Result<Settings>) -> Result<()> {
     block_on(async move {
         let mut ending = signal(SignalKind::terminate())?;
+        let hangups = signal(SignalKind::hangup())?;
         let shared = Rc::new(Shared::new(settings, protocol)?);
-        tokio::task::spawn_local(reload_on_hangup(shared.clone(), reload));
+        tokio::task::spawn_local(reload_on_hangup(shared.clone(), hangups, reload));
         serve(shared, async move {
             ending.recv().await;
         })
@@ -154,11 +155,11 @@
 }
 
 /// Reloads the settings on every hangup signal.
-async fn reload_on_hangup(shared: Rc<Shared>, reload: fn() -> Result<Settings>) {
-    let Ok(mut hangups) = signal(SignalKind::hangup()) else {
-        log::error!("handler of the hangup signal can't be installed; settings can't be reloaded");
-        return;
-    };
+async fn reload_on_hangup(
+    shared: Rc<Shared>,
+    mut hangups: Signal,
+    reload: fn() -> Result<Settings>,
+) {
     while hangups.recv().await.is_some() {
         match reload() {
             Ok(settings) => {
