--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -5,7 +5,7 @@
 use anyhow::{Context, Result};
 use tokio::{
     net::TcpListener,
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     task::LocalSet,
 };
 
@@ -27,8 +27,9 @@
 pub fn run(settings: Settings, protocol: Protocol, reload: fn() -> Result<Settings>) -> Result<()> {
     block_on(async move {
         let mut ending = signal(SignalKind::terminate())?;
+        let hangups = signal(SignalKind::hangup())?;
         let shared = Rc::new(Shared::new(settings, protocol)?);
-        tokio::task::spawn_local(reload_on_hangup(shared.clone(), reload));
+        tokio::task::spawn_local(reload_on_hangup(shared.clone(), hangups, reload));
         serve(shared, async move {
             ending.recv().await;
         })
@@ -88,11 +89,11 @@
 }
 
 /// Reloads the settings on every hangup signal.
-async fn reload_on_hangup(shared: Rc<Shared>, reload: fn() -> Result<Settings>) {
-    let Ok(mut hangups) = signal(SignalKind::hangup()) else {
-        log::error!("handler of the hangup signal can't be installed; settings can't be reloaded");
-        return;
-    };
+async fn reload_on_hangup(
+    shared: Rc<Shared>,
+    mut hangups: Signal,
+    reload: fn() -> Result<Settings>,
+) {
     while hangups.recv().await.is_some() {
         match reload() {
             Ok(settings) => {
