Cut off a streamed body that has not ended by the request's deadline

Callers whose target sent a body without end got its bytes for ever: past their deadline and past the timeout of the route. The connection of the caller, the one to the target and a planned stop stayed busy with it.

A body of more than 1 MB is streamed to the caller once its first part is buffered. From then on only the time between two reads was limited (10 s), not the time of the whole body.

The deadline of the request now goes with the rest of the body, and the streaming ends at it. The reply is visibly incomplete: it has no last chunk, or fewer bytes than its length. Dropping the stream closes the connection to the target.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use ragwortrill_core::time::Span;
+use ragwortrill_core::time::{Instant, Span};
 use ragwortrill_router::{fleet::Target, retry::Outcome};
 use tokio::time::timeout;
 
@@ -274,7 +274,7 @@
     let idle_timeout = idle_timeout(&received);
     let is_reusable = received.is_reusable;
     let (reply, checkout) = match reply {
-        true => into_reply(received, checkout),
+        true => into_reply(received, checkout, job.deadline),
         false => (None, Some(checkout)),
     };
     if let Some(checkout) = checkout.filter(|_| is_reusable) {
@@ -291,7 +291,11 @@
 
 /// Converts a target's response into the reply to the caller. Returns the connection too if the
 /// reply doesn't need it to read the rest of the body.
-fn into_reply(received: Received, checkout: Checkout) -> (Option<Reply>, Option<Checkout>) {
+fn into_reply(
+    received: Received,
+    checkout: Checkout,
+    deadline: Instant,
+) -> (Option<Reply>, Option<Checkout>) {
     let length = match received.response.framing {
         Framing::Length(length) => Some(length),
         _ => None,
@@ -318,6 +322,7 @@
         connection,
         decoder,
         length,
+        deadline,
     });
     (Some(reply), None)
 }
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -355,7 +355,14 @@
         return false;
     }
     match reply.remainder {
-        Some(remainder) => stream_remainder(writer, remainder).await,
+        Some(remainder) => {
+            let left = remainder.deadline.since(shared.now());
+            let streamed = timeout(left.as_duration(), stream_remainder(writer, remainder)).await;
+            streamed.unwrap_or_else(|_| {
+                log::warn!("reply cut off: its body did not end within the request's deadline");
+                false
+            })
+        }
         None => true,
     }
 }
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -2,6 +2,8 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 
+use ragwortrill_core::time::Instant;
+
 use crate::{
     connection::Connection,
     message::{Decoder, Header},
@@ -34,6 +36,8 @@
     pub(crate) decoder: Decoder,
     /// Length of the whole body, if the target sent it.
     pub(crate) length: Option<u64>,
+    /// When the body is cut off if it has not ended.
+    pub(crate) deadline: Instant,
 }
 
 /// Reason why the host replies to a request itself.
