Limit the size of the trailer of a body

A target that sent trailer lines without end held up its request until the deadline, although no trailer of that size is a proper end of a body, and the host parsed its lines all the while. A caller that did so kept its connection for as long as it wanted: its request got no reply, since the time limits of a connection are not reached while bytes keep arriving.

The decoder of chunked bodies skipped trailer lines one by one without a limit, for responses, requests and internal calls alike.

A trailer of more than 16 KiB now is an error: a response that is not sent on yet is replaced by 502, one that is streamed is cut, and a request gets 400. The size counts over all lines, so short lines do not escape it.

--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -6,6 +6,8 @@
 const MAX_HEADERS: usize = 100;
 /// Longest line with the length of a chunk, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 1_024;
+/// Largest trailer of a body. It is discarded.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
 
 /// Reason why a message can't be parsed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -19,6 +21,9 @@
     /// The head is longer than allowed.
     #[error("the head is longer than allowed")]
     HeadTooLong,
+    /// The trailer is longer than allowed.
+    #[error("the trailer is longer than allowed")]
+    TrailerTooLong,
 }
 
 /// A header line.
@@ -231,7 +236,8 @@
     ChunkSize,
     Chunk(u64),
     ChunkEnd,
-    Trailer,
+    /// Trailer, of which this many bytes are left at most.
+    Trailer(usize),
     UntilClose,
     Done,
 }
@@ -303,10 +309,13 @@
         self.0 = match self.0 {
             Progress::ChunkEnd if end > 0 => return Err(Error::Syntax),
             Progress::ChunkEnd => Progress::ChunkSize,
-            Progress::Trailer if end > 0 => Progress::Trailer,
-            Progress::Trailer => Progress::Done,
+            Progress::Trailer(left) if end > 0 => {
+                let left = left.checked_sub(line.len());
+                Progress::Trailer(left.ok_or(Error::TrailerTooLong)?)
+            }
+            Progress::Trailer(_) => Progress::Done,
             _ => match httparse::parse_chunk_size(&line) {
-                Ok(httparse::Status::Complete((_, 0))) => Progress::Trailer,
+                Ok(httparse::Status::Complete((_, 0))) => Progress::Trailer(MAX_TRAILER_BYTES),
                 Ok(httparse::Status::Complete((_, size))) => Progress::Chunk(size),
                 _ => return Err(Error::Syntax),
             },
