Count interim responses towards the largest head of a response

A target that sent interim responses (1xx) without end held up its request until the deadline: the caller of an order got 504 after 1.3 s of 1.3 s, and the host read and parsed at full speed all the while.

The limit on the head of a response applied to each interim response by itself, and any number of them was skipped.

Interim responses and the final head together now may have 64 KiB, after which the attempt fails like one with a head that is too long: at once, with 502 or a retry at another target, and the connection is closed. The reading of a head moves to the connection, where calls of the control path can use it too.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -10,6 +10,8 @@
     time::timeout,
 };
 
+use crate::message::{self, Response};
+
 /// Time after which a connection with unacknowledged data counts as dead.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Idle time after which keepalive probes start, and the interval between two probes.
@@ -17,6 +19,17 @@
 /// Size by which the read buffer grows.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
+/// Reason why the head of a response can't be read.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// The connection closed or failed.
+    #[error("the connection failed: {0}")]
+    Broken(#[from] io::Error),
+    /// The bytes are not an HTTP/1.1 response.
+    #[error("{0}")]
+    Message(#[from] message::Error),
+}
+
 /// A connection and the received bytes that are not consumed yet.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -46,6 +59,30 @@
         Ok(self.stream.read_buf(&mut self.buffer).await? > 0)
     }
 
+    /// Reads the head of a response and skips interim responses before it. All of them together
+    /// may have `limit` bytes.
+    pub(crate) async fn read_head(
+        &mut self,
+        limit: usize,
+        to_head: bool,
+    ) -> Result<Response, Error> {
+        let mut left = limit;
+        loop {
+            let buffered = self.buffer.len();
+            match message::take_response(&mut self.buffer, left, to_head)? {
+                Some(response) if response.status >= 200 => return Ok(response),
+                Some(_) => {
+                    let length = buffered - self.buffer.len();
+                    left = left
+                        .checked_sub(length)
+                        .ok_or(message::Error::HeadTooLong)?;
+                }
+                None if self.read().await? => {}
+                None => return Err(Error::Broken(io::ErrorKind::UnexpectedEof.into())),
+            }
+        }
+    }
+
     /// Writes all bytes.
     pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -5,11 +5,11 @@
 use bytes::{BufMut, Bytes, BytesMut};
 
 use crate::{
-    connection::Connection,
+    connection::{self, Connection},
     message::{self, Decoder, Framing, Request, Response},
 };
 
-/// Largest head of a response.
+/// Largest head of a response, together with the interim responses before it.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Largest body that is buffered in memory. A larger one is streamed to the caller.
 const MAX_BUFFERED_BODY_BYTES: usize = 1024 * 1024;
@@ -41,6 +41,15 @@
     Unrelated,
 }
 
+impl From<connection::Error> for Error {
+    fn from(error: connection::Error) -> Self {
+        match error {
+            connection::Error::Broken(error) => Self::Broken(error),
+            connection::Error::Message(error) => Self::Message(error),
+        }
+    }
+}
+
 /// A header that the host sets on a request to a target, in place of the caller's.
 #[derive(Debug)]
 pub(crate) struct ExtraHeader<'a> {
@@ -101,7 +110,7 @@
     to_head: bool,
 ) -> Result<Received, Error> {
     for skipped in 0..MAX_RESPONSES_READ {
-        let response = read_head(connection, to_head).await?;
+        let response = connection.read_head(MAX_HEAD_BYTES, to_head).await?;
         let is_own = response.headers.get(id_header) == Some(id);
         let mut received = read_body(connection, response).await?;
         if is_own {
@@ -115,20 +124,6 @@
     Err(Error::Unrelated)
 }
 
-async fn read_head(connection: &mut Connection, to_head: bool) -> Result<Response, Error> {
-    loop {
-        match message::take_response(&mut connection.buffer, MAX_HEAD_BYTES, to_head)? {
-            Some(response) if response.status >= 200 => return Ok(response),
-            Some(_) => {}
-            None => {
-                if !connection.read().await? {
-                    return Err(Error::Broken(io::ErrorKind::UnexpectedEof.into()));
-                }
-            }
-        }
-    }
-}
-
 async fn read_body(connection: &mut Connection, response: Response) -> Result<Received, Error> {
     let mut decoder = Decoder::new(response.framing);
     let mut buffered = BytesMut::new();
