Skip interim responses to calls of the control path

A target that sends an interim response (1xx) before its answer to a grant was taken as one that does not answer: no renewal counted, and its keys lapsed although it held them. The answer itself then lay on a connection that was kept for the next call, where it could be taken for the answer to that call if it arrived after the check for pending bytes.

The client of the control path returned the first head that it read, whatever its status; the client of requests skips interim responses. Both now read heads with the same function, which limits their size together.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -7,11 +7,11 @@
 use tokio::time::timeout;
 
 use crate::{
-    connection::Connection,
+    connection::{self, Connection},
     message::{self, Decoder, Headers},
 };
 
-/// Largest head of a response.
+/// Largest head of a response, together with the interim responses before it.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Largest body of a response.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -59,6 +59,15 @@
     Timeout(Duration),
 }
 
+impl From<connection::Error> for Error {
+    fn from(error: connection::Error) -> Self {
+        match error {
+            connection::Error::Broken(error) => Self::Broken(error),
+            connection::Error::Message(error) => Self::Message(error),
+        }
+    }
+}
+
 /// HTTP client for one address. It reuses its connection and never retries a call.
 #[derive(Debug)]
 pub struct Client {
@@ -119,14 +128,7 @@
 
 async fn exchange(connection: &mut Connection, wire: &[u8]) -> Result<(Reply, bool), Error> {
     connection.write(wire).await.map_err(Error::Broken)?;
-    let response = loop {
-        if let Some(response) =
-            message::take_response(&mut connection.buffer, MAX_HEAD_BYTES, false)?
-        {
-            break response;
-        }
-        read(connection).await?;
-    };
+    let response = connection.read_head(MAX_HEAD_BYTES, false).await?;
     let mut decoder = Decoder::new(response.framing);
     let mut body = BytesMut::new();
     while !decoder.is_done() {
