Limit the answers to calls of the control path by who sends them

A target that answered a grant with a body without end made the leader buffer up to 16 MiB for each call, and about as much again while the buffer grew. With three such targets the memory of the test's process grew by 164 MB within 3 s; a host has some 260 MB.

One limit of 16 MiB applied to the store, other hosts and targets alike.

The client now takes its limit from the caller: 64 KiB for a target, whose answer to a grant or release is a status and a header, 4 MiB for the store, which sends at most 1 MB of records before encoding, and 16 MiB as before for the leader's update, which may hold all records. A longer answer has an error of its own.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -13,8 +13,6 @@
 
 /// Largest head of a response, together with the interim responses before it.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
-/// Largest body of a response.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -72,14 +70,17 @@
 #[derive(Debug)]
 pub struct Client {
     address: SocketAddr,
+    max_body_bytes: usize,
     connection: Option<Connection>,
 }
 
 impl Client {
-    /// Creates a client, which connects on its first call.
-    pub fn new(address: SocketAddr) -> Self {
+    /// Creates a client, which connects on its first call. `max_body_bytes` is the size of the
+    /// largest body that it accepts.
+    pub fn new(address: SocketAddr, max_body_bytes: usize) -> Self {
         Self {
             address,
+            max_body_bytes,
             connection: None,
         }
     }
@@ -94,7 +95,7 @@
             }
         };
         let wire = encode(call, self.address);
-        let outcome = timeout(limit, exchange(&mut connection, &wire)).await;
+        let outcome = timeout(limit, exchange(&mut connection, &wire, self.max_body_bytes)).await;
         match outcome {
             Ok(Ok((reply, keeps_alive))) => {
                 self.connection = Some(connection).filter(|_| keeps_alive);
@@ -126,7 +127,11 @@
     wire
 }
 
-async fn exchange(connection: &mut Connection, wire: &[u8]) -> Result<(Reply, bool), Error> {
+async fn exchange(
+    connection: &mut Connection,
+    wire: &[u8],
+    max_body_bytes: usize,
+) -> Result<(Reply, bool), Error> {
     connection.write(wire).await.map_err(Error::Broken)?;
     let response = connection.read_head(MAX_HEAD_BYTES, false).await?;
     let mut decoder = Decoder::new(response.framing);
@@ -142,8 +147,8 @@
             }
             None => read(connection).await?,
         }
-        if body.len() > MAX_BODY_BYTES {
-            return Err(Error::Message(message::Error::Length));
+        if body.len() > max_body_bytes {
+            return Err(Error::Message(message::Error::BodyTooLong));
         }
     }
     let keeps_alive = response.keeps_alive && connection.buffer.is_empty();
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -55,6 +55,8 @@
 /// Timeout of a release request. The target answers only once its running work on the keys has
 /// ended.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Largest body of a target's answer to a grant or release.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
 /// State that a host keeps while it leads.
 struct Leadership {
@@ -413,7 +415,7 @@
             .entry(order.target.clone())
             .or_default()
             .pop();
-        let mut client = idle.unwrap_or_else(|| Client::new(order.address()));
+        let mut client = idle.unwrap_or_else(|| Client::new(order.address(), MAX_ANSWER_BYTES));
         let limit = match order.operation {
             Operation::Grant { .. } => GRANT_TIMEOUT,
             Operation::Release => RELEASE_TIMEOUT,
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -21,6 +21,9 @@
     /// The head is longer than allowed.
     #[error("the head is longer than allowed")]
     HeadTooLong,
+    /// The body is longer than allowed.
+    #[error("the body is longer than allowed")]
+    BodyTooLong,
     /// The trailer is longer than allowed.
     #[error("the trailer is longer than allowed")]
     TrailerTooLong,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -42,6 +42,8 @@
 const MAX_HOLD: Duration = Duration::from_millis(550);
 /// Time allowed for the leader's response in addition to the time for which it holds the report.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
+/// Largest response of the leader, in which it sends all records that a host lacks.
+const MAX_UPDATE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Report of a host to the leader.
 #[derive(Debug, Deserialize, Serialize)]
@@ -100,7 +102,7 @@
         };
         let (_, connected) = match client.take() {
             Some(known) if known.0 == address => client.insert(known),
-            _ => client.insert((address, Client::new(address))),
+            _ => client.insert((address, Client::new(address, MAX_UPDATE_BYTES))),
         };
         if let Err(error) = send_report(&shared, connected, &report).await {
             log::debug!(leader = address.to_string(), error = format!("{error:#}"); "exchange with the leader failed; retrying");
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -13,6 +13,8 @@
 
 /// Timeout of requests to the store. Reads add the time for which they wait for a record.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Largest response of the store. It sends at most 1 MB of records, which grow by their encoding.
+const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
 /// Client of the store for one task, with a connection of its own.
 pub(crate) struct Store {
@@ -25,7 +27,7 @@
         let address = shared.settings.borrow().store;
         Self {
             shared,
-            client: Client::new(address),
+            client: Client::new(address, MAX_RESPONSE_BYTES),
         }
     }
 
