--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -36,6 +36,7 @@
     lease::{Lease, TERM_KEY, Term},
     protocol::{Append, Draft, Record},
     shared::Shared,
+    stop::Phase,
     store::Store,
 };
 
@@ -55,6 +56,8 @@
 /// Timeout of a release request. The target answers only once its running work on the keys has
 /// ended.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Largest body of a target's answer to a grant or release.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
 /// State that a host keeps while it leads.
 struct Leadership {
@@ -166,7 +169,7 @@
 impl Leadership {
     async fn run(self: Rc<Self>, candidate: &Candidacy) -> Result<()> {
         loop {
-            if !candidate.is_nominated.get() || self.shared.is_stopping.get() {
+            if !candidate.is_nominated.get() || self.shared.stop.has_reached(Phase::Stopping) {
                 return Ok(());
             }
             if !self.lease.is_valid() {
@@ -280,11 +283,7 @@
         // The read position advances only without a gap: records of other hosts may stand between
         // the last record read and the first one written.
         if follow::next_offset(&self.shared, Topic::Ownership) == first {
-            let mut replicas = self.shared.replicas.borrow_mut();
-            replicas
-                .entry(Topic::Ownership)
-                .or_default()
-                .advance(end, sent);
+            self.shared.advance_replica(Topic::Ownership, end, sent);
         }
     }
 
@@ -413,7 +412,7 @@
             .entry(order.target.clone())
             .or_default()
             .pop();
-        let mut client = idle.unwrap_or_else(|| Client::new(order.address()));
+        let mut client = idle.unwrap_or_else(|| Client::new(order.address(), MAX_ANSWER_BYTES));
         let limit = match order.operation {
             Operation::Grant { .. } => GRANT_TIMEOUT,
             Operation::Release => RELEASE_TIMEOUT,
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -14,6 +14,7 @@
     reply::{Problem, RETRY_AFTER_BUSY_MS, Reply},
     search,
     shared::Shared,
+    stop::Phase,
 };
 
 /// Serves a request. A request that is not idempotent is completed even if its caller leaves.
@@ -102,13 +103,13 @@
             };
             next = retry::decide(job.rule.kind, attempt.outcome, job.may_have_run, left);
         }
-        job.may_have_run |= attempt.outcome == Outcome::Unknown;
-        if next == Decision::Retry && shared.is_queue_closed.get() {
+        job.may_have_run |= matches!(attempt.outcome, Outcome::Failure | Outcome::Unknown);
+        if next == Decision::Retry && shared.stop.has_reached(Phase::Closing) {
             // A planned stop leaves no time for another attempt.
-            next = if job.may_have_run {
-                Decision::Fail
-            } else {
-                Decision::Refuse
+            next = match attempt.outcome {
+                Outcome::Failure => Decision::Deliver,
+                _ if job.may_have_run => Decision::Fail,
+                _ => Decision::Refuse,
             };
         }
         shared.metrics.record_attempt(attempt.outcome);
@@ -125,7 +126,7 @@
                 let is_late = job.deadline <= shared.now();
                 let problem = match is_late {
                     true => Problem::new(504, "the target gave no answer in time"),
-                    false if shared.is_giving_up.get() => {
+                    false if shared.stop.has_reached(Phase::GivingUp) => {
                         Problem::new(504, "the host stopped before the target answered")
                     }
                     false => Problem::new(502, "the target gave no usable answer"),
@@ -140,7 +141,7 @@
 /// attempt may have run it.
 fn fail(shared: &Shared, job: &Job, mut problem: Problem) -> Reply {
     if job.may_have_run && problem.status == 503 {
-        problem = Problem::new(504, "an earlier attempt gave no answer");
+        problem = Problem::new(504, "an earlier attempt may have run");
     }
     shared
         .metrics
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -2,6 +2,8 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 
+use ragwortrill_core::time::Instant;
+
 use crate::{
     connection::Connection,
     message::{Decoder, Header},
@@ -34,6 +36,8 @@
     pub(crate) decoder: Decoder,
     /// Length of the whole body, if the target sent it.
     pub(crate) length: Option<u64>,
+    /// When the body is cut off if it has not ended.
+    pub(crate) deadline: Instant,
 }
 
 /// Reason why the host replies to a request itself.
@@ -101,7 +105,8 @@
         }
     }
 
-    /// Encodes the head and the buffered part of the body.
+    /// Encodes the head and the buffered part of the body. The reply to a `HEAD` request, for which
+    /// `to_head` is set, has no body.
     pub(crate) fn encode(&self, closes: bool, to_head: bool) -> BytesMut {
         let mut wire = BytesMut::with_capacity(256 + self.body.len());
         wire.put_slice(
@@ -137,6 +142,7 @@
             .as_ref()
             .is_some_and(|remainder| remainder.length.is_none());
         match is_chunked {
+            _ if to_head => {}
             true => put_chunk(&mut wire, &self.body),
             false => wire.put_slice(&self.body),
         }
