Close idle connections 2.5 s after the start of a planned stop

LOST: only requests sent up to 3 s after SIGTERM may be given up.

Why it works: the load balancer asks once a second and needs two answers, so it has noticed after 2 s. Closing at 2.5 s leaves a busy host 0.5 s to close, and requests that it takes last 0.5 s more to end.

The host logs the moment of closing.

--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -12,8 +12,9 @@
 use crate::{admission, shared::Shared};
 
 /// Time within which the load balancer notices that the host is not ready and sends it no new
-/// connections.
-const UNREADY_NOTICE: Duration = Duration::from_millis(3_200);
+/// connections. It asks once a second and needs two answers. A request that is sent more than 3 s
+/// after the start of the stop must not be given up, so a busy host has 500 ms to close.
+const UNREADY_NOTICE: Duration = Duration::from_millis(2_500);
 /// Part of the grace period, in percent, after which requests that still run at targets get a reply
 /// of this host. Before the last sixth of the grace period, no running request may be given up.
 const REPLY_PERCENT: u64 = 86;
@@ -70,6 +71,7 @@
     log::info!(callers = shared.caller_connections.get(), requests = shared.active_requests.len(); "planned stop started");
     shared.stop.enter(Phase::Stopping);
     sleep(UNREADY_NOTICE.min(grace.as_duration() / 2)).await;
+    log::info!(callers = shared.caller_connections.get(), requests = shared.active_requests.len(); "planned stop closes idle connections");
     shared.stop.enter(Phase::Closing);
     admission::reject_waiting(shared);
     // Connections that wait to be accepted must be counted before the host waits for all to end.
