Count a streamed body that breaks off or does not end as a failure

A target whose bodies do not end stayed the preferred one: with two targets of a service, 30 of 40 reads of 0.3 s were lost at it, each after its whole deadline, while the other target would have served them.

The circuit breaker recorded a success as soon as the first megabyte of a body had arrived, and nothing of the rest, so three failures in a row could not come together.

The success of a streamed body is now recorded at its end, and a failure if the target breaks it off or has not ended it by the deadline. A caller that leaves, or that has accepted no bytes for 100 ms at the deadline, is not held against the target. The deadline moves into the loop that streams, so that the two can be told apart.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -14,7 +14,7 @@
     exchange::{self, Error, ExtraHeader, Received},
     job::Job,
     message::{self, Framing},
-    reply::{Remainder, Reply},
+    reply::{Remainder, Reply, Source},
     shared::Shared,
 };
 
@@ -234,13 +234,14 @@
         .headers
         .get(headers.load)
         .and_then(shared.protocol.decode_load);
-    let was_distrusted =
-        shared.with_endpoint(incarnation, |endpoint| endpoint.breaker.record_success());
-    if was_distrusted && shared.fleet_age(now) > MAX_FLEET_AGE {
-        let spec = job.config.services.get(&job.service);
-        let cold_start = spec.map_or(Span::ZERO, |spec| spec.cold_start);
-        let mut fleet = shared.fleet.borrow_mut();
-        fleet.suspect_restart(now, &incarnation.id, cold_start);
+    let spec = job.config.services.get(&job.service);
+    let source = Source {
+        incarnation: incarnation.clone(),
+        cold_start: spec.map_or(Span::ZERO, |spec| spec.cold_start),
+    };
+    // A body that is streamed may still break off or not end.
+    if received.remainder.is_none() {
+        record_success(shared, &source);
     }
     shared.with_endpoint(incarnation, |endpoint| {
         if is_not_run && status != MISDIRECTED {
@@ -274,7 +275,7 @@
     let idle_timeout = idle_timeout(&received);
     let is_reusable = received.is_reusable;
     let (reply, checkout) = match reply {
-        true => into_reply(received, checkout, job.deadline),
+        true => into_reply(received, checkout, job.deadline, source),
         false => (None, Some(checkout)),
     };
     if let Some(checkout) = checkout.filter(|_| is_reusable) {
@@ -289,12 +290,29 @@
     }
 }
 
+/// Records that a target has answered completely. One that failed before may have restarted, and
+/// counts as cold if the list of targets is too old to tell.
+pub(crate) fn record_success(shared: &Shared, source: &Source) {
+    let now = shared.now();
+    let Source {
+        incarnation,
+        cold_start,
+    } = source;
+    let was_distrusted =
+        shared.with_endpoint(incarnation, |endpoint| endpoint.breaker.record_success());
+    if was_distrusted && shared.fleet_age(now) > MAX_FLEET_AGE {
+        let mut fleet = shared.fleet.borrow_mut();
+        fleet.suspect_restart(now, &incarnation.id, *cold_start);
+    }
+}
+
 /// Converts a target's response into the reply to the caller. Returns the connection too if the
 /// reply doesn't need it to read the rest of the body.
 fn into_reply(
     received: Received,
     checkout: Checkout,
     deadline: Instant,
+    source: Source,
 ) -> (Option<Reply>, Option<Checkout>) {
     let length = match received.response.framing {
         Framing::Length(length) => Some(length),
@@ -323,6 +341,7 @@
         decoder,
         length,
         deadline,
+        source,
     });
     (Some(reply), None)
 }
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -12,11 +12,12 @@
         TcpListener, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    time::{sleep_until, timeout},
+    time::{sleep_until, timeout, timeout_at},
 };
 
 use crate::{
     activity::{Guard, Stage},
+    attempt,
     connection::Connection,
     job::Incoming,
     message::{self, Decoder, Request},
@@ -32,6 +33,9 @@
 /// Longest time for which a caller accepts no bytes of its reply, or a target sends none of a
 /// streamed body, before the connection is closed.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time without progress at the deadline from which the caller is the reason that its reply did not
+/// end, and not the target.
+const MIN_STALL: Duration = Duration::from_millis(100);
 /// Longest time for which a closed connection waits for the caller to close it too.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -355,41 +359,76 @@
         return false;
     }
     match reply.remainder {
-        Some(remainder) => {
-            let left = remainder.deadline.since(shared.now());
-            let streamed = timeout(left.as_duration(), stream_remainder(writer, remainder)).await;
-            streamed.unwrap_or_else(|_| {
-                log::warn!("reply cut off: its body did not end within the request's deadline");
-                false
-            })
-        }
+        Some(remainder) => stream(writer, shared, remainder).await,
         None => true,
     }
 }
 
-/// Streams the rest of a large body to the caller. Returns false if it was cut off.
-async fn stream_remainder(writer: &mut OwnedWriteHalf, mut remainder: reply::Remainder) -> bool {
+/// Reason why the rest of a body was cut off.
+enum Cut {
+    /// The target broke off the body, or did not end it in time.
+    Target(String),
+    /// The caller left, or accepts no more bytes.
+    Caller,
+}
+
+/// Streams the rest of a large body to the caller, and records at its target how it ended. Returns
+/// false if it was cut off.
+async fn stream(writer: &mut OwnedWriteHalf, shared: &Shared, remainder: reply::Remainder) -> bool {
+    let source = remainder.source.clone();
+    let left = remainder.deadline.since(shared.now());
+    let deadline = tokio::time::Instant::now() + left.as_duration();
+    match stream_remainder(writer, remainder, deadline).await {
+        Ok(()) => {
+            attempt::record_success(shared, &source);
+            true
+        }
+        Err(Cut::Target(cause)) => {
+            let incarnation = &source.incarnation;
+            log::warn!(target = incarnation.id.as_str(), cause = cause; "reply cut off: the rest of its body can't be read from the target");
+            let now = shared.now();
+            shared.with_endpoint(incarnation, |endpoint| endpoint.breaker.record_failure(now));
+            false
+        }
+        Err(Cut::Caller) => false,
+    }
+}
+
+async fn stream_remainder(
+    writer: &mut OwnedWriteHalf,
+    mut remainder: reply::Remainder,
+    deadline: tokio::time::Instant,
+) -> Result<(), Cut> {
     let is_chunked = remainder.length.is_none();
-    loop {
-        let bytes = match next_bytes(&mut remainder).await {
-            Ok(Some(bytes)) => bytes,
-            Ok(None) => break,
-            Err(cause) => {
-                log::warn!(cause = cause; "reply cut off: the rest of its body can't be read from the target");
-                return false;
-            }
+    while tokio::time::Instant::now() < deadline {
+        let read = timeout_at(deadline, next_bytes(&mut remainder)).await;
+        let bytes = match read {
+            Ok(Ok(Some(bytes))) => bytes,
+            Ok(Ok(None)) => return end_body(writer, is_chunked).await,
+            Ok(Err(cause)) => return Err(Cut::Target(cause)),
+            Err(_) => break,
         };
         let mut wire = BytesMut::new();
         match is_chunked {
             true => reply::put_chunk(&mut wire, &bytes),
             false => wire.extend_from_slice(&bytes),
         }
-        let written = timeout(STALL_TIMEOUT, writer.write_all(&wire)).await;
-        if !matches!(written, Ok(Ok(()))) {
-            return false;
+        let write_began = tokio::time::Instant::now();
+        let limit = deadline.min(write_began + STALL_TIMEOUT);
+        let written = timeout_at(limit, writer.write_all(&wire)).await;
+        match written {
+            Ok(Ok(())) => {}
+            Err(_) if write_began.elapsed() < MIN_STALL => break,
+            _ => return Err(Cut::Caller),
         }
     }
-    !is_chunked || writer.write_all(b"0\r\n\r\n").await.is_ok()
+    let cause = "the body did not end within the request's deadline";
+    Err(Cut::Target(cause.to_owned()))
+}
+
+async fn end_body(writer: &mut OwnedWriteHalf, is_chunked: bool) -> Result<(), Cut> {
+    let end: &[u8] = if is_chunked { b"0\r\n\r\n" } else { b"" };
+    writer.write_all(end).await.map_err(|_| Cut::Caller)
 }
 
 async fn next_bytes(remainder: &mut reply::Remainder) -> Result<Option<Bytes>, String> {
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -2,7 +2,8 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 
-use ragwortrill_core::time::Instant;
+use ragwortrill_core::time::{Instant, Span};
+use ragwortrill_router::registration::Incarnation;
 
 use crate::{
     connection::Connection,
@@ -38,6 +39,15 @@
     pub(crate) length: Option<u64>,
     /// When the body is cut off if it has not ended.
     pub(crate) deadline: Instant,
+    pub(crate) source: Source,
+}
+
+/// Target that a body comes from.
+#[derive(Clone, Debug)]
+pub(crate) struct Source {
+    pub(crate) incarnation: Incarnation,
+    /// Time for which the target is cold after a start.
+    pub(crate) cold_start: Span,
 }
 
 /// Reason why the host replies to a request itself.
