Test daemons whose target sends bytes without end

The product's own interface with the same faults as the platform's: a target that sends a head or a body without end, without a pause or slowly, to reads and orders, through the daemon that holds it and one that forwards. The tests check that the caller gets a final response or a visibly incomplete one shortly after the deadline, that the daemon closes the connection, that its memory stays bounded, that an order runs once, and that the only slot of the target is free again.

--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -1,6 +1,7 @@
 //! A complete system in one process: stand-ins of the platform, and daemons as threads.
 #![allow(dead_code)]
 
+pub mod flood;
 mod operator;
 
 use std::{
@@ -37,6 +38,7 @@
 pub struct Builder {
     daemons: usize,
     services: BTreeMap<name::Service, (table::Service, usize)>,
+    remotes: BTreeMap<name::Service, (table::Service, SocketAddr)>,
     target: target::Settings,
     adjust: fn(&mut Settings),
     workers: usize,
@@ -113,6 +115,7 @@
         Self {
             daemons: 3,
             services: BTreeMap::new(),
+            remotes: BTreeMap::new(),
             target: target::Settings::default(),
             adjust: |_| {},
             workers: 1,
@@ -137,6 +140,12 @@
         self
     }
 
+    /// Adds a service with one target that a test runs itself and that does not check epochs.
+    pub fn remote(mut self, service: &str, row: table::Service, target: SocketAddr) -> Self {
+        self.remotes.insert(name(service), (row, target));
+        self
+    }
+
     /// Sets the behaviour of all targets.
     pub fn target(mut self, settings: target::Settings) -> Self {
         self.target = settings;
@@ -176,6 +185,18 @@
             }
             table.services.insert(service, row);
         }
+        for (service, (mut row, address)) in self.remotes {
+            row.targets.insert(
+                name(&format!("{service}-0")),
+                table::Target {
+                    address,
+                    data_centre: name(DATA_CENTRES[0]),
+                    weight: 1,
+                    checks_epoch: false,
+                },
+            );
+            table.services.insert(service, row);
+        }
         let mut system = System {
             log,
             targets,
