Stop reading the response of an order at its first error

A daemon whose target broke off the response of an order, or sent bytes that are no chunk, gave no further sign: the caller's connection stayed open without a response, and the thread served nobody else.

The response of a non-idempotent request is read to its end in a task of its own, also when its caller has left. After an error, the payload of the HTTP client returns the same error each time that it is polled, at once, and the task read until the end of the stream, which never came. It did not yield, so the event loop of its thread stood still.

The task ends with the first error, which it passes on before.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -221,15 +221,20 @@
     }
 }
 
-/// Reads a body to its end, also after the returned body is dropped.
+/// Reads a body to its end or first error, also after the returned body is dropped.
 pub(crate) fn read_to_end(mut body: Body) -> Body {
     let (sender, receiver) = mpsc::channel(MAX_BUFFERED_PARTS);
     ntex::rt::spawn(async move {
         let mut open = true;
         while let Some(part) = body.next().await {
+            // After an error, a body may return the same error without end.
+            let is_broken = part.is_err();
             if open {
                 open = sender.send(part).await.is_ok();
             }
+            if is_broken {
+                return;
+            }
         }
     });
     Box::pin(stream::unfold(receiver, async |mut receiver| {
