Treat a target as possibly cold until its entry shows that it did not restart

Cause: after a restart, a host learns from the target's entry that it is cold. Until then only the circuit breaker limits the host, to the first answer. The rule for a breaker that was open holds only while the target list is older than 1,500 ms, and with a slow store the entry comes 0.25 s to 0.65 s late.

A restart ends all connections to the target. A host now counts connections that break without an answer in between. From the second on, or after one refused connection, it sends at its share of the cold rate until one of these: - an answer to a later request on an older connection, or an older connection that is still open: the process is the same; - the list of targets shows the same incarnation one heartbeat after the first answer: a target writes its entry within a heartbeat of its start; - the cold start has passed since the first answer, if there is no newer list; - for a host that gets no answer, the list shows the same incarnation four heartbeats after the last break; an entry is removed after three. The rule for an old list stays, since entries may return up to two seconds after an outage of the store.

Cost: a warm target that cuts or refuses two requests in a row, and keeps no older connection of the host, gets the cold rate of that host for about a heartbeat and a read of the list (0.9 s to 1.5 s here) after it answers again. A single cut answer limits nothing, since the next answer ends the count, and neither does a target that resets new connections at its limit and serves the older ones. A host whose connections to all targets are reset at once pays it for all of them; it can't tell this from a data centre that restarts. A host whose idle connections alone were closed by a restart notices nothing, since targets close idle connections at other times too. A probe of the health path would tell the cold time without the store, and is not done here.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use ragwortrill_core::time::Span;
-use ragwortrill_router::{fleet::Target, retry::Outcome};
+use ragwortrill_router::{fleet::Target, restart::Exchange, retry::Outcome};
 use tokio::time::timeout;
 
 use crate::{
@@ -98,18 +98,21 @@
         }
     };
     match outcome {
-        Ok(received) => accept(
-            shared,
-            job,
-            target,
-            checkout,
-            received,
-            shared.now().since(sent),
-        ),
+        Ok(received) => {
+            let exchange = Exchange {
+                opened_at: checkout.opened_at(),
+                sent_at: sent,
+                answered_at: shared.now(),
+            };
+            accept(shared, job, target, checkout, received, exchange)
+        }
         Err(error) => {
             let now = shared.now();
             shared.with_endpoint(incarnation, |endpoint| endpoint.breaker.record_failure(now));
             if matches!(error, Error::Broken(_)) {
+                shared.with_endpoint(incarnation, |endpoint| {
+                    endpoint.restart_detector.record_break(now)
+                });
                 let mut crash_observer = shared.crash_observer.borrow_mut();
                 crash_observer.record_broken(now, incarnation, job.fingerprint);
             }
@@ -222,7 +225,7 @@
     target: &Target,
     checkout: Checkout,
     received: Received,
-    elapsed: Span,
+    exchange: Exchange,
 ) -> Attempt {
     let headers = &shared.protocol.headers;
     let incarnation = &target.registration.incarnation;
@@ -234,8 +237,11 @@
         .headers
         .get(headers.load)
         .and_then(shared.protocol.decode_load);
-    let was_distrusted =
-        shared.with_endpoint(incarnation, |endpoint| endpoint.breaker.record_success());
+    let elapsed = exchange.answered_at.since(exchange.sent_at);
+    let was_distrusted = shared.with_endpoint(incarnation, |endpoint| {
+        endpoint.restart_detector.record_answer(exchange);
+        endpoint.breaker.record_success()
+    });
     if was_distrusted && shared.fleet_age(now) > MAX_FLEET_AGE {
         let spec = job.config.services.get(&job.service);
         let cold_start = spec.map_or(Span::ZERO, |spec| spec.cold_start);
--- a/crates/entry/src/checkout.rs
+++ b/crates/entry/src/checkout.rs
@@ -3,7 +3,7 @@
 
 use std::{io, rc::Rc, time::Duration};
 
-use ragwortrill_core::time::Span;
+use ragwortrill_core::time::{Instant, Span};
 use ragwortrill_router::registration::Incarnation;
 
 use crate::{connection::Connection, job::Job, shared::Shared};
@@ -17,6 +17,7 @@
     shared: Rc<Shared>,
     incarnation: Incarnation,
     connection: Option<Connection>,
+    opened_at: Instant,
     is_counted: bool,
 }
 
@@ -30,10 +31,12 @@
         let now = shared.now();
         let idle = shared.with_endpoint(incarnation, |endpoint| endpoint.pool.take(now));
         let is_reused = idle.is_some();
+        let (connection, opened_at) = idle.unzip();
         let mut checkout = Self {
             shared: shared.clone(),
             incarnation: incarnation.clone(),
-            connection: idle,
+            connection,
+            opened_at: opened_at.unwrap_or(now),
             is_counted: is_reused,
         };
         if !is_reused {
@@ -47,6 +50,11 @@
         self.connection.as_mut()
     }
 
+    /// Returns the time at which the connection was established.
+    pub(crate) fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+
     /// Returns the connection, which no longer counts towards the limit.
     pub(crate) fn into_connection(mut self) -> Option<Connection> {
         self.connection.take()
@@ -58,7 +66,7 @@
         if let Some(connection) = self.connection.take() {
             self.is_counted = false;
             self.shared.with_endpoint(&self.incarnation, |p| {
-                p.pool.put(now, connection, idle_timeout)
+                p.pool.put(now, connection, self.opened_at, idle_timeout)
             });
         }
     }
@@ -81,10 +89,18 @@
             .with_endpoint(&self.incarnation, |endpoint| endpoint.pool.record_open());
         let left = job.deadline.since(now).as_duration();
         let opened = Connection::open(self.incarnation.address, CONNECT_TIMEOUT.min(left)).await;
+        self.opened_at = self.shared.now();
         if let Err(error) = &opened {
             self.shared
                 .with_endpoint(&self.incarnation, |endpoint| match error.kind() {
-                    io::ErrorKind::ConnectionRefused => endpoint.breaker.record_refusal(now),
+                    io::ErrorKind::ConnectionRefused => {
+                        endpoint.breaker.record_refusal(now);
+                        endpoint.restart_detector.record_refusal(self.opened_at);
+                    }
+                    io::ErrorKind::ConnectionReset => {
+                        endpoint.breaker.record_failure(now);
+                        endpoint.restart_detector.record_break(self.opened_at);
+                    }
                     _ => endpoint.breaker.record_failure(now),
                 });
         }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -19,19 +19,21 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
+    opened_at: Instant,
     until: Instant,
 }
 
 impl Pool {
-    /// Takes an idle connection that the target has not closed.
-    pub(crate) fn take(&mut self, now: Instant) -> Option<Connection> {
+    /// Takes an idle connection that the target has not closed, with the time at which it was
+    /// established.
+    pub(crate) fn take(&mut self, now: Instant) -> Option<(Connection, Instant)> {
         let before = self.idle.len();
         self.idle.retain(|idle| idle.until > now);
         let mut dropped = before - self.idle.len();
         let mut found = None;
         while let Some(idle) = self.idle.pop() {
             if idle.connection.is_idle() {
-                found = Some(idle.connection);
+                found = Some((idle.connection, idle.opened_at));
                 break;
             }
             dropped += 1;
@@ -40,13 +42,30 @@
         found
     }
 
-    /// Adds an idle connection, with the idle timeout that the target sent.
-    pub(crate) fn put(&mut self, now: Instant, connection: Connection, idle_timeout: Option<Span>) {
+    /// Adds an idle connection that was established at `opened_at`, with the idle timeout that the
+    /// target sent.
+    pub(crate) fn put(
+        &mut self,
+        now: Instant,
+        connection: Connection,
+        opened_at: Instant,
+        idle_timeout: Option<Span>,
+    ) {
         let timeout = idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |idle_timeout| {
             idle_timeout - IDLE_MARGIN
         });
         let until = now + timeout;
-        self.idle.push(Idle { connection, until });
+        self.idle.push(Idle {
+            connection,
+            opened_at,
+            until,
+        });
+    }
+
+    /// Returns whether an idle connection that was established before a time is still open.
+    pub(crate) fn is_open_since(&self, at: Instant) -> bool {
+        let mut older = self.idle.iter().filter(|idle| idle.opened_at < at);
+        older.any(|idle| idle.connection.is_idle())
     }
 
     /// Counts a connection that is being opened.
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -12,6 +12,7 @@
     fleet::{Fleet, Target},
     queue::Resource,
     registration::{Incarnation, Registration},
+    restart::Bounds,
     share::ColdLimit,
 };
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -194,13 +195,19 @@
     let max_in_flight = share.count(slots * MAX_SHARE_FACTOR, MIN_IN_FLIGHT);
     let spec = criteria.config.services.get(&criteria.service);
     let is_cold = target.cold_until > now;
+    let bounds = Bounds {
+        listed_at: shared.fleet_read_at(),
+        heartbeat: shared.settings.borrow().heartbeat,
+        cold_start: spec.map_or(Span::ZERO, |spec| spec.cold_start),
+    };
     shared.with_endpoint(&registration.incarnation, |endpoint| {
         let in_flight = endpoint.load.in_flight();
         let has_room = endpoint.load.has_room(now, f64::from(slots) * MAX_DEPTH);
         if !endpoint.breaker.is_closed(now) || in_flight >= max_in_flight || !has_room {
             return false;
         }
-        if !is_cold && !endpoint.breaker.is_unproven() {
+        let is_suspected = endpoint.may_have_restarted(now, &bounds);
+        if !is_cold && !endpoint.breaker.is_unproven() && !is_suspected {
             return true;
         }
         let rate = spec.and_then(|spec| cold_rate(shared, registration, spec.cold_rate));
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -22,6 +22,7 @@
     queue::{Queue, Ticket},
     rate::Rate,
     registration::Incarnation,
+    restart::{Bounds, Detector},
     share::Share,
     traffic::Traffic,
 };
@@ -112,6 +113,7 @@
 pub(crate) struct Endpoint {
     pub(crate) load: Load,
     pub(crate) breaker: Breaker,
+    pub(crate) restart_detector: Detector,
     pub(crate) cold_limiter: Rate,
     pub(crate) pool: Pool,
 }
@@ -121,10 +123,20 @@
         Self {
             load: Load::default(),
             breaker: Breaker::default(),
+            restart_detector: Detector::default(),
             cold_limiter: Rate::new(now, 1.0),
             pool: Pool::default(),
         }
     }
+
+    /// Tells whether the target may have restarted under its id without a new entry yet.
+    pub(crate) fn may_have_restarted(&mut self, now: Instant, bounds: &Bounds) -> bool {
+        let detector = &mut self.restart_detector;
+        if detector.is_suspected(now, bounds) {
+            detector.check_survival(now, |at| self.pool.is_open_since(at));
+        }
+        detector.is_suspected(now, bounds)
+    }
 }
 
 impl Shared {
@@ -189,11 +201,16 @@
             .or_insert_with(|| Endpoint::new(self.clock.now())))
     }
 
-    /// Returns the age of the target list.
-    pub(crate) fn fleet_age(&self, now: Instant) -> Span {
+    /// Returns the time as of which the target list is up to date with the store.
+    pub(crate) fn fleet_read_at(&self) -> Instant {
         let replicas = self.replicas.borrow();
         let read_at = replicas.get(&Topic::Targets).map(Replica::read_at);
-        now.since(read_at.unwrap_or_default())
+        read_at.unwrap_or_default()
+    }
+
+    /// Returns the age of the target list.
+    pub(crate) fn fleet_age(&self, now: Instant) -> Span {
+        now.since(self.fleet_read_at())
     }
 
     /// Returns this host's share of limits that hold for all hosts.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod queue;
 pub mod rate;
 pub mod registration;
+pub mod restart;
 pub mod retry;
 pub mod share;
 pub mod traffic;
