--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -46,6 +46,32 @@
     assert_eq!(report["is_good"], true, "{report:#}");
 }
 
+/// Guards against planned stops that cut requests when they overlap with other planned changes.
+/// Each seed that ever failed is a case.
+#[test_case("1"; "held replies")]
+#[test_case("6"; "any seed")]
+fn planned_changes_cause_no_violation(seed: &str) {
+    let report = soak(&["--faults", "planned", "--seed", seed, "--seconds", "42"]);
+    assert_eq!(report["is_good"], true, "{report:#}");
+}
+
+/// Guards against a check that does not find requests cut by one of several overlapping stops.
+#[test]
+fn cuts_of_planned_changes_are_found() {
+    let report = soak(&[
+        "--faults",
+        "planned",
+        "--seed",
+        "2",
+        "--seconds",
+        "30",
+        "--break",
+        "stop",
+    ]);
+    let broken = report["judged_excused_broken"]["stop"][2].as_u64();
+    assert!(broken.is_some_and(|count| count > 0), "{report:#}");
+}
+
 /// Guards against checks that find no violation: each must find the one that its run causes.
 #[test_case("owner", "1")]
 #[test_case("epoch", "1")]
