--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -5,8 +5,8 @@
 
 use std::{
     fs,
-    io::{BufRead, BufReader, Read},
-    net::SocketAddr,
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
     time::Instant,
@@ -438,6 +438,50 @@
     assert_eq!(stale.sum::<u64>(), 0);
 }
 
+/// Guards against a graceful shutdown that cuts requests of one connection that a target runs.
+#[ntex::test]
+async fn a_graceful_shutdown_cuts_no_pipelined_request() {
+    const REQUESTS: usize = 3;
+    let mut world = World::start("pipelined");
+    let table = "table apply table.json --base 0 --reason 'first table'";
+    world.change(0, 1, table).await;
+    wait_until_served(world.daemons[1].callers, 1).await;
+    let counts = |world: &World| {
+        world
+            .targets
+            .iter()
+            .map(|t| t.counts().started)
+            .sum::<u64>()
+    };
+    let before = counts(&world);
+    let hold = |held| {
+        let targets = world.targets.iter();
+        targets.for_each(|target| target.change(|settings| settings.hold = held));
+    };
+    hold(true);
+    let mut socket = TcpStream::connect(world.daemons[1].callers).expect("the daemon listens");
+    let wire = Call::get("lookup", "/free", "k-1").head_text();
+    let wire = wire.repeat(REQUESTS);
+    socket.write_all(wire.as_bytes()).expect("the daemon reads");
+    let start = Instant::now();
+    while counts(&world) == before {
+        assert!(start.elapsed() < TIMEOUT, "no request runs");
+        sleep(Millis(20)).await;
+    }
+    let mut stopped = world.daemons.remove(1);
+    stopped.terminate();
+    wait_for(&mut stopped.lines, "graceful shutdown started");
+    // By then the daemon takes no further requests.
+    sleep(Millis(3_000)).await;
+    hold(false);
+    let mut text = String::new();
+    let _ = socket.read_to_string(&mut text);
+    let (code, log) = stopped.end();
+    assert_eq!(code, Some(0), "{log}");
+    let served = text.matches("HTTP/1.1 200 ").count() as u64;
+    assert_eq!(served, counts(&world) - before, "{text}\n{log}");
+}
+
 /// Repeats a request until it is served.
 async fn wait_until_served(callers: SocketAddr, number: usize) {
     let call = Call::get("lookup", "/free", &format!("k-{number}"));
