--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -85,6 +85,7 @@
 #[test_case("budget", "1")]
 #[test_case("cold", "1")]
 #[test_case("recovery", "1")]
+#[test_case("process", "1")]
 fn violations_are_found(check: &str, seed: &str) {
     let report = soak(&["--seed", seed, "--seconds", "30", "--break", check]);
     let broken = report["judged_excused_broken"][check][2].as_u64();
