--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use ragwortrill_core::time::Span;
+use ragwortrill_core::time::{Instant, Span};
 use ragwortrill_router::{fleet::Target, retry::Outcome};
 use tokio::time::timeout;
 
@@ -16,6 +16,7 @@
     message::{self, Framing},
     reply::{Remainder, Reply},
     shared::Shared,
+    stop::Phase,
 };
 
 /// Multiple of the target's usual response time after which a request is sent to another target.
@@ -69,7 +70,7 @@
     let Some(connection) = checkout.connection() else {
         return Attempt::failed(Outcome::NotSent, "no connection".to_owned());
     };
-    if shared.is_giving_up.get() {
+    if shared.stop.has_reached(Phase::GivingUp) {
         checkout.give_back(None);
         return Attempt::failed(Outcome::NotSent, "the host stops".to_owned());
     }
@@ -142,7 +143,7 @@
         outcome = exchange_in_time(shared, job, connection, wire, attempt_timeout) => {
             outcome.map_err(|is_retry_charged| Unanswered::Timeout { is_retry_charged })
         }
-        () = shared.gives_up() => Err(Unanswered::Stop),
+        () = shared.stop.reached(Phase::GivingUp) => Err(Unanswered::Stop),
     }
 }
 
@@ -178,7 +179,7 @@
 /// and charges the retry budget. If the budget allows no further attempt, waiting on is better for
 /// the caller. During a planned stop no running attempt is given up.
 fn abandons_target(shared: &Shared, job: &Job) -> bool {
-    !shared.is_stopping.get() && shared.withdraw_retry(&job.service)
+    !shared.stop.has_reached(Phase::Stopping) && shared.withdraw_retry(&job.service)
 }
 
 fn encode(shared: &Shared, job: &Job, target: &Target, left: Span) -> bytes::BytesMut {
@@ -274,7 +275,7 @@
     let idle_timeout = idle_timeout(&received);
     let is_reusable = received.is_reusable;
     let (reply, checkout) = match reply {
-        true => into_reply(received, checkout),
+        true => into_reply(received, checkout, job.deadline),
         false => (None, Some(checkout)),
     };
     if let Some(checkout) = checkout.filter(|_| is_reusable) {
@@ -291,7 +292,11 @@
 
 /// Converts a target's response into the reply to the caller. Returns the connection too if the
 /// reply doesn't need it to read the rest of the body.
-fn into_reply(received: Received, checkout: Checkout) -> (Option<Reply>, Option<Checkout>) {
+fn into_reply(
+    received: Received,
+    checkout: Checkout,
+    deadline: Instant,
+) -> (Option<Reply>, Option<Checkout>) {
     let length = match received.response.framing {
         Framing::Length(length) => Some(length),
         _ => None,
@@ -318,6 +323,7 @@
         connection,
         decoder,
         length,
+        deadline,
     });
     (Some(reply), None)
 }
