Admit no request to a target to which no connection is left

Cause: of 110 connections of a target, one of 150 hosts may open 0, raised to 1, but it may have 3 requests in flight there. The second one was admitted, got no connection and was admitted again at once. That loop never waits, so the event loop ran nothing else until the request's deadline. From 56 hosts on, the share of 110 connections is 1.

Evidence: logs of hosts 135 and 71, with an attempt 'the limit of connections to the target is reached' for the same request every millisecond or less until they were killed, and no 'planned stop started'.

Why the fix works: a request in flight uses one connection, so a limit on the requests in flight, no higher than that on connections, keeps the rest in the queue, which waits for a request to end.

--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -191,8 +191,13 @@
     let share = shared.share();
     let registration = &target.registration;
     let slots = registration.slots;
-    let max_in_flight = share.count(slots * MAX_SHARE_FACTOR, MIN_IN_FLIGHT);
     let spec = criteria.config.services.get(&criteria.service);
+    // Each request in flight uses a connection. A request that is admitted without one would be
+    // admitted again at once, and so on until its deadline.
+    let connections = share.count(spec.map_or(u32::MAX, |spec| spec.connections), 1);
+    let max_in_flight = share
+        .count(slots * MAX_SHARE_FACTOR, MIN_IN_FLIGHT)
+        .min(connections);
     let is_cold = target.cold_until > now;
     shared.with_endpoint(&registration.incarnation, |endpoint| {
         let in_flight = endpoint.load.in_flight();
