End the body of a response at its request's deadline

A caller whose target sent a body without end got its bytes for ever, past the deadline, after which the answer is of no use by README.md. The slot of the target stayed taken. For an order this went on after the caller had left, since its response is read to its end.

Only the head of a response was awaited no longer than the deadline. The body that follows had no limit in time.

The body now ends with an error at the deadline, and the caller's connection is closed, so that the response is visibly incomplete. Dropping it frees the slot and cancels an idempotent request at its target. The daemon that sent an order reads its response for 5 s more, so that a caller that repeats the order gets a response that is only late.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     dispatch::{self, Context, Outcome},
-    exchange::{Error, Request, Response, read_prefix},
+    exchange::{self, Error, Request, Response, read_prefix},
     problem::{self, Problem},
     resume::ResumableRequest,
     shared::Shared,
@@ -92,6 +92,7 @@
     io: &Option<IoRef>,
 ) -> HttpResponse {
     let id = request.head.request;
+    let deadline = context.deadline;
     let time_limit = context.deadline.since(shared.clock.now());
     let resumable = ResumableRequest::new(shared, &request, time_limit);
     let left = time_limit + REFUSAL_GRACE;
@@ -122,6 +123,7 @@
             resumable
                 .into_iter()
                 .for_each(|request| request.make_resumable(&mut response));
+            response.body = exchange::limit(response.body, deadline.since(shared.clock.now()));
             respond(id, response, io.clone())
         }
         Outcome::Refused {
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -7,7 +7,7 @@
 use ragwortrill_core::{
     event::{Event, Finish, Head, Ticket},
     request,
-    time::Instant,
+    time::{Instant, Span},
 };
 use ragwortrill_wire::Header;
 use tokio::sync::mpsc;
@@ -221,6 +221,20 @@
     }
 }
 
+/// Ends a body with an error if it is not complete after a time.
+pub(crate) fn limit(body: Body, time: Span) -> Body {
+    let expired = Box::pin(tokio::time::sleep(time.as_duration()));
+    Box::pin(stream::unfold(Some((body, expired)), async |state| {
+        let (mut body, mut expired) = state?;
+        // The time is checked first, since a body without end may always have a next part.
+        tokio::select! {
+            biased;
+            () = &mut expired => Some((Err(Error::Broken), None)),
+            part = body.next() => part.map(|part| (part, Some((body, expired)))),
+        }
+    }))
+}
+
 /// Reads a body to its end or first error, also after the returned body is dropped.
 pub(crate) fn read_to_end(mut body: Body) -> Body {
     let (sender, receiver) = mpsc::channel(MAX_BUFFERED_PARTS);
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -19,13 +19,13 @@
     time::Millis,
     util::Bytes,
 };
-use ragwortrill_core::{action::Dispatch, event::Finish};
+use ragwortrill_core::{action::Dispatch, event::Finish, time::Span};
 use ragwortrill_platform::{headers, target};
 use ragwortrill_wire::Header;
 use tokio::sync::mpsc;
 
 use crate::{
-    exchange::{Body, Error, Request, Response, remaining_ms},
+    exchange::{self, Body, Error, Request, Response, remaining_ms},
     node_loop::{ControlCall, Operation},
     shared::Shared,
 };
@@ -34,6 +34,10 @@
 /// is not sent long after the check of the lease.
 const CONNECT_TIMEOUT: Millis = Millis(40);
 
+/// Time after its deadline for which the response of a non-idempotent request is awaited, so that a
+/// caller that repeats the request gets it.
+const LATE_LIMIT: Span = Span::from_secs(5);
+
 /// Maximum number of connections of a client's pool. Admission limits the requests, so the pool
 /// must not. With 0, which stands for no limit, ntex 3.12 never wakes a request that waits while
 /// another one opens a connection.
@@ -166,6 +170,7 @@
     if shared.clock.now() >= dispatch.lease_end {
         return Err(Finish::Unsent { lapsed: true });
     }
+    let end = dispatch.deadline + LATE_LIMIT;
     let running = RunningRequest::new(shared, dispatch, request, pool);
     let sent = if request.more {
         let rest = request.rest.take().ok_or(Finish::Broken)?;
@@ -181,7 +186,10 @@
             running.finish();
             Err(Finish::Shed)
         }
-        Ok(response) => Ok(into_response(response, running)),
+        Ok(response) => {
+            let left = end.since(shared.clock.now());
+            Ok(into_response(response, running, left))
+        }
         Err(error) => {
             running.finish();
             Err(failure(&error))
@@ -201,7 +209,8 @@
     }
 }
 
-fn into_response(response: ClientResponse, running: RunningRequest) -> Response {
+/// Converts a response whose body must end within a time.
+fn into_response(response: ClientResponse, running: RunningRequest, left: Span) -> Response {
     let headers: Vec<Header> = response
         .headers()
         .iter()
@@ -222,7 +231,7 @@
         status: response.status().as_u16(),
         headers,
         length,
-        body,
+        body: exchange::limit(body, left),
         running: Some(running),
     }
 }
