Let every host use a target again after it failed

With more hosts than may send to a cold target, the hosts beyond that number sent nothing more to a target that failed them once: callers whose keys it holds were refused with 503 at these hosts, as were those of a service with no other target, until the target got a new incarnation.

Cause: a target that failed and has not answered since gets requests at the rate of a cold one, until it answers. Only some hosts may send to a cold target (8 of 10 at 19 requests per second, an overage of 1.5 and a slack of 5; 7 of 10 at 14). The others sent nothing, got no answer, and took the target for failed for good, also after a single cut answer.

Now such a host sends one request at a time to a target that only failed. It still sends nothing to one that is cold or may have restarted; that suspicion ends by the list of targets.

--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -207,11 +207,16 @@
             return false;
         }
         let is_suspected = endpoint.may_have_restarted(now, &bounds);
-        if !is_cold && !endpoint.breaker.is_unproven() && !is_suspected {
+        let may_be_cold = is_cold || is_suspected;
+        if !may_be_cold && !endpoint.breaker.is_unproven() {
             return true;
         }
         let rate = spec.and_then(|spec| cold_rate(shared, registration, spec.cold_rate));
-        rate.is_some_and(|rate| endpoint.cold_limiter.has_token(now, rate, 1.0))
+        match rate {
+            Some(rate) => endpoint.cold_limiter.has_token(now, rate, 1.0),
+            // Without a request of this host, a target that failed would count as failed for good.
+            None => !may_be_cold && in_flight == 0,
+        }
     })
 }
 
