Quarantine neither of two requests that were both in flight at two crashes

Cause: a crash scored 1000 / n for each of n requests in flight, and a score of 1000 meant that a request had been alone. Two times 500 reaches it too. A suspicion now records whether a request was alone at a crash, which is what the score stood for.

The score also bounded the crashes, since it reached 1000 at some time: at the second with two in flight, at the fourth with three, as 3 x 333 is below 1000. Users allow two or three crashes. So the third crash now quarantines all that were in flight at all three and not answered in between. That may include a harmless request, but one that is answered anywhere in between is cleared, and a fourth target must not crash. The request that crashes its targets, and was accompanied by the same other one at two crashes, thus crashes a third target where it crashed two before; more than three are no longer possible, however many were in flight.

The other new cases hold the bound.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -11,9 +11,9 @@
 const RETENTION: Span = Span::from_secs(600);
 /// Maximum number of suspects. The oldest are evicted.
 const MAX_SUSPECTS: usize = 1_024;
-/// Score of a fingerprint that was the only one in flight at a crash. With `n` in flight, each gets
-/// `1/n` of it.
-const SOLE_SCORE: u32 = 1_000;
+/// Number of crashes with a fingerprint in flight, and no answer to it, at which it is quarantined
+/// whatever else was in flight.
+const MAX_CRASHES: u32 = 3;
 
 /// How requests with a fingerprint are treated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -31,8 +31,8 @@
 pub struct Suspicion {
     /// Number of crashes.
     pub crashes: u32,
-    /// Sum of `1000 / n` over the crashes, where `n` distinct fingerprints were in flight.
-    pub score: u32,
+    /// Whether no other fingerprint was in flight at one of the crashes.
+    pub was_alone: bool,
     /// Time of the last crash.
     pub last_crash: Instant,
 }
@@ -61,20 +61,22 @@
     /// A fingerprint is quarantined at its second crash, if it was the only one in flight at one of
     /// the two, or if it is the only one in flight at this crash that was in flight at an earlier
     /// one. If several were in flight at both, none is quarantined, since all but one may be
-    /// harmless; as suspects they now run alone, which shows the one that crashes its target.
+    /// harmless; as suspects they now run alone, which shows the one that crashes its target. The
+    /// third crash quarantines all that were in flight at all three: a harmless one would have been
+    /// answered in between, and a fourth target must not crash.
     pub fn record_crash(&mut self, now: Instant, in_flight: &[Fingerprint]) -> Vec<Fingerprint> {
         let mut distinct = in_flight.to_vec();
         distinct.sort_unstable();
         distinct.dedup();
-        let score = SOLE_SCORE / (distinct.len() as u32).max(1);
+        let is_alone = distinct.len() == 1;
         for fingerprint in &distinct {
-            self.suspect(now, *fingerprint, score);
+            self.suspect(now, *fingerprint, is_alone);
         }
         let repeated = |f: &&Fingerprint| self.suspects.get(*f).is_some_and(|s| s.crashes >= 2);
         let sole = distinct.iter().filter(repeated).count() == 1;
-        let confirmed = |f: &&Fingerprint| {
-            repeated(f) && (sole || self.suspects.get(*f).is_some_and(|s| s.score >= SOLE_SCORE))
-        };
+        let is_enough = |s: &Suspicion| sole || s.was_alone || s.crashes >= MAX_CRASHES;
+        let confirmed =
+            |f: &&Fingerprint| repeated(f) && self.suspects.get(*f).is_some_and(is_enough);
         let found: Vec<Fingerprint> = distinct.iter().filter(confirmed).copied().collect();
         for fingerprint in &found {
             self.add(now, *fingerprint);
@@ -91,7 +93,7 @@
     /// Adopts a suspicion of another holder if it is stronger than the known one.
     pub fn merge(&mut self, fingerprint: Fingerprint, suspicion: Suspicion) {
         let own = self.suspects.entry(fingerprint).or_insert(suspicion);
-        if (own.crashes, own.score) < (suspicion.crashes, suspicion.score) {
+        if (own.crashes, own.was_alone) < (suspicion.crashes, suspicion.was_alone) {
             *own = suspicion;
         }
         self.trim();
@@ -126,14 +128,14 @@
         &self.suspects
     }
 
-    fn suspect(&mut self, now: Instant, fingerprint: Fingerprint, score: u32) {
+    fn suspect(&mut self, now: Instant, fingerprint: Fingerprint, is_alone: bool) {
         let suspicion = self.suspects.entry(fingerprint).or_insert(Suspicion {
             crashes: 0,
-            score: 0,
+            was_alone: false,
             last_crash: now,
         });
         suspicion.crashes += 1;
-        suspicion.score += score;
+        suspicion.was_alone |= is_alone;
         suspicion.last_crash = now;
         self.trim();
     }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -23,8 +23,8 @@
     quarantined: Vec<u64>,
 }
 
-/// Guards against a third crash by the same request, and against the quarantine of harmless requests
-/// that were in flight at the crashes.
+/// Guards against a third crash by the same request, or a fourth if others were in flight at each of
+/// them, and against the quarantine of harmless requests that were in flight at the crashes.
 #[test]
 fn quarantines_only_a_request_that_was_alone_or_the_only_one_in_both_crashes() {
     let cases = [
@@ -64,6 +64,36 @@
             answered: vec![],
             quarantined: vec![],
         },
+        Case {
+            name: "only two requests in both crashes, neither of them answered",
+            crashes: vec![vec![7, 99], vec![7, 99]],
+            answered: vec![],
+            quarantined: vec![],
+        },
+        Case {
+            name: "only two requests in both crashes, one of them answered in between",
+            crashes: vec![vec![7, 99], vec![7, 99]],
+            answered: vec![7],
+            quarantined: vec![99],
+        },
+        Case {
+            name: "only two requests in both crashes, then one alone",
+            crashes: vec![vec![7, 99], vec![7, 99], vec![99]],
+            answered: vec![],
+            quarantined: vec![99],
+        },
+        Case {
+            name: "only two requests in three crashes, neither of them answered",
+            crashes: vec![vec![7, 99], vec![7, 99], vec![7, 99]],
+            answered: vec![],
+            quarantined: vec![7, 99],
+        },
+        Case {
+            name: "two requests among others in three crashes, neither of them answered",
+            crashes: vec![vec![1, 7, 99], vec![4, 7, 99], vec![5, 7, 99]],
+            answered: vec![],
+            quarantined: vec![7, 99],
+        },
     ];
     for case in cases {
         let mut quarantine = Quarantine::default();
