Leave requests unread that cross the end of the idle time

What callers saw: a request that crosses the closing of a connection which was idle for too long was read and discarded within 500 ms of lingering. A caller may repeat a request that must not run twice only if it was not read.

Cause: the same as at a planned stop: an idle connection was closed without a look at its socket, and with lingering. The idle time also counted from the start of the last reply, so a long one could use it up.

Evidence: the new test writes on a connection after its idle time of 1 s and expects a reset; before, the host read the request.

Why the fix works: both ways of closing an idle connection are one: nothing is awaited between the look at the socket and the closing.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -155,8 +155,8 @@
             break;
         }
         if session.closes_idle(reader.as_ref()) {
-            // Not lingering: the last reply was written before the stop started, and a request that
-            // arrives from now on stays unread, so its caller may send it again.
+            // Not lingering: the caller has its last reply, and a request that arrives from now on
+            // stays unread, so its caller may send it again.
             return;
         }
         let reads = session.buffer.len() < MAX_READ_AHEAD_BYTES;
@@ -165,22 +165,18 @@
         tokio::select! {
             biased;
             Some(response) = session.pending.next() => {
-                session.idle_since = shared.now();
                 let closes = session.closes_after(&response);
                 if !write(&mut writer, &shared, response, closes).await || closes {
                     break;
                 }
+                session.idle_since = shared.now();
             }
             read = reader.read_buf(&mut session.buffer), if reads => match read {
                 Ok(0) | Err(_) => return,
                 Ok(_) => {}
             },
             () = shared.stop.reached(Phase::Closing), if !shared.stop.has_reached(Phase::Closing) => {}
-            () = sleep_until(wakes_at) => {
-                if !session.handle_timeout() {
-                    break;
-                }
-            }
+            () = sleep_until(wakes_at) => session.handle_timeout(),
         }
     }
     linger(reader, writer).await;
@@ -343,12 +339,14 @@
         self.pending.is_empty() && self.partial.is_none()
     }
 
-    /// Returns whether a planned stop closes the connection because it is idle.
+    /// Returns whether the connection is closed because it is idle: in a planned stop, or for longer
+    /// than allowed.
     fn closes_idle(&self, stream: &TcpStream) -> bool {
+        let idle_time = self.shared.now().since(self.idle_since);
+        let is_due =
+            self.shared.stop.has_reached(Phase::Closing) || idle_time >= self.limits().idle_timeout;
         let is_idle = self.is_idle() && self.buffer.is_empty();
-        self.shared.stop.has_reached(Phase::Closing)
-            && is_idle
-            && !connection::has_unread_bytes(stream)
+        is_due && is_idle && !connection::has_unread_bytes(stream)
     }
 
     fn wakes_at(&self) -> tokio::time::Instant {
@@ -363,16 +361,14 @@
         tokio::time::Instant::now() + due.since(now).as_duration()
     }
 
-    /// Handles an expired time limit. Returns false if the connection is to be closed.
-    fn handle_timeout(&mut self) -> bool {
+    /// Handles an expired time limit of a request that is not complete.
+    fn handle_timeout(&mut self) {
         if self.head_since.is_some() || self.partial.is_some() {
             self.partial = None;
             self.head_since = None;
             self.buffer.clear();
             self.reject(Problem::new(408, "the request did not arrive in time"));
-            return true;
         }
-        !self.pending.is_empty()
     }
 }
 
