--- /dev/null
+++ b/crates/entry/src/session.rs
@@ -0,0 +1,247 @@
+//! Requests of one caller's connection: they are parsed and started, and their replies wait in order.
+
+use std::{pin::Pin, rc::Rc};
+
+use bytes::BytesMut;
+use futures_util::stream::FuturesOrdered;
+use ragwortrill_core::time::Instant;
+use ragwortrill_router::config::Limits;
+use tokio::net::TcpStream;
+
+use crate::{
+    activity::Stage,
+    connection,
+    delivery::Response,
+    job::Incoming,
+    message::{self, Decoder, Request},
+    proxy,
+    reply::{Problem, Reply},
+    shared::Shared,
+    stop::Phase,
+};
+
+/// Largest number of requests of one connection that run concurrently.
+const MAX_PIPELINED_REQUESTS: usize = 16;
+
+type Pending = FuturesOrdered<Pin<Box<dyn Future<Output = Response>>>>;
+
+/// State of a caller's connection.
+pub(crate) struct Session {
+    shared: Rc<Shared>,
+    /// Number of the connection.
+    number: u64,
+    /// Bytes that were read and belong to no request yet.
+    pub(crate) buffer: BytesMut,
+    /// Replies in the order of their requests.
+    pub(crate) pending: Pending,
+    /// Request whose body is not complete yet.
+    partial: Option<Partial>,
+    /// When the first byte of an incomplete head arrived.
+    head_since: Option<Instant>,
+    pub(crate) idle_since: Instant,
+    /// Whether no further requests are read, because a pending reply closes the connection.
+    is_closed: bool,
+}
+
+struct Partial {
+    head: Request,
+    decoder: Decoder,
+    body: BytesMut,
+    received: Instant,
+}
+
+impl Session {
+    /// Creates the session of an accepted connection, with the bytes that were already read from it.
+    pub(crate) fn new(shared: Rc<Shared>, buffer: BytesMut) -> Self {
+        let number = shared.accepted_connections.get() + 1;
+        shared.accepted_connections.set(number);
+        Self {
+            number,
+            buffer,
+            pending: FuturesOrdered::new(),
+            partial: None,
+            head_since: None,
+            idle_since: shared.now(),
+            is_closed: false,
+            shared,
+        }
+    }
+
+    /// Parses the buffer and starts the requests that are complete.
+    pub(crate) fn parse(&mut self) {
+        while !self.is_closed && self.pending.len() < self.max_pending() {
+            let is_started = match self.partial.take() {
+                Some(partial) => self.continue_body(partial),
+                None => self.start_head(),
+            };
+            match is_started {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(problem) => self.reject(problem),
+            }
+        }
+    }
+
+    /// Returns how many requests may run concurrently. During a planned stop it is one, since its
+    /// reply closes the connection; requests after it count as not read and are not run.
+    fn max_pending(&self) -> usize {
+        match self.shared.stop.has_reached(Phase::Stopping) {
+            true => 1,
+            false => MAX_PIPELINED_REQUESTS,
+        }
+    }
+
+    fn start_head(&mut self) -> Result<bool, Problem> {
+        let limits = self.limits();
+        let head = message::take_request(&mut self.buffer, limits.header_bytes);
+        let now = self.shared.now();
+        match head {
+            Ok(Some(head)) => {
+                self.head_since = None;
+                let decoder = Decoder::new(head.framing);
+                let partial = Partial {
+                    head,
+                    decoder,
+                    body: BytesMut::new(),
+                    received: now,
+                };
+                self.continue_body(partial)
+            }
+            Ok(None) => {
+                if !self.buffer.is_empty() {
+                    self.head_since.get_or_insert(now);
+                }
+                Ok(false)
+            }
+            Err(message::Error::HeadTooLong) => Err(Problem::new(431, "the head is too long")),
+            Err(_) => Err(Problem::new(400, "the request is no HTTP/1.1 message")),
+        }
+    }
+
+    /// Decodes more of a body. Returns whether the request was started.
+    fn continue_body(&mut self, mut partial: Partial) -> Result<bool, Problem> {
+        let limit = self.limits().body_bytes;
+        loop {
+            match partial.decoder.take(&mut self.buffer) {
+                Ok(Some(bytes)) => partial.body.extend_from_slice(&bytes),
+                Ok(None) if partial.decoder.is_done() => break,
+                Ok(None) => {
+                    self.partial = Some(partial);
+                    return Ok(false);
+                }
+                Err(_) => return Err(Problem::new(400, "the body is not encoded properly")),
+            }
+            if partial.body.len() > limit {
+                return Err(Problem::new(413, "the body is too long"));
+            }
+        }
+        self.start(partial);
+        Ok(true)
+    }
+
+    fn start(&mut self, partial: Partial) {
+        let shared = self.shared.clone();
+        let keeps_alive = partial.head.keeps_alive;
+        let to_head = partial.head.method == "HEAD";
+        self.is_closed |= !keeps_alive;
+        let received = partial.received;
+        let id_header = shared.protocol.headers.request_id;
+        let id = partial.head.headers.get(id_header).unwrap_or_default();
+        let register = &shared.active_requests;
+        let activity = register.add(id.to_owned(), self.number, received);
+        let incoming = Incoming {
+            head: partial.head,
+            body: partial.body.freeze(),
+            received,
+            activity: activity.clone(),
+        };
+        self.pending.push_back(Box::pin(async move {
+            let reply = proxy::serve(shared.clone(), incoming).await;
+            activity.set(Stage::Held);
+            let ready = shared.now();
+            let elapsed = ready.since(received);
+            shared.metrics.record_response(reply.status, elapsed);
+            Response {
+                reply,
+                keeps_alive,
+                to_head,
+                ready,
+                activity: Some(activity),
+            }
+        }));
+    }
+
+    fn reject(&mut self, problem: Problem) {
+        log::warn!(status = problem.status, reason = problem.reason; "request rejected");
+        self.is_closed = true;
+        let reply = Reply::problem(problem, None);
+        let ready = self.shared.now();
+        self.pending.push_back(Box::pin(async move {
+            Response {
+                reply,
+                keeps_alive: false,
+                to_head: false,
+                ready,
+                activity: None,
+            }
+        }));
+    }
+
+    /// Returns whether the connection is closed after a response. One that still has to close it
+    /// while others are pending leaves that to the last of them: those requests are at targets.
+    pub(crate) fn closes_after(&mut self, response: &Response) -> bool {
+        self.is_closed |= response.reply.closes || !response.keeps_alive;
+        let is_closing = self.is_closed || self.shared.stop.has_reached(Phase::Stopping);
+        is_closing && self.pending.is_empty()
+    }
+
+    fn limits(&self) -> Limits {
+        let config = self.shared.config.borrow();
+        config
+            .as_ref()
+            .map(|config| config.limits)
+            .unwrap_or_default()
+    }
+
+    /// Returns whether the connection can be closed.
+    pub(crate) fn is_finished(&self) -> bool {
+        self.is_closed && self.is_idle()
+    }
+
+    fn is_idle(&self) -> bool {
+        self.pending.is_empty() && self.partial.is_none()
+    }
+
+    /// Returns whether the connection is closed because it is idle: in a planned stop, or for longer
+    /// than allowed.
+    pub(crate) fn closes_idle(&self, stream: &TcpStream) -> bool {
+        let idle_time = self.shared.now().since(self.idle_since);
+        let is_due =
+            self.shared.stop.has_reached(Phase::Closing) || idle_time >= self.limits().idle_timeout;
+        let is_idle = self.is_idle() && self.buffer.is_empty();
+        is_due && is_idle && !connection::has_unread_bytes(stream)
+    }
+
+    /// Returns when the next time limit expires.
+    pub(crate) fn wakes_at(&self) -> tokio::time::Instant {
+        let limits = self.limits();
+        let now = self.shared.now();
+        let due = match (self.head_since, &self.partial) {
+            (Some(since), _) => since + limits.header_timeout,
+            (None, Some(partial)) => partial.received + limits.idle_timeout,
+            (None, None) if self.pending.is_empty() => self.idle_since + limits.idle_timeout,
+            (None, None) => now + limits.idle_timeout,
+        };
+        tokio::time::Instant::now() + due.since(now).as_duration()
+    }
+
+    /// Handles an expired time limit of a request that is not complete.
+    pub(crate) fn handle_timeout(&mut self) {
+        if self.head_since.is_some() || self.partial.is_some() {
+            self.partial = None;
+            self.head_since = None;
+            self.buffer.clear();
+            self.reject(Problem::new(408, "the request did not arrive in time"));
+        }
+    }
+}
