Wait for the response of an order 30 s beyond its deadline at most

An order whose target sent its head slowly and without end got 504 at its deadline, and nothing else wrong was to be seen by its caller. But the daemon went on waiting for ever: the order kept its connection and its slot of the target, and with as many such orders as slots the target served nobody.

A non-idempotent request runs on after its deadline, so that a caller that repeats it gets the response, and nothing ended the wait for its head.

The wait now ends 30 s after the deadline, as one with a broken connection, after which the outcome of the order is unknown. The limit of 5 s for a body counts from a late head, if the head was late.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -83,7 +83,7 @@
 
 /// Dispatches a request, and responds with a problem document once its deadline has passed.
 ///
-/// A non-idempotent request runs to its end even if its caller disconnects or the deadline passes,
+/// A non-idempotent request runs on for some time if its caller disconnects or the deadline passes,
 /// and its response is cached. An idempotent one is cancelled.
 async fn dispatch_until_deadline(
     shared: &Shared,
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -22,7 +22,7 @@
 use ragwortrill_core::{action::Dispatch, event::Finish, time::Span};
 use ragwortrill_platform::{headers, target};
 use ragwortrill_wire::Header;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
     exchange::{self, Body, Error, Request, Response, remaining_ms},
@@ -36,7 +36,10 @@
 
 /// Time after its deadline for which the response of a non-idempotent request is awaited, so that a
 /// caller that repeats the request gets it.
-const LATE_LIMIT: Span = Span::from_secs(5);
+const LATE_LIMIT: Span = Span::from_secs(30);
+
+/// Time for the body of a response after the deadline, or after a late head.
+const LATE_BODY_LIMIT: Span = Span::from_secs(5);
 
 /// Maximum number of connections of a client's pool. Admission limits the requests, so the pool
 /// must not. With 0, which stands for no limit, ntex 3.12 never wakes a request that waits while
@@ -170,16 +173,26 @@
     if shared.clock.now() >= dispatch.lease_end {
         return Err(Finish::Unsent { lapsed: true });
     }
-    let end = dispatch.deadline + LATE_LIMIT;
     let running = RunningRequest::new(shared, dispatch, request, pool);
-    let sent = if request.more {
-        let rest = request.rest.take().ok_or(Finish::Broken)?;
-        let prefix = stream::iter([Ok::<Bytes, Error>(request.prefix.clone())]);
-        call.send_stream(Box::pin(prefix.chain(rest))).await
-    } else if request.prefix.is_empty() {
-        call.send().await
-    } else {
-        call.send_body(request.prefix.clone()).await
+    let rest = match request.more {
+        true => Some(request.rest.take().ok_or(Finish::Broken)?),
+        false => None,
+    };
+    let prefix = request.prefix.clone();
+    let sent = async {
+        match rest {
+            Some(rest) => {
+                let prefix = stream::iter([Ok::<Bytes, Error>(prefix)]);
+                call.send_stream(Box::pin(prefix.chain(rest))).await
+            }
+            None if prefix.is_empty() => call.send().await,
+            None => call.send_body(prefix).await,
+        }
+    };
+    let left = (dispatch.deadline + LATE_LIMIT).since(shared.clock.now());
+    let Ok(sent) = timeout(left.as_duration(), sent).await else {
+        // Dropped, an idempotent request is cancelled.
+        return Err(Finish::Broken);
     };
     match sent {
         Ok(response) if response.headers().contains_key(target::REFUSED_HEADER) => {
@@ -187,7 +200,8 @@
             Err(Finish::Shed)
         }
         Ok(response) => {
-            let left = end.since(shared.clock.now());
+            let now = shared.clock.now();
+            let left = (dispatch.deadline.max(now) + LATE_BODY_LIMIT).since(now);
             Ok(into_response(response, running, left))
         }
         Err(error) => {
