Fail a request whose target sends an interim response

A caller whose target sent interim responses (1xx) got the first of them as if it was the final one, and then waited for a final response that never came.

The HTTP client does not skip interim responses, and the daemon passed on whatever status it got.

Such a response now counts as one of a broken connection: the caller gets 502, or the daemon repeats an idempotent request. The final response that may follow can't be read with this client.

crates/daemon/tests/endless.rs, head_without_end_is_replaced with interim responses failed before and passes now.

--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -199,6 +199,11 @@
             running.finish();
             Err(Finish::Shed)
         }
+        Ok(response) if response.status().is_informational() => {
+            // ntex 3.12 takes an interim response for the final one.
+            running.finish();
+            Err(Finish::Broken)
+        }
         Ok(response) => {
             let now = shared.clock.now();
             let left = (dispatch.deadline.max(now) + LATE_BODY_LIMIT).since(now);
