Fail a request whose response does not state its length

A caller whose target sent a response with neither a length nor chunks got 200 with an empty body that looked complete. The bytes of the body stayed on the connection, which could be used for the next request if they arrived late enough to be taken for its response.

The body of such an HTTP/1.1 response ends with its connection. The HTTP client (ntex 3.12) takes it for empty and keeps the connection for reuse, unless bytes have already arrived.

The request now fails like one with a broken connection (502, or a repeat of an idempotent one), and so does one with an interim response. In both cases the thread replaces its client for the target, which closes the idle connections, the doubtful one among them; running requests keep theirs.

crates/daemon/tests/endless.rs, body_without_end_is_cut_at_the_deadline without a length: 200 with a complete empty body before; 502 and a closed connection now. With the failure alone, without the new client, the connection stayed open.

--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -14,7 +14,10 @@
         Client, ClientResponse, Connector,
         error::{ClientError, ConnectError},
     },
-    http::Method,
+    http::{
+        Method, Version,
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    },
     io::IoConfig,
     time::Millis,
     util::Bytes,
@@ -56,11 +59,21 @@
 
 /// Connections of this thread to a target.
 struct Pool {
-    client: Client,
+    client: RefCell<Client>,
     /// Number of requests of this thread that the target runs.
     running: Cell<usize>,
 }
 
+impl Pool {
+    /// Closes the idle connections. ntex keeps one as idle after a response that it takes for
+    /// complete, and bytes that arrive later must not be taken for the response to another request.
+    async fn close_connections(&self) {
+        if let Ok(client) = client().await {
+            self.client.replace(client);
+        }
+    }
+}
+
 /// A request that was sent to its target. Dropped without `finish`, an idempotent one is cancelled
 /// there.
 pub(crate) struct RunningRequest {
@@ -123,21 +136,24 @@
     if let Some(pool) = POOLS.with_borrow(|pools| pools.get(&address).cloned()) {
         return Ok(pool);
     }
+    let pool = Rc::new(Pool {
+        client: RefCell::new(client().await?),
+        running: Cell::new(0),
+    });
+    // Another request may have created a pool while this one waited.
+    Ok(POOLS.with_borrow_mut(|pools| pools.entry(address).or_insert(pool).clone()))
+}
+
+async fn client() -> Result<Client, Finish> {
     let io = IoConfig::new().set_connect_timeout(CONNECT_TIMEOUT);
-    let client = Client::builder()
+    Client::builder()
         .disable_redirects()
         .disable_timeout()
         .no_default_headers()
         .connector::<Connector>(Connector::new().limit(POOL_LIMIT))
         .build(SharedCfg::new("targets").add(io))
         .await
-        .map_err(|_| Finish::Unsent { lapsed: false })?;
-    let pool = Rc::new(Pool {
-        client,
-        running: Cell::new(0),
-    });
-    // Another request may have created a pool while this one waited.
-    Ok(POOLS.with_borrow_mut(|pools| pools.entry(address).or_insert(pool).clone()))
+        .map_err(|_| Finish::Unsent { lapsed: false })
 }
 
 /// Sends a request to its target and returns its response, whose body is still to be read.
@@ -151,8 +167,8 @@
     let method = method.map_err(|_| Finish::Unsent { lapsed: false })?;
     let url = format!("http://{}{}", dispatch.address, request.path);
     let now = shared.clock.now();
-    let mut call = pool
-        .client
+    let client = pool.client.borrow().clone();
+    let mut call = client
         .request(method, url)
         .address(dispatch.address)
         .no_decompress()
@@ -199,8 +215,8 @@
             running.finish();
             Err(Finish::Shed)
         }
-        Ok(response) if response.status().is_informational() => {
-            // ntex 3.12 takes an interim response for the final one.
+        Ok(response) if response.status().is_informational() || !has_end(&response, request) => {
+            running.pool.close_connections().await;
             running.finish();
             Err(Finish::Broken)
         }
@@ -228,6 +244,17 @@
     }
 }
 
+/// Returns whether the response states where its body ends. Without that the body of an HTTP/1.1
+/// response ends with its connection, which ntex 3.12 takes for an empty body.
+fn has_end(response: &ClientResponse, request: &Request) -> bool {
+    let headers = response.headers();
+    let has_no_body = request.method == "HEAD" || matches!(response.status().as_u16(), 204 | 304);
+    has_no_body
+        || response.version() != Version::HTTP_11
+        || headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Converts a response whose body must end within a time.
 fn into_response(response: ClientResponse, running: RunningRequest, left: Span) -> Response {
     let headers: Vec<Header> = response
