--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -14,7 +14,10 @@
         Client, ClientResponse, Connector,
         error::{ClientError, ConnectError},
     },
-    http::Method,
+    http::{
+        Method, Version,
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    },
     io::IoConfig,
     time::Millis,
     util::Bytes,
@@ -22,7 +25,7 @@
 use ragwortrill_core::{action::Dispatch, event::Finish, time::Span};
 use ragwortrill_platform::{headers, target};
 use ragwortrill_wire::Header;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
     exchange::{self, Body, Error, Request, Response, remaining_ms},
@@ -36,7 +39,10 @@
 
 /// Time after its deadline for which the response of a non-idempotent request is awaited, so that a
 /// caller that repeats the request gets it.
-const LATE_LIMIT: Span = Span::from_secs(5);
+const LATE_LIMIT: Span = Span::from_secs(30);
+
+/// Time for the body of a response after the deadline, or after a late head.
+const LATE_BODY_LIMIT: Span = Span::from_secs(5);
 
 /// Maximum number of connections of a client's pool. Admission limits the requests, so the pool
 /// must not. With 0, which stands for no limit, ntex 3.12 never wakes a request that waits while
@@ -53,11 +59,21 @@
 
 /// Connections of this thread to a target.
 struct Pool {
-    client: Client,
+    client: RefCell<Client>,
     /// Number of requests of this thread that the target runs.
     running: Cell<usize>,
 }
 
+impl Pool {
+    /// Closes the idle connections. ntex keeps one as idle after a response that it takes for
+    /// complete, and bytes that arrive later must not be taken for the response to another request.
+    async fn close_connections(&self) {
+        if let Ok(client) = client().await {
+            self.client.replace(client);
+        }
+    }
+}
+
 /// A request that was sent to its target. Dropped without `finish`, an idempotent one is cancelled
 /// there.
 pub(crate) struct RunningRequest {
@@ -120,21 +136,24 @@
     if let Some(pool) = POOLS.with_borrow(|pools| pools.get(&address).cloned()) {
         return Ok(pool);
     }
+    let pool = Rc::new(Pool {
+        client: RefCell::new(client().await?),
+        running: Cell::new(0),
+    });
+    // Another request may have created a pool while this one waited.
+    Ok(POOLS.with_borrow_mut(|pools| pools.entry(address).or_insert(pool).clone()))
+}
+
+async fn client() -> Result<Client, Finish> {
     let io = IoConfig::new().set_connect_timeout(CONNECT_TIMEOUT);
-    let client = Client::builder()
+    Client::builder()
         .disable_redirects()
         .disable_timeout()
         .no_default_headers()
         .connector::<Connector>(Connector::new().limit(POOL_LIMIT))
         .build(SharedCfg::new("targets").add(io))
         .await
-        .map_err(|_| Finish::Unsent { lapsed: false })?;
-    let pool = Rc::new(Pool {
-        client,
-        running: Cell::new(0),
-    });
-    // Another request may have created a pool while this one waited.
-    Ok(POOLS.with_borrow_mut(|pools| pools.entry(address).or_insert(pool).clone()))
+        .map_err(|_| Finish::Unsent { lapsed: false })
 }
 
 /// Sends a request to its target and returns its response, whose body is still to be read.
@@ -148,8 +167,8 @@
     let method = method.map_err(|_| Finish::Unsent { lapsed: false })?;
     let url = format!("http://{}{}", dispatch.address, request.path);
     let now = shared.clock.now();
-    let mut call = pool
-        .client
+    let client = pool.client.borrow().clone();
+    let mut call = client
         .request(method, url)
         .address(dispatch.address)
         .no_decompress()
@@ -170,24 +189,40 @@
     if shared.clock.now() >= dispatch.lease_end {
         return Err(Finish::Unsent { lapsed: true });
     }
-    let end = dispatch.deadline + LATE_LIMIT;
     let running = RunningRequest::new(shared, dispatch, request, pool);
-    let sent = if request.more {
-        let rest = request.rest.take().ok_or(Finish::Broken)?;
-        let prefix = stream::iter([Ok::<Bytes, Error>(request.prefix.clone())]);
-        call.send_stream(Box::pin(prefix.chain(rest))).await
-    } else if request.prefix.is_empty() {
-        call.send().await
-    } else {
-        call.send_body(request.prefix.clone()).await
+    let rest = match request.more {
+        true => Some(request.rest.take().ok_or(Finish::Broken)?),
+        false => None,
+    };
+    let prefix = request.prefix.clone();
+    let sent = async {
+        match rest {
+            Some(rest) => {
+                let prefix = stream::iter([Ok::<Bytes, Error>(prefix)]);
+                call.send_stream(Box::pin(prefix.chain(rest))).await
+            }
+            None if prefix.is_empty() => call.send().await,
+            None => call.send_body(prefix).await,
+        }
+    };
+    let left = (dispatch.deadline + LATE_LIMIT).since(shared.clock.now());
+    let Ok(sent) = timeout(left.as_duration(), sent).await else {
+        // Dropped, an idempotent request is cancelled.
+        return Err(Finish::Broken);
     };
     match sent {
         Ok(response) if response.headers().contains_key(target::REFUSED_HEADER) => {
             running.finish();
             Err(Finish::Shed)
         }
+        Ok(response) if response.status().is_informational() || !has_end(&response, request) => {
+            running.pool.close_connections().await;
+            running.finish();
+            Err(Finish::Broken)
+        }
         Ok(response) => {
-            let left = end.since(shared.clock.now());
+            let now = shared.clock.now();
+            let left = (dispatch.deadline.max(now) + LATE_BODY_LIMIT).since(now);
             Ok(into_response(response, running, left))
         }
         Err(error) => {
@@ -209,6 +244,17 @@
     }
 }
 
+/// Returns whether the response states where its body ends. Without that the body of an HTTP/1.1
+/// response ends with its connection, which ntex 3.12 takes for an empty body.
+fn has_end(response: &ClientResponse, request: &Request) -> bool {
+    let headers = response.headers();
+    let has_no_body = request.method == "HEAD" || matches!(response.status().as_u16(), 204 | 304);
+    has_no_body
+        || response.version() != Version::HTTP_11
+        || headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Converts a response whose body must end within a time.
 fn into_response(response: ClientResponse, running: RunningRequest, left: Span) -> Response {
     let headers: Vec<Header> = response
