Give the check of evacuations a plan with requests in its window

The test was wrong, not the daemon: with seed 1 a request at the evacuated data centre is a violation only from 12.1 s to 15.1 s of the run, both hosts are in planned stops in these seconds, and the callers send almost nothing.

Seed 11 evacuates for the same time, from 4 s to 12 s of the plan, and one host is in no planned stop during the first 1.8 s of the 3 s that count.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -54,7 +54,7 @@
 #[test_case("whole", "1")]
 #[test_case("stop", "3")]
 #[test_case("drain", "2")]
-#[test_case("evacuation", "1")]
+#[test_case("evacuation", "11")]
 #[test_case("config", "12")]
 #[test_case("budget", "1")]
 #[test_case("cold", "1")]
