Close callers' connections with the replies of a graceful shutdown

What callers saw: during a graceful shutdown of the product's own interface every reply kept its connection. A caller that sends one request after another on a connection was served until the process ended, and its last request was cut off; one that is always at work kept the daemon from ending.

Cause: readiness was the only thing that a graceful shutdown changed for callers; no reply had Connection: close.

Evidence: three tests, which fail before. A busy connection: the shutdown has not ended after 12 s. Replies of the daemon's own (unknown path and service, progress): kept. Three pipelined requests: 200 three times, kept. With the header alone, the three still get 200 and run, behind a reply that closed the connection: ntex serves what it has read.

Why the fix works: a middleware sets Connection: close on every reply from the start of the shutdown, so a caller moves on after one more reply. A request behind such a reply is not run, since its caller may send it again elsewhere; it gets 503 with the type connection-closed. Before a shutdown nothing changes.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -24,7 +24,9 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    Clock, callers, control, log_service,
+    Clock, callers,
+    closing::Closing,
+    control, log_service,
     metrics::Metrics,
     node_loop::{self, BufferedSender, Outputs},
     operators::{self, Ready, ServerState, WorkerState},
@@ -160,12 +162,12 @@
         })?);
         let server_state = ServerState {
             shared: shared.clone(),
-            ready,
+            ready: ready.clone(),
             token: settings.operator_token.into(),
             log: settings.log,
         };
         let servers = vec![
-            serve_callers(callers, settings.workers, shared)?,
+            serve_callers(callers, settings.workers, shared, ready)?,
             serve_operators(operators, server_state)?,
         ];
         Ok(Self {
@@ -253,11 +255,17 @@
     listener: TcpListener,
     workers: usize,
     shared: Shared,
+    ready: Ready,
 ) -> Result<web_server::Handle> {
     start_server("callers", move || {
         let server = HttpServer::new(async move || {
+            let closing = Closing {
+                shared: shared.clone(),
+                ready: ready.clone(),
+            };
             App::new()
                 .state(shared.clone())
+                .middleware(closing)
                 .route(progress::PATH, web::get().to(progress::handle))
                 .default_service(web::to(callers::handle))
         });
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod bootstrap;
 mod callers;
+mod closing;
 mod control;
 mod daemon;
 mod dispatch;
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -60,6 +60,21 @@
         }
     }
 
+    /// Describes a request on a connection that an earlier reply has closed.
+    pub(crate) fn connection_closed() -> Self {
+        Self {
+            kind: format!("{TYPE}connection-closed"),
+            title: "The connection is closed",
+            status: StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+            detail: "the daemon shuts down and an earlier reply closed the connection; send the \
+                     request on another one"
+                .to_owned(),
+            run: Run::NotRun,
+            request: None,
+            retry_after: None,
+        }
+    }
+
     /// Describes a repeated request that ran, but whose response is not in the cache.
     pub(crate) fn response_not_cached(request: request::Id, status: u16) -> Self {
         Self {
--- /dev/null
+++ b/crates/daemon/tests/stop.rs
@@ -0,0 +1,196 @@
+//! Tests of a graceful shutdown with callers that keep their connections or wait for a target.
+
+mod harness;
+
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpStream},
+    slice, thread,
+    time::Duration,
+};
+
+use harness::{Builder, Call, System, name, row};
+use ntex::{
+    http::Method,
+    time::{Millis, sleep},
+};
+use ragwortrill_core::time::Span;
+use ragwortrill_standin::target::Settings;
+
+const KEY: &str = "k1";
+
+/// Path of the report on a request that was never sent.
+const PROGRESS_PATH: &str = "/requests/orders/0000000000000000-0000000000000000";
+
+/// Starts a system with one target.
+async fn system() -> System {
+    let builder = Builder::new().service("orders", row(true), 1);
+    let system = builder.target(Settings::default()).start();
+    let call = Call::get("orders", "/ready", KEY);
+    system.call_until_served(0, &call).await;
+    system
+}
+
+/// Guards against a graceful shutdown that does not end, or cuts a request off, because a caller
+/// sends one request after another on the same connection.
+#[ntex::test]
+async fn graceful_shutdown_closes_a_busy_connection_with_a_reply() {
+    let mut system = system().await;
+    let target = &system.targets[&name("orders-0")];
+    target.change(|settings| settings.service_time = Span::from_millis(200));
+    let address = system.address(0);
+    let caller = thread::spawn(move || {
+        let mut stream = connect(address);
+        let call = Call::get("orders", "/busy", KEY);
+        loop {
+            send(&mut stream, slice::from_ref(&call));
+            let reply = receive(&mut stream).expect("every request gets a reply");
+            if reply.closes {
+                return receive(&mut stream);
+            }
+        }
+    });
+    let daemon = system.daemons[0].take().expect("the daemon runs");
+    daemon.stop();
+    let ended = thread::spawn(move || {
+        let has_ended = daemon.wait(Duration::from_secs(12));
+        // The process ends this long after the shutdown.
+        thread::sleep(Duration::from_millis(100));
+        daemon.close();
+        has_ended
+    });
+    while !ended.is_finished() {
+        sleep(Millis(20)).await;
+    }
+    assert!(ended.join().expect("the daemon stops"));
+    let after = caller.join().expect("every request gets a reply");
+    assert_eq!(after, None, "the connection ends behind the reply");
+}
+
+/// Guards against a reply of the daemon's own that keeps its connection during a graceful shutdown.
+#[ntex::test]
+async fn graceful_shutdown_closes_a_connection_with_a_reply_of_the_daemon() {
+    let cases = [
+        ("problem", Call::to(Method::GET, "/no-service"), 404),
+        ("unknown service", Call::get("none", "/", KEY), 404),
+        ("progress", Call::to(Method::GET, PROGRESS_PATH), 404),
+        (
+            "wrong path of a request",
+            Call::to(Method::GET, "/requests/orders/none"),
+            404,
+        ),
+    ];
+    let system = system().await;
+    for (case, call, status) in &cases {
+        assert_eq!(
+            exchange(&system, call).await,
+            (*status, false),
+            "{case}, before"
+        );
+    }
+    system.daemons[0].as_ref().expect("the daemon runs").stop();
+    sleep(Millis(200)).await;
+    for (case, call, status) in &cases {
+        assert_eq!(
+            exchange(&system, call).await,
+            (*status, true),
+            "{case}, after"
+        );
+    }
+}
+
+/// Guards against a pipelined request that runs although the reply before it closed the connection,
+/// so that its caller sends it again elsewhere.
+#[ntex::test]
+async fn pipelined_request_behind_the_last_reply_does_not_run() {
+    let system = system().await;
+    let target = &system.targets[&name("orders-0")];
+    target.change(|settings| settings.service_time = Span::from_millis(500));
+    let mut stream = connect(system.address(0));
+    let paths = ["/first", "/second", "/third"];
+    let calls = paths.map(|path| Call::get("orders", path, KEY));
+    let received = target.counts().received;
+    send(&mut stream, &calls);
+    while target.counts().received == received {
+        sleep(Millis(10)).await;
+    }
+    system.daemons[0].as_ref().expect("the daemon runs").stop();
+    let replies = thread::spawn(move || [(); 4].map(|()| receive(&mut stream)));
+    while !replies.is_finished() {
+        sleep(Millis(20)).await;
+    }
+    let replies = replies.join().expect("the replies can be read");
+    let reply = |status| {
+        Some(Head {
+            status,
+            closes: true,
+        })
+    };
+    assert_eq!(replies, [reply(200), reply(503), reply(503), None]);
+    assert_eq!(target.counts().received, received + 1);
+}
+
+/// Sends a request on a connection of its own. Returns the reply's status, and whether it closes the
+/// connection.
+async fn exchange(system: &System, call: &Call) -> (u16, bool) {
+    let mut stream = connect(system.address(0));
+    send(&mut stream, slice::from_ref(call));
+    let reply = thread::spawn(move || receive(&mut stream));
+    while !reply.is_finished() {
+        sleep(Millis(5)).await;
+    }
+    let reply = reply.join().expect("the reply can be read");
+    let reply = reply.expect("the request gets a reply");
+    (reply.status, reply.closes)
+}
+
+fn connect(address: SocketAddr) -> BufReader<TcpStream> {
+    let stream = TcpStream::connect(address).expect("the daemon accepts connections");
+    let limit = Some(Duration::from_secs(10));
+    stream.set_read_timeout(limit).expect("a limit can be set");
+    BufReader::new(stream)
+}
+
+/// Sends requests without waiting for their replies.
+fn send(stream: &mut BufReader<TcpStream>, calls: &[Call]) {
+    let text: String = calls.iter().map(Call::head_text).collect();
+    let sent = stream.get_mut().write_all(text.as_bytes());
+    sent.expect("the daemon reads the requests");
+}
+
+/// What a test reads of a reply.
+#[derive(Debug, Eq, PartialEq)]
+struct Head {
+    status: u16,
+    closes: bool,
+}
+
+/// Reads a reply with its body. Returns none at the end of the connection.
+fn receive(stream: &mut BufReader<TcpStream>) -> Option<Head> {
+    let mut line = String::new();
+    if stream.read_line(&mut line).expect("a reply can be read") == 0 {
+        return None;
+    }
+    let status = line.split(' ').nth(1).and_then(|text| text.parse().ok());
+    let mut head = Head {
+        status: status.expect("a reply has a status"),
+        closes: false,
+    };
+    let mut length = 0;
+    loop {
+        line.clear();
+        let read = stream.read_line(&mut line).expect("the head can be read");
+        assert!(read > 0, "the connection ends within a head");
+        let line = line.trim().to_ascii_lowercase();
+        if line.is_empty() {
+            break;
+        }
+        head.closes |= line == "connection: close";
+        if let Some(value) = line.strip_prefix("content-length: ") {
+            length = value.parse().expect("the length is a number");
+        }
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).expect("the body is whole");
+    Some(head)
+}
