Refuse requests that a planned stop would have to give up

What callers saw: a request that is read late in a planned stop, such as one whose body ended 3.5 s after SIGTERM, was sent to a target and given up with status 504 1.7 s later, though its time limit was 20 s.

Cause: closing idle connections ends the reading of new requests, but a request that was partly read by then is started whenever it is complete.

Why the fix works: from half of the grace period on, nothing is admitted to a target any more. 503 states that the request has not run, so its caller may send it elsewhere while there is time.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -42,6 +42,9 @@
         return Err(Problem::refusal("the caller has left", RETRY_AFTER_BUSY_MS));
     }
     let criteria = Criteria::new(job);
+    if shared.stop.has_reached(Phase::Refusing) {
+        return Err(HOST_STOPPING);
+    }
     let resource = match search::search(shared, &criteria, now) {
         Search::Found(target) => return Ok(admit(shared, target)),
         Search::Busy(resource) => resource,
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -12,9 +12,11 @@
 use crate::{admission, shared::Shared};
 
 /// Time within which the load balancer notices that the host is not ready and sends it no new
-/// connections. It asks once a second and needs two answers. A request that is sent more than 3 s
-/// after the start of the stop must not be given up, so a busy host has 500 ms to close.
+/// connections. It asks once a second and needs two answers. A request that is sent in the second
+/// half of the grace period must not be given up, so a busy host has 500 ms to close.
 const UNREADY_NOTICE: Duration = Duration::from_millis(2_500);
+/// Part of the grace period, in percent, after which no request is sent to a target any more.
+const REFUSAL_PERCENT: u64 = 50;
 /// Part of the grace period, in percent, after which requests that still run at targets get a reply
 /// of this host. Before the last sixth of the grace period, no running request may be given up.
 const REPLY_PERCENT: u64 = 86;
@@ -36,6 +38,8 @@
     Stopping,
     /// Idle connections are closed, and requests that would have to wait are refused.
     Closing,
+    /// Requests that are not at a target yet are refused.
+    Refusing,
     /// Requests without a response of their target get a reply of this host.
     GivingUp,
 }
@@ -79,11 +83,16 @@
         log::error!(error = error.to_string(); "task that accepts callers' connections failed");
     }
     let end = |percent| began + grace.scale(percent, 100);
-    let mut is_drained = drain(shared, end(REPLY_PERCENT)).await;
-    if !is_drained {
-        shared.stop.enter(Phase::GivingUp);
-        is_drained = drain(shared, end(EXIT_PERCENT)).await;
+    let steps = [
+        (REFUSAL_PERCENT, Phase::Refusing),
+        (REPLY_PERCENT, Phase::GivingUp),
+    ];
+    let mut is_drained = false;
+    for (percent, phase) in steps {
+        is_drained = is_drained || drain(shared, end(percent)).await;
+        shared.stop.enter(phase);
     }
+    let is_drained = is_drained || drain(shared, end(EXIT_PERCENT)).await;
     log_cut_requests(shared);
     log::info!(
         is_drained = is_drained, requests = shared.active_requests.len(),
