Log the rate limits that targets state, and count what is sent to such targets

A target may state in its answers how many requests a second it takes from all hosts together. A host now logs when a limit comes into force and ends, and counts the requests that it sends to such targets as first, queued or retry. No decision changes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod process;
 pub mod quarantine;
 pub mod ramp;
+pub mod rate_limit;
 mod rebalance;
 pub mod record;
 mod recovery;
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -46,7 +46,7 @@
         return Err(HOST_STOPPING);
     }
     let resource = match search::search(shared, &criteria, now) {
-        Search::Found(target) => return Ok(admit(shared, target)),
+        Search::Found(target) => return Ok(admit(shared, target, false)),
         Search::Busy(resource) => resource,
         Search::Absent => {
             let reason = "the service has no target";
@@ -232,12 +232,12 @@
     let waiter = shared.waiters.borrow_mut().remove(&ticket);
     if let Some(waiter) = waiter {
         // If the waiter has left, the send fails and drops the permit, which frees it.
-        let _ = waiter.found.send(Ok(admit(shared, target)));
+        let _ = waiter.found.send(Ok(admit(shared, target, true)));
     }
 }
 
-fn admit(shared: &Rc<Shared>, target: Target) -> Admitted {
-    let permit = Permit::acquire(shared, &target.registration.incarnation);
+fn admit(shared: &Rc<Shared>, target: Target, was_queued: bool) -> Admitted {
+    let permit = Permit::acquire(shared, &target.registration.incarnation, was_queued);
     (target, permit)
 }
 
@@ -245,10 +245,12 @@
 pub(crate) struct Permit {
     shared: Rc<Shared>,
     incarnation: Incarnation,
+    /// Whether the request waited in the queue.
+    pub(crate) was_queued: bool,
 }
 
 impl Permit {
-    fn acquire(shared: &Rc<Shared>, incarnation: &Incarnation) -> Self {
+    fn acquire(shared: &Rc<Shared>, incarnation: &Incarnation, was_queued: bool) -> Self {
         let now = shared.now();
         shared.with_endpoint(incarnation, |endpoint| {
             endpoint.load.start(now);
@@ -257,6 +259,7 @@
         Self {
             shared: shared.clone(),
             incarnation: incarnation.clone(),
+            was_queued,
         }
     }
 }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -2,8 +2,13 @@
 
 use std::rc::Rc;
 
-use ragwortrill_core::time::{Instant, Span};
-use ragwortrill_router::{fleet::Target, restart::Exchange, retry::Outcome};
+use ragwortrill_core::{
+    rate_limit::{Rate, Statement},
+    time::{Instant, Span},
+};
+use ragwortrill_router::{
+    fleet::Target, registration::Incarnation, restart::Exchange, retry::Outcome,
+};
 use tokio::time::timeout;
 
 use crate::{
@@ -13,7 +18,8 @@
     connection::Connection,
     exchange::{self, Error, ExtraHeader, Received},
     job::Job,
-    message::{self, Framing},
+    message::{self, Framing, Response},
+    metrics::Way,
     reply::{Remainder, Reply, Source},
     shared::Shared,
     stop::Phase,
@@ -58,7 +64,7 @@
     shared: &Rc<Shared>,
     job: &Job,
     target: &Target,
-    _permit: Permit,
+    permit: Permit,
 ) -> Attempt {
     let incarnation = &target.registration.incarnation;
     let activity = &job.incoming.activity;
@@ -81,6 +87,7 @@
         return Attempt::failed(Outcome::NotSent, "no time is left".to_owned());
     }
     activity.set(Stage::Sent(incarnation.id.clone()));
+    count_limited(shared, job, incarnation, &permit);
     let wire = encode(shared, job, target, left);
     let attempt_timeout = attempt_timeout(shared, job, target, left);
     let outcome = match exchange(shared, job, connection, &wire, attempt_timeout).await {
@@ -122,6 +129,53 @@
     }
 }
 
+/// Counts a request that is sent to a target with a rate limit, by the way that it took there.
+fn count_limited(shared: &Shared, job: &Job, incarnation: &Incarnation, permit: &Permit) {
+    if shared.with_endpoint(incarnation, |endpoint| endpoint.rate_limit.rate().is_some()) {
+        let way = match job.tried.is_empty() {
+            false => Way::Retried,
+            true if permit.was_queued => Way::Queued,
+            true => Way::First,
+        };
+        shared.metrics.record_limited(way);
+    }
+}
+
+/// Records what an answer says about its target's rate limit.
+fn record_rate_limit(
+    shared: &Shared,
+    incarnation: &Incarnation,
+    response: &Response,
+    exchange: &Exchange,
+) {
+    let text = response.headers.get(shared.protocol.headers.rate_limit);
+    let rate = match text.map(str::parse::<Rate>).transpose() {
+        Ok(rate) => rate,
+        Err(error) => {
+            log::warn!(target = incarnation.id.as_str(), error = error.to_string(); "target states a rate limit that can't be read");
+            return;
+        }
+    };
+    let statement = Statement {
+        rate,
+        sent_at: exchange.sent_at,
+        stated_at: exchange.answered_at,
+    };
+    if !shared.with_endpoint(incarnation, |endpoint| {
+        endpoint.rate_limit.record(statement)
+    }) {
+        return;
+    }
+    match rate {
+        Some(rate) => {
+            log::info!(target = incarnation.id.as_str(), per_second = rate.to_string(); "target states a rate limit")
+        }
+        None => {
+            log::info!(target = incarnation.id.as_str(); "target no longer states a rate limit")
+        }
+    }
+}
+
 /// Reason why a target is no longer waited for.
 enum Unanswered {
     /// No response came in time.
@@ -239,6 +293,10 @@
         .get(headers.load)
         .and_then(shared.protocol.decode_load);
     let elapsed = exchange.answered_at.since(exchange.sent_at);
+    // An answer that is not from the expected target says nothing about it.
+    if status != MISDIRECTED {
+        record_rate_limit(shared, incarnation, response, &exchange);
+    }
     shared.with_endpoint(incarnation, |endpoint| {
         endpoint.restart_detector.record_answer(exchange)
     });
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -20,9 +20,21 @@
     attempts: Counter<u64>,
     store: Counter<u64>,
     orders: Counter<u64>,
+    limited: Counter<u64>,
     gauges: Gauges,
 }
 
+/// Way by which a request gets to its target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Way {
+    /// Sent as it arrived.
+    First,
+    /// Sent after it waited in the queue.
+    Queued,
+    /// Sent after an earlier attempt.
+    Retried,
+}
+
 /// Gauges, which are updated when the metrics page is requested.
 #[derive(Debug)]
 struct Gauges {
@@ -33,6 +45,7 @@
     hosts: Gauge<u64>,
     targets: Gauge<u64>,
     unowned: Gauge<u64>,
+    limited: Gauge<u64>,
     version: Gauge<u64>,
     age: Gauge<f64>,
 }
@@ -78,6 +91,10 @@
                 "ragwortrill.orders",
                 "Grants and releases of keys, by answer",
             ),
+            limited: count(
+                "ragwortrill.limited.requests",
+                "Requests sent to targets that state a rate limit, by way",
+            ),
             gauges: Gauges::new(&meter),
             exporter,
         })
@@ -135,6 +152,15 @@
         );
     }
 
+    pub(crate) fn record_limited(&self, way: Way) {
+        let way = match way {
+            Way::First => "first",
+            Way::Queued => "queued",
+            Way::Retried => "retry",
+        };
+        self.limited.add(1, &[KeyValue::new("way", way)]);
+    }
+
     /// Updates the gauges and returns all metrics as a Prometheus text page.
     pub(crate) fn page(&self, shared: &Shared) -> Vec<u8> {
         self.gauges.update(shared);
@@ -162,6 +188,10 @@
                 "ragwortrill.ranges.moving",
                 "Ranges of keys without an owner",
             ),
+            limited: gauge(
+                "ragwortrill.targets.limited",
+                "Targets that state a rate limit",
+            ),
             version: gauge("ragwortrill.config.version", "Version of the configuration"),
             age: meter
                 .f64_gauge("ragwortrill.store.age")
@@ -187,6 +217,11 @@
             .flat_map(|assignment| &assignment.ranges);
         self.unowned
             .record(ranges.filter(|range| !range.is_held()).count() as u64, &[]);
+        let endpoints = shared.endpoints.borrow();
+        let limited = endpoints
+            .values()
+            .filter(|endpoint| endpoint.rate_limit.rate().is_some());
+        self.limited.record(limited.count() as u64, &[]);
         let config = shared.config.borrow();
         let version = config.as_ref().map_or(0, |config| config.version.0);
         self.version.record(version, &[]);
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -51,6 +51,8 @@
     pub key: &'static str,
     /// Load that a target reports in its responses.
     pub load: &'static str,
+    /// Requests per second that a target takes from all hosts together.
+    pub rate_limit: &'static str,
 }
 
 /// Names of the store's topics.
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -10,6 +10,7 @@
 use ragwortrill_core::{
     name,
     number::Offset,
+    rate_limit::Limit,
     retry::Budget,
     time::{Instant, Span},
 };
@@ -114,6 +115,7 @@
     pub(crate) breaker: Breaker,
     pub(crate) restart_detector: Detector,
     pub(crate) cold_limiter: Rate,
+    pub(crate) rate_limit: Limit,
     pub(crate) pool: Pool,
 }
 
@@ -124,6 +126,7 @@
             breaker: Breaker::default(),
             restart_detector: Detector::default(),
             cold_limiter: Rate::new(now, 1.0),
+            rate_limit: Limit::default(),
             pool: Pool::default(),
         }
     }
