Keep to the rate that a target states on the product's own interface

A target now states it in the header Ragwortrill-Rate-Limit of its answers. Its holder alone sends to it, so the queue of the target admits requests at the whole rate, on every way: first sends, retries, requests that waited, non-idempotent ones before they are registered in the log. A request that can't be served in time is refused at once with the time that the limit leads to. Candidates without allowance count as full, so that requests without a key go to other targets. Reports carry the limit to the next holder, and lower the capacity by which slices move.

--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -93,4 +93,6 @@
     pub lease_end: Instant,
     /// Time after which the caller no longer needs the response.
     pub deadline: Instant,
+    /// Whether the target states a rate limit, so that an answer without one is reported too.
+    pub is_limited: bool,
 }
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -4,6 +4,7 @@
 use crate::{
     backlog::{Backlog, Waiting},
     estimate::Estimate,
+    rate_limit::{self, Limit, Rate},
     request::{self, Refusal},
     table,
     time::{Instant, Span},
@@ -93,6 +94,7 @@
     backlogs: [Backlog; 2],
     preferred_class: usize,
     estimate: Estimate,
+    rate_limit: Limit,
 }
 
 impl Queue {
@@ -105,6 +107,7 @@
             backlogs: Default::default(),
             preferred_class: IDEMPOTENT,
             estimate: Estimate::default(),
+            rate_limit: Limit::default(),
             settings,
         }
     }
@@ -121,7 +124,7 @@
             return Admission::Refuse(Refusal::Late, Span::ZERO);
         }
         let class = class(&request);
-        if self.backlogs[class].len() == 0 && self.may_start(&request) {
+        if self.backlogs[class].len() == 0 && self.may_start(now, &request) {
             self.start(now, request);
             return Admission::Start;
         }
@@ -200,6 +203,39 @@
         self.dispatch(now, out);
     }
 
+    /// Records what an answer, or an earlier holder, says about the target's rate limit. Returns
+    /// whether a limit came into force, or the one in force ended.
+    pub fn record_rate_limit(
+        &mut self,
+        now: Instant,
+        statement: rate_limit::Statement,
+        source: rate_limit::Source,
+        out: &mut Vec<Decision>,
+    ) -> bool {
+        let has_changed = self.rate_limit.record(now, statement, source);
+        self.dispatch(now, out);
+        has_changed
+    }
+
+    /// Returns the rate limit that the target states.
+    pub fn rate_limit(&self, now: Instant) -> Option<Rate> {
+        self.rate_limit.rate(now)
+    }
+
+    /// Returns whether the target's rate limit, if it states one, allows one more request.
+    pub fn is_within_rate(&self, now: Instant) -> bool {
+        self.time_within_rate(now, 1) == Span::ZERO
+    }
+
+    /// Returns the time until the target's rate limit allows `count` more requests.
+    fn time_within_rate(&self, now: Instant, count: u32) -> Span {
+        // Only this process sends to the target, so its part is the whole limit.
+        let rate = self.rate_limit(now);
+        rate.map_or(Span::ZERO, |rate| {
+            self.rate_limit.time_to(now, rate.part(1), count)
+        })
+    }
+
     /// Returns how many requests may run at the moment.
     pub fn limit(&self) -> u32 {
         self.limit
@@ -250,11 +286,13 @@
             true => self.estimate.mean_interval(slots),
             false => self.estimate.interval(now, slots),
         };
-        Span(interval.0 * (ahead + other) as u64)
+        let turns = ahead + other;
+        let wait = Span(interval.0 * turns as u64);
+        wait.max(self.time_within_rate(now, turns as u32))
     }
 
     fn dispatch(&mut self, now: Instant, out: &mut Vec<Decision>) {
-        while let Some(class) = self.next_class() {
+        while let Some(class) = self.next_class(now) {
             let Some(waiting) = self.backlogs[class].pop() else {
                 return;
             };
@@ -268,19 +306,20 @@
         }
     }
 
-    fn next_class(&self) -> Option<usize> {
+    fn next_class(&self, now: Instant) -> Option<usize> {
         let may_start = |class: &usize| {
             let head = self.backlogs[*class].head();
-            head.is_some_and(|waiting| self.may_start(&waiting.request))
+            head.is_some_and(|waiting| self.may_start(now, &waiting.request))
         };
         [self.preferred_class, 1 - self.preferred_class]
             .into_iter()
             .find(may_start)
     }
 
-    fn may_start(&self, request: &Request) -> bool {
+    fn may_start(&self, now: Instant, request: &Request) -> bool {
         let full = self.running.len() >= self.limit as usize
-            || self.connections() >= self.settings.connections as usize;
+            || self.connections() >= self.settings.connections as usize
+            || !self.is_within_rate(now);
         if full || self.running.iter().any(|running| running.request.exclusive) {
             return false;
         }
@@ -309,6 +348,8 @@
         if self.running.is_empty() {
             self.estimate.resume(now);
         }
+        let part = self.rate_limit(now).map(|rate| rate.part(1));
+        self.rate_limit.take(now, part);
         let started = now;
         self.running.push(Running { request, started });
     }
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -11,6 +11,7 @@
     node::Node,
     number::Epoch,
     process::Process,
+    rate_limit::{Rate, Source, Statement},
     record::Record,
     target_state::TargetState,
     time::{Instant, Span},
@@ -254,10 +255,31 @@
         state.record_probe(now, answer);
         if let Some(report) = report.filter(|_| first) {
             state.adopt_report(&report);
+            if report.start_id == state.start_id() {
+                self.adopt_rate_limit(now, target, report.rate_limit, actions);
+            }
         }
         self.resolve_disconnect(now, target, answer, actions);
     }
 
+    /// Takes over the rate limit that the previous holder of a target knew.
+    fn adopt_rate_limit(
+        &mut self,
+        now: Instant,
+        target: &name::Target,
+        rate: Option<Rate>,
+        actions: &mut Vec<Action>,
+    ) {
+        let statement = Statement {
+            rate,
+            sent_at: now,
+            stated_at: now,
+        };
+        if rate.is_some() {
+            self.record_rate_limit(now, target, statement, Source::Relay, actions);
+        }
+    }
+
     pub(crate) fn handle_grant(
         &mut self,
         now: Instant,
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use serde_with::{DisplayFromStr, serde_as};
 
 use crate::{
     health, key,
@@ -10,6 +11,7 @@
     name,
     number::{Epoch, Offset},
     process::Process,
+    rate_limit::{self, Rate},
     record::Entry,
     request::{self, Fingerprint},
     time::{Instant, Span},
@@ -49,6 +51,13 @@
         /// Result of the probe.
         answer: Probe,
     },
+    /// A target's answer stated a rate limit, or stated none after earlier ones did.
+    RateStated {
+        /// Target that answered.
+        target: name::Target,
+        /// What the answer says.
+        statement: rate_limit::Statement,
+    },
     /// A target answered a grant.
     Granted {
         /// Target that answered.
@@ -81,7 +90,8 @@
 }
 
 /// State and load of a target, which its holder sends to peers.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct TargetReport {
     /// Name of the target.
     pub target: name::Target,
@@ -100,6 +110,10 @@
     pub load: u64,
     /// Capacity, in per cent of a warm target.
     pub capacity_percent: u32,
+    /// Rate limit that the target states.
+    #[serde(default)]
+    #[serde_as(as = "Option<DisplayFromStr>")]
+    pub rate_limit: Option<Rate>,
 }
 
 /// Records that a read of the log returned.
@@ -177,7 +191,7 @@
 }
 
 /// A control message between daemons.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
     /// Shows that the sender is alive, and requests promises.
     Heartbeat {
--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -189,7 +189,7 @@
 
     fn capacity_percent(&self, now: Instant, target: &name::Target) -> u32 {
         match (self.target_states.get(target), self.reports.get(target)) {
-            (Some(state), _) => state.health.capacity_percent(now),
+            (Some(state), _) => state.capacity_percent(now),
             (None, Some(report)) => report.capacity_percent,
             (None, None) => 100,
         }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -15,6 +15,7 @@
     ownership::Ownership,
     process::Process,
     quarantine::Quarantine,
+    rate_limit::Source,
     record::{self, Entry, Record},
     request,
     retry::Budget,
@@ -160,6 +161,9 @@
             Event::Finish { ticket, result } => self.finish(now, ticket, result, actions),
             Event::Disconnected(ticket) => self.caller_left(now, ticket, actions),
             Event::Probed { target, answer } => self.handle_probe(now, &target, answer, actions),
+            Event::RateStated { target, statement } => {
+                self.record_rate_limit(now, &target, statement, Source::Answer, actions);
+            }
             Event::Granted {
                 target,
                 epoch,
--- a/crates/core/src/rate_limit.rs
+++ b/crates/core/src/rate_limit.rs
@@ -112,20 +112,23 @@
     }
 
     /// Returns the time after which this host's part allows `count` more requests.
-    pub fn time_to(&mut self, now: Instant, part: Part, count: u32) -> Span {
+    pub fn time_to(&self, now: Instant, part: Part, count: u32) -> Span {
         self.bucket.time_to(now, part.per_second, part.burst, count)
     }
 
     /// Returns how many more requests this host's part allows within a time.
-    pub fn allowance(&mut self, now: Instant, part: Part, time: Span) -> u32 {
+    pub fn allowance(&self, now: Instant, part: Part, time: Span) -> u32 {
         let saved = self.bucket.tokens(now, part.per_second, part.burst);
         (saved + part.per_second * time.as_secs_f64()) as u32
     }
 
-    /// Counts a request that is sent. While no limit is in force, none are saved for a burst.
-    pub fn take(&mut self, now: Instant) {
-        match self.rate(now) {
-            Some(_) => self.bucket.withdraw(),
+    /// Counts a request that is sent under a part of the limit. Without one, none are saved for a
+    /// burst.
+    pub fn take(&mut self, now: Instant, part: Option<Part>) {
+        match part {
+            Some(part) => {
+                self.bucket.take(now, part.per_second, part.burst);
+            }
             None => self.bucket = Bucket::new(now, 0.0),
         }
     }
--- a/crates/core/src/target_state.rs
+++ b/crates/core/src/target_state.rs
@@ -235,6 +235,17 @@
         self.slice_busy_us.retain(|_, load| *load > 0);
     }
 
+    /// Returns the target's capacity, in per cent of a warm target without a rate limit.
+    pub(crate) fn capacity_percent(&self, now: Instant) -> u32 {
+        let capacity = self.health.capacity_percent(now);
+        let Some(rate) = self.queue.rate_limit(now) else {
+            return capacity;
+        };
+        let busy_slots = rate.per_second() * self.queue.service_time().as_secs_f64();
+        let percent = busy_slots * 100.0 / f64::from(self.slots.max(1));
+        capacity.min((percent as u32).max(1))
+    }
+
     /// Creates the report on the target that peers receive in heartbeats.
     pub(crate) fn report(&self, target: &name::Target, now: Instant) -> TargetReport {
         TargetReport {
@@ -245,7 +256,8 @@
             limit: self.queue.limit(),
             latency: self.health.median().unwrap_or_default(),
             load: self.slice_busy_us.values().sum(),
-            capacity_percent: self.health.capacity_percent(now),
+            capacity_percent: self.capacity_percent(now),
+            rate_limit: self.queue.rate_limit(now),
         }
     }
 }
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -9,6 +9,7 @@
     name,
     node::{Node, Pending, Phase},
     quarantine::Status,
+    rate_limit::{Source, Statement},
     request::{self, Refusal},
     table,
     target_state::{self, queue_id},
@@ -124,7 +125,10 @@
         match (self.target_states.get(target), self.reports.get(target)) {
             (Some(state), _) => Candidate {
                 in_flight: (state.queue.running() + state.queue.waiting()) as u32,
-                limit: state.queue.limit(),
+                limit: match state.queue.is_within_rate(now) {
+                    true => state.queue.limit(),
+                    false => 0,
+                },
                 latency: state.health.median().unwrap_or_default(),
                 factor_percent: state.health.hint().factor_percent(now),
                 usable: usable && state.yielding.is_none(),
@@ -218,6 +222,23 @@
         }
     }
 
+    /// Records what is known about a target's rate limit, and sends what it allows.
+    pub(crate) fn record_rate_limit(
+        &mut self,
+        now: Instant,
+        target: &name::Target,
+        statement: Statement,
+        source: Source,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut decisions = Vec::new();
+        if let Some(state) = self.target_states.get_mut(target) {
+            let queue = &mut state.queue;
+            queue.record_rate_limit(now, statement, source, &mut decisions);
+        }
+        self.apply_decisions(now, target, decisions, actions);
+    }
+
     fn is_quarantined(&self, fingerprint: request::Fingerprint) -> bool {
         self.ledger.quarantine().contains_key(&fingerprint)
     }
@@ -311,6 +332,8 @@
             return self.finish_running(now, ticket, target, lapsed, actions);
         };
         let address = row.address;
+        let state = self.target_states.get(target);
+        let is_limited = state.is_some_and(|state| state.queue.rate_limit(now).is_some());
         let Some(held) = self.tickets.get_mut(&ticket) else {
             return;
         };
@@ -322,6 +345,7 @@
             epoch,
             lease_end,
             deadline: held.arrival.deadline,
+            is_limited,
         }));
         let deadline = held.arrival.deadline;
         if let Some(state) = self.target_states.get_mut(target) {
--- a/crates/daemon/examples/slopes/messages.rs
+++ b/crates/daemon/examples/slopes/messages.rs
@@ -95,6 +95,7 @@
                 latency: Span::from_millis(20),
                 load: 1 << 30,
                 capacity_percent: 100,
+                rate_limit: None,
             })
             .collect(),
     }
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -22,7 +22,12 @@
     time::Millis,
     util::Bytes,
 };
-use ragwortrill_core::{action::Dispatch, event::Finish, time::Span};
+use ragwortrill_core::{
+    action::Dispatch,
+    event::{Event, Finish},
+    rate_limit::{InvalidRate, Statement},
+    time::{Instant, Span},
+};
 use ragwortrill_platform::{headers, target};
 use ragwortrill_wire::Header;
 use tokio::{sync::mpsc, time::timeout};
@@ -210,6 +215,9 @@
         // Dropped, an idempotent request is cancelled.
         return Err(Finish::Broken);
     };
+    if let Ok(response) = &sent {
+        report_rate_limit(shared, dispatch, response, now);
+    }
     match sent {
         Ok(response) if response.headers().contains_key(target::REFUSED_HEADER) => {
             running.finish();
@@ -232,6 +240,36 @@
     }
 }
 
+/// Tells the node what an answer says about its target's rate limit.
+fn report_rate_limit(
+    shared: &Shared,
+    dispatch: &Dispatch,
+    response: &ClientResponse,
+    sent_at: Instant,
+) {
+    let stated = response.headers().get(target::RATE_LIMIT_HEADER);
+    let rate = stated.map(|value| value.to_str().unwrap_or_default().parse());
+    let rate = match rate.transpose() {
+        Ok(rate) => rate,
+        Err(error) => {
+            let error: InvalidRate = error;
+            log::warn!(target = dispatch.target.as_str(), error = error.to_string(); "target states a rate limit that can't be read");
+            return;
+        }
+    };
+    if rate.is_none() && !dispatch.is_limited {
+        return;
+    }
+    shared.send_event(Event::RateStated {
+        target: dispatch.target.clone(),
+        statement: Statement {
+            rate,
+            sent_at,
+            stated_at: shared.clock.now(),
+        },
+    });
+}
+
 /// Returns how a request failed, which depends on whether it may have reached its target.
 ///
 /// ntex reports a connection that closes after the request was sent as a connect error without
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -266,9 +266,9 @@
 impl Permit {
     fn acquire(shared: &Rc<Shared>, incarnation: &Incarnation, was_queued: bool) -> Self {
         let now = shared.now();
+        rate_limit::take(shared, incarnation, now);
         shared.with_endpoint(incarnation, |endpoint| {
             endpoint.load.start(now);
-            endpoint.rate_limit.take(now);
             endpoint.cold_limiter.take(now, 0.0, 1.0)
         });
         Self {
--- a/crates/entry/src/rate_limit.rs
+++ b/crates/entry/src/rate_limit.rs
@@ -105,6 +105,13 @@
     }))
 }
 
+/// Counts a request that is sent to a target.
+pub(crate) fn take(shared: &Shared, target: &Incarnation, now: Instant) {
+    let rate = rate(shared, target, now);
+    let part = rate.and_then(|rate| part(shared, target, rate));
+    shared.with_endpoint(target, |endpoint| endpoint.rate_limit.take(now, part));
+}
+
 /// Returns the refusal of a request that can't wait for a resource any longer. It states when the
 /// resource will take another request, if that depends on a rate limit alone.
 pub(crate) fn refusal(
--- a/crates/platform/src/target.rs
+++ b/crates/platform/src/target.rs
@@ -31,6 +31,10 @@
 /// the text of a [`Refusal`].
 pub const REFUSED_HEADER: &str = "Ragwortrill-Refused";
 
+/// Header of an answer in which a target states how many requests per second it takes, as a decimal
+/// number, for as long as its answers state it. Calls of the control interface don't count.
+pub const RATE_LIMIT_HEADER: &str = "Ragwortrill-Rate-Limit";
+
 /// Largest response of the control interface that a client accepts, in bytes.
 pub const MAX_RESPONSE_BYTES: usize = 64 << 10;
 
--- a/crates/router/tests/rate_limit.rs
+++ b/crates/router/tests/rate_limit.rs
@@ -56,7 +56,7 @@
     let parts = hosts.iter().map(|host| {
         let part = share::rate_limit_part(rate, &target, host, &hosts);
         let mut limit = Limit::default();
-        limit.take(start);
+        limit.take(start, None);
         limit.record(start, statement, Source::Answer);
         part.map(|part| (part, limit))
     });
@@ -71,7 +71,7 @@
         }
         for (part, limit) in &mut senders {
             while limit.allowance(now, *part, Span::ZERO) > 0 {
-                limit.take(now);
+                limit.take(now, Some(*part));
                 sent.push(now);
             }
         }
--- a/crates/standin/src/target/handler.rs
+++ b/crates/standin/src/target/handler.rs
@@ -5,9 +5,14 @@
 
 use ntex::http::{Request, Response};
 use ragwortrill_core::name;
-use ragwortrill_platform::target::CANCEL_PATH;
+use ragwortrill_platform::target::{CANCEL_PATH, RATE_LIMIT_HEADER};
 
-use super::{call::Call, control, state::State, stream, work};
+use super::{
+    call::{self, Call},
+    control,
+    state::State,
+    stream, work,
+};
 use crate::{server, watched::Watched};
 
 /// Function of a test that returns the recorded owner of a key.
@@ -74,12 +79,18 @@
         self.until_resumed().await;
         let path = request.path();
         if path.starts_with("/control/") {
-            control::answer(&self, request).await
-        } else if path.starts_with(stream::PATH) {
-            stream::answer(&self, request).await
-        } else {
-            work::answer(&self, request).await
+            return control::answer(&self, request).await;
+        }
+        let mut response = match path.starts_with(stream::PATH) {
+            true => stream::answer(&self, request).await,
+            false => work::answer(&self, request).await,
+        };
+        let rate_limit = self.state.read(|state| state.settings.rate_limit.clone());
+        if let Some(rate) = rate_limit {
+            let headers = response.headers_mut();
+            headers.insert(call::name(RATE_LIMIT_HEADER), call::value(rate));
         }
+        response
     }
 
     async fn ended(&self) {
--- a/crates/standin/src/target/settings.rs
+++ b/crates/standin/src/target/settings.rs
@@ -28,6 +28,8 @@
     pub control_time: Span,
     /// True to keep the highest received epoch across a restart.
     pub persists_epoch: bool,
+    /// Requests per second that the target states in its answers as its limit.
+    pub rate_limit: Option<String>,
     /// What the load report contains.
     pub report_mode: ReportMode,
     /// Time that a run takes.
@@ -65,6 +67,7 @@
             enforces_deadlines: true,
             control_time: Span::ZERO,
             persists_epoch: false,
+            rate_limit: None,
             report_mode: ReportMode::Exact,
             service_time: Span::ZERO,
             sheds: false,
