Log and count the restores of the store

The store states in its answers how often it came back from a copy, as a timeline. A host logs when it rises and shows it as a metric, so that a record or a decision can be told to be of before or after. No decision changes.

--- a/crates/core/src/number.rs
+++ b/crates/core/src/number.rs
@@ -37,6 +37,11 @@
     /// Offset of the claim that created a contract; the fencing token of its holder.
     Epoch(u64)
 }
+number! {
+    /// History of a log: it rises each time that the log is restored from an older copy. Offsets are
+    /// comparable within one timeline only.
+    Timeline(u64)
+}
 number! {
     /// Version of the table: the number of accepted table records.
     Version(u64)
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -47,6 +47,7 @@
     unowned: Gauge<u64>,
     limited: Gauge<u64>,
     version: Gauge<u64>,
+    timeline: Gauge<u64>,
     age: Gauge<f64>,
 }
 
@@ -192,6 +193,10 @@
                 "ragwortrill.targets.limited",
                 "Targets that state a rate limit",
             ),
+            timeline: gauge(
+                "ragwortrill.store.timeline",
+                "Number of times that the store was restored from a copy",
+            ),
             version: gauge("ragwortrill.config.version", "Version of the configuration"),
             age: meter
                 .f64_gauge("ragwortrill.store.age")
@@ -227,6 +232,8 @@
         let config = shared.config.borrow();
         let version = config.as_ref().map_or(0, |config| config.version.0);
         self.version.record(version, &[]);
+        let timeline = shared.timeline.get().unwrap_or_default();
+        self.timeline.record(timeline.0, &[]);
         for topic in Topic::ALL {
             let replicas = shared.replicas.borrow();
             let read_at = replicas.get(&topic).map(|replica| replica.read_at());
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -4,7 +4,11 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use ragwortrill_core::{name, number::Offset, time::Span};
+use ragwortrill_core::{
+    name,
+    number::{Offset, Timeline},
+    time::Span,
+};
 use ragwortrill_router::{config::Config, leader::Order, load::Report, registration::Registration};
 
 use crate::call::{Call, Reply};
@@ -154,6 +158,8 @@
 /// Requests to the store's log and decoders of its responses.
 #[derive(Clone, Copy, Debug)]
 pub struct Log {
+    /// Returns the timeline of the store that sent a response.
+    pub timeline: fn(&Reply) -> Timeline,
     /// Requests a page of the newest record of each key, after a key if one is given.
     pub newest: fn(topic: &str, after: Option<&str>) -> Call,
     /// Decodes a page of the newest records.
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -10,7 +10,7 @@
 use ragwortrill_core::{
     bucket::Bucket,
     name,
-    number::Offset,
+    number::{Offset, Timeline},
     rate_limit::Limit,
     retry::Budget,
     time::{Instant, Span},
@@ -63,6 +63,8 @@
     pub(crate) replicas: RefCell<BTreeMap<Topic, Replica>>,
     /// Topics whose last read failed.
     pub(crate) failed_topics: RefCell<BTreeSet<Topic>>,
+    /// Latest timeline of the store; none before its first response.
+    pub(crate) timeline: Cell<Option<Timeline>>,
     /// Notified when a read of the store succeeds.
     pub(crate) store_recovered: Notify,
     /// Time as of which the leader's relayed records of a topic are up to date.
@@ -156,6 +158,7 @@
             is_leading: Cell::new(false),
             replicas: RefCell::default(),
             failed_topics: RefCell::default(),
+            timeline: Cell::new(None),
             store_recovered: Notify::new(),
             relayed_at: RefCell::default(),
             endpoints: RefCell::default(),
@@ -198,6 +201,18 @@
             .or_insert_with(|| Endpoint::new(self.clock.now())))
     }
 
+    /// Records the timeline of a response of the store.
+    pub(crate) fn observe_timeline(&self, timeline: Timeline) {
+        let known = self.timeline.get();
+        if known.is_some_and(|known| known >= timeline) {
+            return;
+        }
+        self.timeline.set(Some(timeline));
+        if let Some(known) = known {
+            log::warn!(timeline = timeline.0, previous = known.0; "store restored from an older copy; its latest records are lost");
+        }
+    }
+
     /// Returns the time as of which the target list is up to date with the store.
     pub(crate) fn fleet_read_at(&self) -> Instant {
         let replicas = self.replicas.borrow();
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -97,6 +97,8 @@
         };
         self.shared.metrics.record_store_call(&call.path, result);
         let reply = outcome.with_context(|| format!("{} {}", call.method, call.path))?;
+        let timeline = (self.shared.protocol.log.timeline)(&reply);
+        self.shared.observe_timeline(timeline);
         match result {
             "refused" => Err(anyhow!("{}: status {}", call.path, reply.status)),
             _ => Ok(reply),
