Follow the store's records after it was restored from a copy

Cause: a host trusted the highest offset that it had seen to be the newest. After a restore offsets are given out again, so records that were written then counted as older than those of before, in the host's own reads and in what the leader relayed.

The fix: offsets count within one timeline of the store. When an answer has a higher one, a host drops its offsets, reads each topic as a complete list, and refuses answers and relayed records of an earlier timeline. What it knew stays in force: a configuration by its version, key ranges by their epochs, and for 2 s, in which operators and targets write again what was lost, evacuations, targets that are missing, and targets that were known to leave. Hosts register again. A host that can't reach the store gets complete topics from the leader.

--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -44,10 +44,14 @@
 
 fn apply_commands(shared: &Rc<Shared>, records: Vec<Record>, is_complete: bool) {
     let mut evacuated = BTreeSet::new();
+    // A list right after a restore is older than the known evacuations.
+    let is_restoring = is_complete && shared.fleet.borrow().is_restoring(shared.now());
+    let keeps_evacuations = is_restoring && shared.config.borrow().is_some();
     for record in records {
         store_in_replica(shared, Topic::Operators, &record);
         match ((shared.protocol.parse_command)(&record.key), record.value) {
             (Some(Command::Config), Some(value)) => apply_config(shared, &value),
+            (Some(Command::Evacuate(_)), _) if keeps_evacuations => {}
             (Some(Command::Evacuate(data_centre)), Some(_)) => {
                 evacuate(shared, &data_centre);
                 evacuated.insert(data_centre);
@@ -56,7 +60,7 @@
             _ => {}
         }
     }
-    if is_complete {
+    if is_complete && !keeps_evacuations {
         let known = shared.fleet.borrow().evacuated().clone();
         for data_centre in known.difference(&evacuated) {
             restore(shared, data_centre);
@@ -215,7 +219,11 @@
     match serde_json::from_slice::<Range>(value) {
         Ok(range) => {
             let mut assignments = shared.assignments.borrow_mut();
-            assignments.entry(service).or_default().upsert(range);
+            let assignment = assignments.entry(service).or_default();
+            // A store restored from a copy has ranges of before.
+            if !assignment.is_outdated(&range) {
+                assignment.upsert(range);
+            }
         }
         Err(error) => {
             log::error!(key = record.key, error = error.to_string(); "key range can't be decoded; the previous one stays effective")
--- a/crates/entry/src/candidacy.rs
+++ b/crates/entry/src/candidacy.rs
@@ -93,6 +93,7 @@
     let mut generation = 0;
     let mut is_member = false;
     let mut registered_at = None;
+    let mut registered_in = None;
     let mut liveness = Liveness::default();
     while !shared.stop.has_reached(Phase::Stopping) {
         // An earlier process of this host removes the record when it stops, which may happen after
@@ -100,10 +101,17 @@
         let is_known = shared.hosts.borrow().contains_key(&host);
         let now = shared.now();
         let is_due = registered_at.is_none_or(|at| now.since(at) >= REGISTRATION_RETRY_DELAY);
-        if !is_known && is_due {
+        // A store restored from a copy may lack the record.
+        let timeline = shared.timeline.get();
+        if is_known && registered_in.is_none() {
+            registered_in = timeline;
+        }
+        let is_lost = registered_in.is_some_and(|known| timeline != Some(known));
+        if !is_known && is_due || is_lost {
             let appended = store.append(topic, None, &record(&own)).await;
             if matches!(appended, Ok(Append::Done(_))) {
                 registered_at = Some(now);
+                registered_in = shared.timeline.get();
             }
         }
         let is_withdrawn = shared.now() < candidate.withdrawn_until.get();
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -112,7 +112,10 @@
     let mut backoff = MIN_BACKOFF;
     let mut is_failing = false;
     loop {
-        if is_relayed(&shared, topic) {
+        if topic == Topic::Operators {
+            relist_operators(&shared);
+        }
+        if is_relayed(&shared, topic) && next_offset(&shared, topic).is_some() {
             shared.failed_topics.borrow_mut().remove(&topic);
             sleep(RELAY_CHECK_INTERVAL).await;
             if topic == Topic::Targets {
@@ -161,6 +164,17 @@
     }
 }
 
+/// Makes the operators' topic be listed anew once they have written again what a restore of the
+/// store lost.
+fn relist_operators(shared: &Shared) {
+    let is_due = |at: &Instant| *at <= shared.now();
+    if shared.relist_at.get().as_ref().is_some_and(is_due) {
+        shared.relist_at.set(None);
+        let mut replicas = shared.replicas.borrow_mut();
+        replicas.entry(Topic::Operators).or_default().reset();
+    }
+}
+
 /// Waits after a failed call. Only one topic's task probes the store at the short backoff, so that
 /// many hosts do not overload a store that recovers.
 async fn wait_for_store(shared: &Shared, topic: Topic, backoff: Duration) {
@@ -229,13 +243,19 @@
 async fn read_once(shared: &Rc<Shared>, store: &mut Store, topic: Topic, wait: Span) -> Result<()> {
     let name = topic.store_name(shared);
     let sent = shared.now();
+    let timeline = shared.timeline.get();
     let Some(from) = next_offset(shared, topic) else {
         let (records, next) = store.newest(name).await?;
         apply(shared, topic, records, true);
         shared.advance_replica(topic, next, sent);
         return Ok(());
     };
-    match store.read(name, from, wait).await? {
+    let read = store.read(name, from, wait).await?;
+    if shared.timeline.get() != timeline {
+        // The offset was one of the earlier timeline.
+        return Ok(());
+    }
+    match read {
         Read::Records(records, next) => {
             let read_at = shared.now() - RESPONSE_AGE;
             apply(shared, topic, records, false);
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use ragwortrill_core::{
     name,
-    number::Offset,
+    number::{Offset, Timeline},
     request::Fingerprint,
     time::{Instant, Span},
 };
@@ -50,9 +50,15 @@
 /// Report of a host to the leader.
 #[derive(Debug, Deserialize, Serialize)]
 struct Report {
+    /// Timeline of the store to which the offsets belong.
+    #[serde(default)]
+    timeline: Timeline,
     /// Offset from which the host needs records, by topic.
     #[serde(rename = "from")]
     offsets: BTreeMap<Topic, u64>,
+    /// Topics that the host has not read and can't read from the store.
+    #[serde(default)]
+    unread: BTreeSet<Topic>,
     /// Number of requests since the last report, by service and bucket of keys.
     #[serde(rename = "heat")]
     traffic: BTreeMap<name::Service, BTreeMap<u16, u32>>,
@@ -71,6 +77,9 @@
 /// The leader's response to a report.
 #[derive(Debug, Deserialize, Serialize)]
 struct Update {
+    /// Timeline of the store to which the offsets belong.
+    #[serde(default)]
+    timeline: Timeline,
     /// Microseconds for which the leader held the report.
     #[serde(rename = "held")]
     held_us: u64,
@@ -86,6 +95,9 @@
 #[derive(Debug, Deserialize, Serialize)]
 struct Changes {
     records: Vec<(String, Option<Vec<u8>>, u64)>,
+    /// Whether these are the newest records of all keys.
+    #[serde(default)]
+    is_complete: bool,
     /// Offset of the next record to read.
     #[serde(rename = "next")]
     next_offset: u64,
@@ -149,7 +161,11 @@
         let samples = endpoint.load.take_samples();
         (samples.count > 0).then(|| (incarnation.id.clone(), samples.sum_us, samples.count))
     });
+    let is_unread = |topic: &Topic| offset(*topic).is_none();
+    let failed = shared.failed_topics.borrow();
     Report {
+        timeline: shared.timeline.get().unwrap_or_default(),
+        unread: failed.iter().copied().filter(is_unread).collect(),
         offsets: Topic::ALL.into_iter().filter_map(offset).collect(),
         work_times: work_times.collect(),
         crashes: crashes
@@ -193,6 +209,17 @@
     };
     let told_at = timing.confirmed_at(sent).min(shared.now());
     rate_limit::merge(shared, told_at, update.rate_limits);
+    if shared
+        .timeline
+        .get()
+        .is_none_or(|known| known < update.timeline)
+    {
+        shared.observe_timeline(update.timeline);
+        return Ok(());
+    }
+    if shared.timeline.get() != Some(update.timeline) {
+        return Ok(());
+    }
     for (topic, changes) in update.topics {
         let timing = Timing {
             held: Span(update.held_us),
@@ -242,10 +269,11 @@
     };
     let records: Vec<Record> = changes.records.into_iter().map(record).collect();
     let known = follow::next_offset(shared, topic);
-    if known.is_none_or(|known| known.0 > changes.next_offset) {
+    let follows = |known: Offset| known.0 <= changes.next_offset;
+    if !known.map_or(changes.is_complete, follows) {
         return;
     }
-    apply::apply(shared, topic, records, false);
+    apply::apply(shared, topic, records, changes.is_complete);
     follow::advance(shared, topic, Offset(changes.next_offset), confirmed_at);
 }
 
@@ -285,21 +313,36 @@
     }
     merge_crashes(shared, report.crashes, report.acquitted);
     let replicas = shared.replicas.borrow();
-    let changes = |(topic, from): (&Topic, &u64)| {
-        let replica = replicas.get(topic)?;
+    let changes = |topic: Topic, from: Option<u64>| {
+        let replica = replicas.get(&topic)?;
         let next = replica.next_offset()?;
-        let records = replica.changes_since(Offset(*from))?;
+        let records = match from {
+            Some(from) => replica.changes_since(Offset(from))?,
+            None => replica.all()?,
+        };
         let record = |r: Record| (r.key, r.value.map(|value| value.to_vec()), r.offset.0);
         let changes = Changes {
             records: records.into_iter().map(record).collect(),
+            is_complete: from.is_none(),
             next_offset: next.0,
             age_us: now.since(replica.read_at()).0,
         };
-        Some((*topic, changes))
+        Some((topic, changes))
     };
+    let timeline = shared.timeline.get().unwrap_or_default();
+    // Offsets of another timeline say nothing about what the host lacks.
+    let is_same = report.timeline == timeline;
+    let offsets = report.offsets.iter().filter(|_| is_same);
+    let unread = report.unread.iter().filter(|_| is_same);
+    let requested = offsets
+        .map(|(topic, from)| (*topic, Some(*from)))
+        .chain(unread.map(|topic| (*topic, None)));
     let update = Update {
+        timeline,
         held_us: now.since(received_at).0,
-        topics: report.offsets.iter().filter_map(changes).collect(),
+        topics: requested
+            .filter_map(|(topic, from)| changes(topic, from))
+            .collect(),
         suspects: shared.crash_aggregator.borrow().suspects(),
         rate_limits: rate_limit::known(shared),
     };
--- a/crates/entry/src/replica.rs
+++ b/crates/entry/src/replica.rs
@@ -59,11 +59,26 @@
         self.next = None;
     }
 
+    /// Forgets all records, since the store was restored from a copy and gives offsets out again.
+    pub(crate) fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Returns all records, in their order, or none before the first complete list.
+    pub(crate) fn all(&self) -> Option<Vec<Record>> {
+        self.next?;
+        Some(self.since(Offset(0)))
+    }
+
     /// Returns the records from an offset on, in their order, or none if some may be missing.
     pub(crate) fn changes_since(&self, from: Offset) -> Option<Vec<Record>> {
         if from < self.complete_from || self.next.is_none() {
             return None;
         }
+        Some(self.since(from))
+    }
+
+    fn since(&self, from: Offset) -> Vec<Record> {
         let later = self
             .records
             .iter()
@@ -75,7 +90,7 @@
         };
         let mut records: Vec<Record> = later.map(record).collect();
         records.sort_by_key(|record| record.offset);
-        Some(records)
+        records
     }
 
     fn evict_oldest_tombstone(&mut self) {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -65,6 +65,8 @@
     pub(crate) failed_topics: RefCell<BTreeSet<Topic>>,
     /// Latest timeline of the store; none before its first response.
     pub(crate) timeline: Cell<Option<Timeline>>,
+    /// When the operators' topic is to be listed again after a restore of the store.
+    pub(crate) relist_at: Cell<Option<Instant>>,
     /// Notified when a read of the store succeeds.
     pub(crate) store_recovered: Notify,
     /// Time as of which the leader's relayed records of a topic are up to date.
@@ -159,6 +161,7 @@
             replicas: RefCell::default(),
             failed_topics: RefCell::default(),
             timeline: Cell::new(None),
+            relist_at: Cell::new(None),
             store_recovered: Notify::new(),
             relayed_at: RefCell::default(),
             endpoints: RefCell::default(),
@@ -209,10 +212,24 @@
         }
         self.timeline.set(Some(timeline));
         if let Some(known) = known {
+            self.forget_offsets();
             log::warn!(timeline = timeline.0, previous = known.0; "store restored from an older copy; its latest records are lost");
         }
     }
 
+    /// Makes all topics be read anew. What the records said stays in force until newer ones replace
+    /// it.
+    fn forget_offsets(&self) {
+        let now = self.now();
+        self.replicas
+            .borrow_mut()
+            .values_mut()
+            .for_each(Replica::clear);
+        self.relayed_at.borrow_mut().clear();
+        self.fleet.borrow_mut().store_restored(now);
+        self.relist_at.set(Some(now + RELIST_DELAY));
+    }
+
     /// Returns the time as of which the target list is up to date with the store.
     pub(crate) fn fleet_read_at(&self) -> Instant {
         let replicas = self.replicas.borrow();
@@ -280,6 +297,9 @@
     }
 }
 
+/// Time after a restore of the store from which a complete list shows what the operators want, since
+/// they have written again what was lost.
+const RELIST_DELAY: Span = Span::from_millis(2_000);
 /// Part of the allowed retries that each host uses, so that hosts with uneven load together stay
 /// below the bound.
 const RETRY_SHARE: f64 = 0.75;
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use anyhow::{Context, Result, anyhow};
+use anyhow::{Context, Result, anyhow, bail};
 use ragwortrill_core::{number::Offset, time::Span};
 
 use crate::{
@@ -37,12 +37,16 @@
         let log = self.shared.protocol.log;
         let mut records = Vec::new();
         let mut next_offset = None;
+        let mut timeline = None;
         loop {
             let after = records.last().map(|record: &Record| record.key.as_str());
             let reply = self
                 .call(&(log.newest)(topic, after), RESPONSE_TIMEOUT)
                 .await?;
             let page = (log.decode_newest)(&reply)?;
+            if *timeline.get_or_insert(self.shared.timeline.get()) != self.shared.timeline.get() {
+                bail!("the store was restored while its records were listed");
+            }
             let next_offset = *next_offset.get_or_insert(page.end);
             let is_last = !page.has_more || page.records.is_empty();
             records.extend(page.records);
@@ -99,6 +103,9 @@
         let reply = outcome.with_context(|| format!("{} {}", call.method, call.path))?;
         let timeline = (self.shared.protocol.log.timeline)(&reply);
         self.shared.observe_timeline(timeline);
+        if self.shared.timeline.get() != Some(timeline) {
+            bail!("{}: answer from before the store was restored", call.path);
+        }
         match result {
             "refused" => Err(anyhow!("{}: status {}", call.path, reply.status)),
             _ => Ok(reply),
--- a/crates/router/src/assignment.rs
+++ b/crates/router/src/assignment.rs
@@ -1,5 +1,7 @@
 //! Assignment of a service's keys to targets.
 
+use std::{cmp::Reverse, collections::BTreeSet};
+
 use serde::{Deserialize, Serialize};
 
 use crate::registration::Incarnation;
@@ -94,6 +96,74 @@
         }
     }
 
+    /// Merges ranges of several sources: of those that have a key, the one with the highest epoch is
+    /// the latest. Under one epoch a move completes, and a range gets shorter.
+    ///
+    /// If a later range lies within an earlier one, the end of the earlier one has the epoch of
+    /// its beginning, until it gets one of its own by [`Self::renumber`].
+    pub fn merge(mut ranges: Vec<Range>) -> Self {
+        ranges.sort_by_key(|range| (range.epoch, range.is_held(), Reverse(range.last)));
+        let mut merged = Self::default();
+        for range in ranges {
+            merged.overlay(range);
+        }
+        merged
+    }
+
+    /// Replaces the keys of a range, and keeps the other keys of the ranges that it overlaps.
+    fn overlay(&mut self, range: Range) {
+        self.next_epoch = self.next_epoch.max(range.epoch + 1);
+        let mut kept = Vec::new();
+        for known in self.ranges.drain(..) {
+            if known.last < range.first || known.first > range.last {
+                kept.push(known);
+                continue;
+            }
+            if known.first < range.first {
+                let mut head = known.clone();
+                head.last = range.first - 1;
+                kept.push(head);
+            }
+            if known.last > range.last {
+                let mut tail = known;
+                tail.first = range.last + 1;
+                kept.push(tail);
+            }
+        }
+        kept.push(range);
+        kept.sort_by_key(|range| range.first);
+        self.ranges = kept;
+    }
+
+    /// Allocates epochs from at least `min_epoch` on, and gives new ones to all but the first of the
+    /// ranges that share an epoch.
+    pub fn renumber(&mut self, min_epoch: u64) {
+        self.raise_epochs(min_epoch);
+        let mut used = BTreeSet::new();
+        for index in 0..self.ranges.len() {
+            if !used.insert(self.ranges[index].epoch) {
+                self.ranges[index].epoch = self.allocate_epoch();
+            }
+        }
+    }
+
+    /// Makes the epochs that are allocated next be at least `min_epoch`.
+    pub fn raise_epochs(&mut self, min_epoch: u64) {
+        self.next_epoch = self.next_epoch.max(min_epoch);
+    }
+
+    /// Tells whether a range from the log is older than the known one with the same first key.
+    pub fn is_outdated(&self, range: &Range) -> bool {
+        let Some(known) = self.range(range.first) else {
+            return false;
+        };
+        if range.epoch != known.epoch || range.first != known.first {
+            return range.epoch < known.epoch;
+        }
+        // Under one epoch a move completes, and a range gets shorter when others take keys of it.
+        known.is_held() && !range.is_held() || range.last > known.last
+    }
+
     /// Returns the ranges that are new or changed since an earlier assignment.
     pub fn changes<'a>(&'a self, earlier: &'a Self) -> impl Iterator<Item = &'a Range> {
         let is_new = |range: &&Range| earlier.range(range.first) != Some(*range);
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -13,6 +13,9 @@
 const RETURN_GRACE: Span = Span::from_millis(2_000);
 /// Minimum duration of a store failure after which entries may have expired because of it.
 const MIN_OUTAGE: Span = Span::from_millis(800);
+/// Time for which a removed target is remembered, so that a store restored from a copy does not
+/// bring it back.
+const REMOVED_MEMORY: Span = Span::from_secs(120);
 /// Time for which a target is treated as cold after the evacuation of its data centre ends.
 const EVACUATION_COLD_TIME: Span = Span::from_millis(1_500);
 
@@ -51,6 +54,10 @@
     evacuated: BTreeSet<name::DataCentre>,
     failing_since: Option<Instant>,
     grace_until: Instant,
+    /// Time until which entries may be older than what is known, after a restore of the store.
+    restored_until: Instant,
+    /// Latest entries of the targets that were removed, and when.
+    removed: BTreeMap<name::Target, (Instant, Registration)>,
 }
 
 impl Fleet {
@@ -122,6 +129,35 @@
         }
     }
 
+    /// Records that the store was restored from an older copy. Until targets have written their
+    /// entries again, entries may be missing or older than what is known.
+    pub fn store_restored(&mut self, now: Instant) {
+        self.restored_until = now + RETURN_GRACE;
+        self.grace_until = self.grace_until.max(self.restored_until);
+    }
+
+    /// Tells whether the store was restored from a copy so recently that the operators and targets
+    /// may not have written again what was lost.
+    pub fn is_restoring(&self, now: Instant) -> bool {
+        now < self.restored_until
+    }
+
+    /// Tells whether an entry is older than what is known about its target.
+    fn is_outdated(&self, entry: &Registration) -> bool {
+        let id = &entry.incarnation.id;
+        let known = self.targets.get(id).map(|target| &target.registration);
+        let removed = self.removed.get(id).map(|(_, registration)| registration);
+        let is_older = |other: &Registration| {
+            let start = (entry.incarnation.start_ms, entry.sequence);
+            start < (other.incarnation.start_ms, other.sequence)
+        };
+        let is_same = |other: &Registration| {
+            entry.incarnation == other.incarnation && entry.sequence <= other.sequence
+        };
+        known.is_some_and(|known| is_older(known) || is_same(known) && known.is_draining)
+            || removed.is_some_and(|removed| is_older(removed) || is_same(removed))
+    }
+
     /// Returns the time at which targets with missing entries are to be removed, if there are any.
     pub fn expires_at(&self) -> Option<Instant> {
         let is_due = self.failing_since.is_none() && self.targets.values().any(|t| t.is_missing);
@@ -136,7 +172,7 @@
         let missing = self.targets.iter().filter(|(_, target)| target.is_missing);
         let gone: Vec<name::Target> = missing.map(|(id, _)| id.clone()).collect();
         for id in &gone {
-            self.targets.remove(id);
+            self.forget(now, id);
         }
         gone
     }
@@ -172,6 +208,10 @@
     }
 
     fn register(&mut self, now: Instant, registration: Registration) -> Change {
+        if self.is_restoring(now) && self.is_outdated(&registration) {
+            return Change::None;
+        }
+        self.removed.remove(&registration.incarnation.id);
         let cold_until = now + registration.cold;
         let Some(known) = self.targets.get_mut(&registration.incarnation.id) else {
             let change = match registration.is_draining {
@@ -206,9 +246,18 @@
             target.is_missing = true;
             return Change::Missing;
         }
-        self.targets.remove(id);
+        self.forget(now, id);
         Change::Gone
     }
+
+    fn forget(&mut self, now: Instant, id: &name::Target) {
+        let Some(target) = self.targets.remove(id) else {
+            return;
+        };
+        self.removed.insert(id.clone(), (now, target.registration));
+        self.removed
+            .retain(|_, (at, _)| now.since(*at) < REMOVED_MEMORY);
+    }
 }
 
 fn difference(old: &Registration, new: &Registration) -> Change {
--- a/crates/router/src/registration.rs
+++ b/crates/router/src/registration.rs
@@ -33,4 +33,6 @@
     pub is_draining: bool,
     /// Time for which the target is still cold.
     pub cold: Span,
+    /// Number of the entry, which rises with each entry of the incarnation; 0 if it is unknown.
+    pub sequence: u64,
 }
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -31,6 +31,7 @@
         slots: 6,
         is_draining: false,
         cold: Span::ZERO,
+        sequence: 0,
     }
 }
 
--- a/crates/router/tests/leader.rs
+++ b/crates/router/tests/leader.rs
@@ -53,6 +53,7 @@
         slots: 6,
         is_draining: false,
         cold: Span::ZERO,
+        sequence: 0,
     }
 }
 
