Recover the key ranges from hosts after the store was restored

Cause: the leader trusted the store to hold the newest ranges and its newest claim. A write without an answer made it read back the ranges of the copy, with its own claim of 9 s ago; it renewed epochs that targets had seen higher ones of, and allocated epochs a second time (65 to 77).

The fix: a lease counts in the timeline in which it was acquired, so a restore ends every leadership, and the lease is checked before each order. The first leader of a timeline merges the ranges of the copy, its own and those of up to four other hosts by their epochs, and writes all of them, and the quarantined requests, before its claim, which marks the topic as complete. Epochs start at the timeline times 2^32, above all that an earlier timeline can have allocated. Leases that the copy does not show count as held until they have run out. If an owner has seen a higher epoch than hosts remember, its keys are granted again only when every earlier grant has ended.

--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -15,7 +15,8 @@
 use bytes::Bytes;
 use ragwortrill_core::{
     name,
-    number::Offset,
+    number::{Offset, Timeline},
+    request::Fingerprint,
     time::{Instant, Span},
 };
 use ragwortrill_router::{
@@ -35,7 +36,7 @@
     follow::{self, Topic},
     lease::{Lease, TERM_KEY, Term},
     protocol::{Append, Draft, Record},
-    rate_limit,
+    rate_limit, recovery,
     shared::Shared,
     stop::Phase,
     store::Store,
@@ -57,6 +58,10 @@
 /// Timeout of a release request. The target answers only once its running work on the keys has
 /// ended.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Number of low bits of an epoch that count within one timeline of the store.
+const EPOCH_BITS: u32 = 32;
+/// Largest number of records of one append. A record of a range has up to a few hundred bytes.
+const MAX_DRAFTS_PER_APPEND: usize = 1_000;
 /// Largest body of a target's answer to a grant or release.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
@@ -77,9 +82,14 @@
 pub(crate) async fn lead(shared: &Rc<Shared>, candidate: &Candidacy) -> Result<()> {
     let mut store = Store::new(shared.clone());
     let lease = Lease::acquire(shared, &mut store).await?;
-    let snapshot = read(shared, &mut store).await?;
+    let mut snapshot = read(shared, &mut store).await?;
     let topic = shared.protocol.topics.ownership;
     let claim = lease.term().record()?;
+    let timeline = lease.term().timeline;
+    if snapshot.term.as_ref().map(|term| term.timeline) != Some(timeline) {
+        let recovered = recover(shared, &mut store, &lease, snapshot).await?;
+        snapshot = recovered;
+    }
     // Earlier leaders append on condition of the topic's end, which this record moves, so none of
     // them can write a range from here on.
     let claims = std::slice::from_ref(&claim);
@@ -167,6 +177,62 @@
     drafts.into_iter().enumerate().map(record).collect()
 }
 
+/// Writes all that hosts remember to a store that no leader has written to since it was restored
+/// from a copy. The claim that follows marks it as complete.
+async fn recover(
+    shared: &Rc<Shared>,
+    store: &mut Store,
+    lease: &Lease,
+    copy: Snapshot,
+) -> Result<Snapshot> {
+    let mut snapshot = Snapshot {
+        assignments: recovery::merge(shared, &copy.assignments).await,
+        ..copy
+    };
+    let mut drafts = Vec::new();
+    for (service, assignment) in &mut snapshot.assignments {
+        assignment.renumber(min_epoch(lease.term().timeline));
+        for range in &assignment.ranges {
+            drafts.push(range_draft(service, range)?);
+        }
+    }
+    let quarantined = shared.crash_observer.borrow().quarantined(shared.now());
+    drafts.extend(quarantined.map(quarantine_draft));
+    let topic = shared.protocol.topics.ownership;
+    for part in drafts.chunks(MAX_DRAFTS_PER_APPEND) {
+        if !lease.is_valid() {
+            bail!("leader lease lost while the key ranges were written again");
+        }
+        let Append::Done(end) = store.append(topic, Some(snapshot.end), part).await? else {
+            bail!("another host wrote to the ownership topic before this host's claim");
+        };
+        snapshot.end = end;
+        let records = assign_offsets(part.to_vec(), end);
+        apply::apply(shared, Topic::Ownership, records, false);
+    }
+    Ok(snapshot)
+}
+
+/// Returns the lowest epoch of a timeline, above all that earlier timelines can have reached: what
+/// they allocated last may be lost.
+fn min_epoch(timeline: Timeline) -> u64 {
+    timeline.0 << EPOCH_BITS
+}
+
+fn range_draft(service: &name::Service, range: &Range) -> Result<Draft> {
+    Ok(Draft {
+        key: format!("{SERVICE_PREFIX}{service}/{}", range.first),
+        value: serde_json::to_vec(range)?,
+    })
+}
+
+fn quarantine_draft(fingerprint: Fingerprint) -> Draft {
+    Draft {
+        key: format!("{QUARANTINE_PREFIX}{fingerprint}"),
+        value: b"1".to_vec(),
+    }
+}
+
 impl Leadership {
     async fn run(self: Rc<Self>, candidate: &Candidacy) -> Result<()> {
         loop {
@@ -216,10 +282,7 @@
         for fingerprint in fingerprints {
             let shared = self.shared.clone();
             tokio::task::spawn_local(async move {
-                let record = [Draft {
-                    key: format!("{QUARANTINE_PREFIX}{fingerprint}"),
-                    value: b"1".to_vec(),
-                }];
+                let record = [quarantine_draft(fingerprint)];
                 let topic = shared.protocol.topics.ownership;
                 let mut store = Store::new(shared);
                 if let Err(error) = store.append(topic, None, &record).await {
@@ -257,6 +320,7 @@
             services: &services,
             hold,
             is_current: self.shared.fleet_age(now) < MAX_FLEET_AGE,
+            min_epoch: min_epoch(self.lease.term().timeline),
         })
     }
 
@@ -317,13 +381,8 @@
             bail!("leader lease expired before the write");
         }
         let topic = self.shared.protocol.topics.ownership;
-        let record = |range: &Range| -> Result<Draft> {
-            Ok(Draft {
-                key: format!("{SERVICE_PREFIX}{service}/{}", range.first),
-                value: serde_json::to_vec(range)?,
-            })
-        };
-        let records: Vec<Draft> = ranges.iter().map(record).collect::<Result<_>>()?;
+        let drafts = ranges.iter().map(|range| range_draft(service, range));
+        let records: Vec<Draft> = drafts.collect::<Result<_>>()?;
         match store
             .append(topic, Some(self.topic_end.get()), &records)
             .await?
@@ -344,7 +403,10 @@
             match read(&self.shared, store).await {
                 // Another leader has claimed the keys. It can't know which moves this host would
                 // continue, so this host stops.
-                Ok(snapshot) if snapshot.term.as_ref() != Some(self.lease.term()) => {
+                Ok(snapshot)
+                    if snapshot.term.as_ref() != Some(self.lease.term())
+                        || !self.lease.is_valid() =>
+                {
                     self.lease.revoke();
                     return;
                 }
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Result, bail};
 use ragwortrill_core::{
-    number::Offset,
+    number::{Offset, Timeline},
     time::{Instant, Span},
 };
 use ragwortrill_router::leader;
@@ -36,6 +36,9 @@
     pub(crate) host: String,
     /// Whether the holder has released the lease and no longer sends grants and releases.
     is_over: bool,
+    /// Timeline of the store in which the holder acquired the lease.
+    #[serde(default)]
+    pub(crate) timeline: Timeline,
 }
 
 impl Term {
@@ -65,12 +68,14 @@
     /// Acquires the lease, from its holder if there is one.
     pub(crate) async fn acquire(shared: &Rc<Shared>, store: &mut Store) -> Result<Rc<Self>> {
         let (earlier, topic_end) = read(shared, store).await?;
+        let timeline = shared.timeline.get().unwrap_or_default();
         let host = shared.settings.borrow().host.to_string();
         let renewed_at = shared.now();
         let term = Term {
             number: earlier.as_ref().map_or(0, |term| term.number) + 1,
             host,
             is_over: false,
+            timeline,
         };
         let topic = shared.protocol.topics.terms;
         let Append::Done(topic_end) = store
@@ -81,7 +86,7 @@
         };
         Ok(Rc::new(Self {
             shared: shared.clone(),
-            earlier_grants_until: earlier_grants_until(shared, earlier, &term.host, renewed_at),
+            earlier_grants_until: earlier_grants_until(shared, earlier, &term, renewed_at),
             term,
             topic_end: Cell::new(topic_end),
             renewed_at: Cell::new(renewed_at),
@@ -104,8 +109,12 @@
     }
 
     /// Returns whether this host may send grants and releases now.
+    ///
+    /// A store that was restored from a copy lacks the latest renewals, so another host may have
+    /// acquired the lease since.
     pub(crate) fn is_valid(&self) -> bool {
-        !self.is_over.get() && self.age() < LEASE_TTL
+        let is_current = self.shared.timeline.get() == Some(self.term.timeline);
+        !self.is_over.get() && is_current && self.age() < LEASE_TTL
     }
 
     /// Ends the lease on this host, without a record in the store.
@@ -179,16 +188,17 @@
 fn earlier_grants_until(
     shared: &Shared,
     earlier: Option<Term>,
-    host: &str,
+    term: &Term,
     now: Instant,
 ) -> Instant {
     let max_hold = shared.settings.borrow().bounds.max_hold;
-    match earlier {
-        None => Instant::default(),
+    // A lease that was acquired before the store was restored may be missing from the store.
+    let known = earlier.filter(|earlier| earlier.timeline == term.timeline);
+    match known {
         // The holder sends nothing more: it released the lease, or it was an earlier process of
         // this host, which has ended. Only its last grants have to expire.
-        Some(term) if term.is_over || term.host == host => leader::expiry(now, max_hold),
-        Some(_) => leader::expiry(now + LEASE_TTL.scale(100 + DRIFT_PERCENT, 100), max_hold),
+        Some(known) if known.is_over || known.host == term.host => leader::expiry(now, max_hold),
+        _ => leader::expiry(now + LEASE_TTL.scale(100 + DRIFT_PERCENT, 100), max_hold),
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod proxy;
 mod rate_limit;
 mod ready;
+mod recovery;
 mod relay;
 mod replica;
 mod reply;
--- a/crates/entry/src/ready.rs
+++ b/crates/entry/src/ready.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 
 use crate::{
-    relay,
+    recovery, relay,
     reply::{Problem, Reply},
     service::Request,
     shared::Shared,
@@ -30,6 +30,15 @@
             shared.metrics.page(shared).into(),
         );
     }
+    if request.path == recovery::PATH {
+        return match recovery::encode_known(shared) {
+            Ok(ranges) => Reply::content("application/cbor", Bytes::from(ranges)),
+            Err(error) => {
+                log::error!(error = format!("{error:#}"); "key ranges can't be encoded for another host");
+                Reply::problem(Problem::new(503, "the ranges can't be encoded"), None)
+            }
+        };
+    }
     if request.path != relay::PATH {
         return Reply::problem(Problem::new(404, "no such path"), None);
     }
--- a/crates/router/src/crash.rs
+++ b/crates/router/src/crash.rs
@@ -87,6 +87,13 @@
         self.quarantined.insert(fingerprint, now);
     }
 
+    /// Returns the fingerprints that are quarantined.
+    pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = Fingerprint> + use<> {
+        let all = self.quarantined.clone().into_iter();
+        let current = all.filter(move |(_, since)| now.since(*since) < QUARANTINE_TIME);
+        current.map(|(fingerprint, _)| fingerprint)
+    }
+
     /// Tells whether requests with a fingerprint are to be refused.
     pub fn is_quarantined(&self, now: Instant, fingerprint: Fingerprint) -> bool {
         let since = self.quarantined.get(&fingerprint);
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -125,6 +125,8 @@
     pub hold: Span,
     /// Whether the view of the targets is up to date. If it is not, no move is started.
     pub is_current: bool,
+    /// Lowest epoch that may be allocated.
+    pub min_epoch: u64,
 }
 
 /// State machine that manages the keys of all partitioned services.
@@ -234,6 +236,9 @@
     /// Targets that have ended: another target responded at their address.
     ended: BTreeSet<Incarnation>,
     discovery: Option<Discovery>,
+    /// Ranges whose owner has seen a higher epoch than the log has, so that a target that is not
+    /// known may hold the keys by a grant of an earlier leader.
+    contested: Vec<(Key, Key)>,
     /// Time of the last check of the balance.
     balanced_at: Instant,
 }
@@ -381,6 +386,9 @@
         if self.must_leave(range, tick.fleet) {
             return None;
         }
+        if tick.now < earlier_grants_end && self.is_contested(range) {
+            return None;
+        }
         let progress = self.moves.entry(range.epoch).or_default();
         progress.is_granted = true;
         let handover = progress.handover.clone();
@@ -424,6 +432,7 @@
         if may_balance {
             self.balanced_at = tick.now;
         }
+        self.durable.raise_epochs(tick.min_epoch);
         let input = plan::Input {
             owners: &owners,
             traffic,
@@ -487,6 +496,11 @@
         Some(held)
     }
 
+    fn is_contested(&self, range: &Range) -> bool {
+        let mut contested = self.contested.iter();
+        contested.any(|(first, last)| range.first <= *last && *first <= range.last)
+    }
+
     fn must_leave(&self, range: &Range, fleet: &Fleet) -> bool {
         let owner = &range.owner;
         let known = fleet
@@ -548,6 +562,7 @@
             }
             (Response::Refused, Operation::Grant { .. }) if self.is_current(order) => {
                 self.refused.insert(order.range_epoch);
+                self.contested.push((order.first, order.last));
             }
             _ => {}
         }
--- a/crates/router/tests/leader.rs
+++ b/crates/router/tests/leader.rs
@@ -147,6 +147,7 @@
             traffic: &BTreeMap::new(),
             work_time: &|_| 1.0,
             rate_limit: &|_| None,
+            min_epoch: 0,
             services: &[service()],
             hold: HOLD,
             is_current: self.is_current,
