Relay all targets of a complete list after a restore

The leader's copy of the targets for other hosts took only entries that changed something. After a restore it starts empty and is relayed as a complete list to hosts that can't read the store, which then dropped all other targets.

A complete list now enters the copy whole.

--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -121,8 +121,11 @@
         if let Some(earlier) = earlier.filter(|_| change == Change::Started) {
             shared.crash_observer.borrow_mut().record_end(now, &earlier);
         }
-        if change != Change::None {
+        // Other hosts may get the replica as a complete list.
+        if change != Change::None || is_complete {
             store_in_replica(shared, Topic::Targets, &record);
+        }
+        if change != Change::None {
             log_change(shared, now, &id, change);
         }
     }
