Test the recovery of ranges, targets and the leader after a restore in virtual time

The simulated targets refuse grants below an epoch that they have seen. Without the wait for unknown owners, or without epochs above those of the earlier timeline, the last test finds two owners or a lower epoch.

--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -177,3 +177,72 @@
     let target = fleet.serving(&service).next().unwrap();
     assert!(target.cold_until > at(5_000));
 }
+
+struct Restored {
+    name: &'static str,
+    /// Entry that the store held last, or none if the target had left, and the one of the copy.
+    last: Option<Registration>,
+    copy: Registration,
+    serves: bool,
+}
+
+/// Guards against a target that is used again because a restored store has its entry of before it
+/// left.
+#[test]
+fn entries_of_a_copy_bring_no_target_back() {
+    let entry = |start_ms, sequence| Registration {
+        sequence,
+        ..registration(start_ms)
+    };
+    let leaving = Registration {
+        is_draining: true,
+        ..entry(1, 7)
+    };
+    let cases = [
+        Restored {
+            name: "draining since the copy",
+            last: Some(leaving.clone()),
+            copy: entry(1, 4),
+            serves: false,
+        },
+        Restored {
+            name: "removed since the copy",
+            last: None,
+            copy: entry(1, 4),
+            serves: false,
+        },
+        Restored {
+            name: "removed, and another entry since",
+            last: None,
+            copy: entry(1, 9),
+            serves: true,
+        },
+        Restored {
+            name: "restarted since the copy",
+            last: Some(entry(2, 1)),
+            copy: entry(1, 4),
+            serves: true,
+        },
+        Restored {
+            name: "draining, and returned since",
+            last: Some(leaving),
+            copy: entry(2, 1),
+            serves: true,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::default();
+        fleet.apply(at(0), &id(), Some(entry(1, 6)));
+        fleet.apply(at(1_000), &id(), case.last.clone());
+        fleet.store_restored(at(2_000));
+        fleet.apply(at(2_100), &id(), Some(case.copy));
+        let serves = fleet.serving(&service()).count() == 1;
+        assert_eq!(serves, case.serves, "{}", case.name);
+        let kept = fleet
+            .get(&id())
+            .map(|target| target.registration.incarnation.start_ms);
+        if case.name == "restarted since the copy" {
+            assert_eq!(kept, Some(2), "{}", case.name);
+        }
+    }
+}
--- a/crates/router/tests/leader.rs
+++ b/crates/router/tests/leader.rs
@@ -24,6 +24,10 @@
     durable: Assignment,
     /// Epoch and end of the valid grants, by target, first key and last key.
     grants: BTreeMap<(String, u16, u16), (u64, Instant)>,
+    /// Orders that targets carried out: target, first key, last key and epoch.
+    seen: Vec<(String, u16, u16, u64)>,
+    /// Lowest epoch that the leader may allocate.
+    min_epoch: u64,
     unresponsive: Vec<String>,
     /// Whether unresponsive targets accept grants, as late as a connection allows.
     accepts_late_grants: bool,
@@ -65,6 +69,8 @@
             leader: Leader::new(&BTreeMap::new(), Instant::default()),
             durable: Assignment::default(),
             grants: BTreeMap::new(),
+            seen: Vec::new(),
+            min_epoch: 0,
             unresponsive: Vec::new(),
             accepts_late_grants: false,
             is_current: true,
@@ -147,7 +153,7 @@
             traffic: &BTreeMap::new(),
             work_time: &|_| 1.0,
             rate_limit: &|_| None,
-            min_epoch: 0,
+            min_epoch: self.min_epoch,
             services: &[service()],
             hold: HOLD,
             is_current: self.is_current,
@@ -160,6 +166,11 @@
             self.accept_late(id, order);
             return Response::Silent;
         }
+        if order.operation != Operation::Release && self.has_seen_higher(&id, order) {
+            return Response::Refused;
+        }
+        self.seen
+            .push((id.clone(), order.first, order.last, order.fence));
         let key = (id, order.first, order.last);
         match &order.operation {
             Operation::Grant { hold, .. } => {
@@ -177,6 +188,15 @@
         }
     }
 
+    /// Returns whether a target has seen a higher epoch on keys of an order.
+    fn has_seen_higher(&self, id: &str, order: &Order) -> bool {
+        let mut seen = self.seen.iter();
+        seen.any(|(target, first, last, epoch)| {
+            let overlaps = *first <= order.last && *last >= order.first;
+            target == id && overlaps && *epoch > order.fence
+        })
+    }
+
     /// Lets a grant that got no response arrive 800 ms late at a target whose clock is 2% slow.
     fn accept_late(&mut self, id: String, order: &Order) {
         if let (true, Operation::Grant { hold, .. }) = (self.accepts_late_grants, &order.operation)
@@ -534,3 +554,26 @@
     sim.run(Span::from_secs(2));
     assert_eq!(sim.durable, before);
 }
+
+/// Guards against a leader that knows only ranges of before, since the store was restored from a
+/// copy and no host remembers more: it must grant no key that another target may hold by a grant
+/// that it doesn't know.
+#[test]
+fn leader_without_the_latest_ranges_gives_no_key_two_owners() {
+    for rounds in 1..4 {
+        let mut sim = Simulation::new(&["a", "b", "c"]);
+        sim.run(Span::from_secs(3));
+        let copy = sim.durable.clone();
+        for round in 0..rounds {
+            sim.drain(["a", "b", "c"][round]);
+            sim.run(Span::from_secs(2));
+            sim.register(registration(["a", "b", "c"][round], 1));
+            sim.run(Span::from_secs(2));
+        }
+        sim.durable = copy;
+        sim.min_epoch = 1 << 32;
+        sim.replace_leader(Span::from_secs(3));
+        sim.run(Span::from_secs(20));
+        assert!(sim.is_settled(), "{rounds}: {:?}", sim.durable);
+    }
+}
