Append lost records again when the log of the own interface is restored

A page of the log now states its timeline, and an append may name the timeline and the end that it expects. When the timeline rises, a daemon appends nothing else and takes no proof until the log has its last record at its offset; daemons append what they had read and the log lost, in order, and a record Resumed marks the log as complete. Entries that no read returned are appended again.

Not covered: the model checker does not draw restores of this log, and a daemon that read more than the others and joins after the mark stops.

--- a/crates/core/src/archive/text.rs
+++ b/crates/core/src/archive/text.rs
@@ -71,6 +71,7 @@
         Record::Intent { requests, .. } => format!("{} intents", requests.len()),
         Record::Outcome { requests } => format!("{} outcomes", requests.len()),
         Record::Forget { before } => format!("requests before {before} forgotten"),
+        Record::Resumed { timeline } => format!("log restored, timeline {timeline}"),
         Record::Snapshot {
             at, part, parts, ..
         } => format!("snapshot at {at}, part {part} of {parts}"),
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -221,7 +221,7 @@
                 self.requests.retain(|_, intent| intent.offset >= *before);
                 Effect::Applied
             }
-            Record::Snapshot { .. } => Effect::Applied,
+            Record::Snapshot { .. } | Record::Resumed { .. } => Effect::Applied,
         }
     }
 
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     key, name,
-    number::{Epoch, Offset, Slice, Version},
+    number::{Epoch, Offset, Slice, Timeline, Version},
     process::Process,
     request,
     table::Table,
@@ -198,6 +198,12 @@
         #[serde(with = "serde_bytes")]
         bytes: Vec<u8>,
     },
+    /// Marks the log as complete after it was restored from a copy: the records that it lost were
+    /// appended again.
+    Resumed {
+        /// Timeline of the log.
+        timeline: Timeline,
+    },
 }
 
 /// Part of a service's keys that a [`Record::Move`] gives to another target.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod forward;
 mod handshake;
+mod history;
 mod link;
 mod log_service;
 mod metrics;
--- a/crates/daemon/src/log_service.rs
+++ b/crates/daemon/src/log_service.rs
@@ -16,12 +16,16 @@
     snapshot::Assembler,
     time::Span,
 };
-use ragwortrill_platform::log::{Batch, Client, Error, Page, Query};
+use ragwortrill_platform::log::{Batch, Client, Condition, Error, Page, Query};
 use tokio::sync::mpsc;
 
 use ragwortrill_entry::clock::wall_ms;
 
-use crate::{recent::Recent, shared::Shared};
+use crate::{
+    history::{self, History},
+    recent::Recent,
+    shared::Shared,
+};
 
 /// Time limit of an append, and of a read in addition to its wait for new records.
 const REQUEST_TIMEOUT: Span = Span::from_secs(2);
@@ -36,6 +40,7 @@
 #[derive(Debug, Default)]
 struct Pending {
     entries: BTreeMap<record::Id, Entry>,
+    /// Entries that are still to be appended, in their order.
     order: VecDeque<record::Id>,
 }
 
@@ -48,9 +53,10 @@
     shared: Shared,
 ) {
     let pending = Rc::new(RefCell::new(Pending::default()));
+    let history = Rc::new(History::default());
     tokio::select! {
-        () = read(address, wait, pending.clone(), recent, shared.clone()) => {}
-        () = append(address, entries, pending, shared) => {}
+        () = read(address, wait, pending.clone(), recent, history.clone(), shared.clone()) => {}
+        () = append(address, entries, pending, history, shared) => {}
     }
 }
 
@@ -59,6 +65,7 @@
     wait: Span,
     pending: Rc<RefCell<Pending>>,
     recent: Recent,
+    history: Rc<History>,
     shared: Shared,
 ) {
     let client = Client::new(address, REQUEST_TIMEOUT).await;
@@ -76,6 +83,14 @@
             wait_ms: wait.as_millis(),
         };
         match client.read(query).await {
+            Ok(page) if !history.is_verified(page.timeline) => {
+                history.suspend();
+                pending.borrow_mut().requeue();
+                if let Err(error) = history::verify(&client, &history, &recent, &shared).await {
+                    log::warn!("log service can't be read after a restore: {error}");
+                    sleep(RETRY_DELAY).await;
+                }
+            }
             Ok(page) => {
                 shared.set_log_reached();
                 from = match &mut snapshot {
@@ -183,6 +198,7 @@
     address: SocketAddr,
     mut entries: mpsc::Receiver<Entry>,
     pending: Rc<RefCell<Pending>>,
+    history: Rc<History>,
     shared: Shared,
 ) {
     let client = Client::new(address, REQUEST_TIMEOUT).await;
@@ -201,7 +217,11 @@
             pending.borrow_mut().drop_oversized();
             continue;
         }
-        match client.append(&batch).await {
+        let condition = Condition {
+            timeline: history.timeline().await,
+            after: None,
+        };
+        match client.append_if(&batch, condition).await {
             Ok(_) => {
                 shared.metrics.entries_appended(ids.len() as u64, "written");
                 pending.borrow_mut().finish(&ids);
@@ -246,10 +266,19 @@
         }
     }
 
+    /// Records that entries are appended. They are kept until a read returns them, since a log that
+    /// is restored from a copy may lose them.
     fn finish(&mut self, ids: &[record::Id]) {
-        ids.iter().for_each(|id| {
-            self.entries.remove(id);
-        });
-        self.order.retain(|id| self.entries.contains_key(id));
+        self.order.retain(|id| !ids.contains(id));
+    }
+
+    /// Makes all entries that no read has returned be appended again.
+    fn requeue(&mut self) {
+        let appended = self.entries.keys().filter(|id| !self.order.contains(id));
+        let appended: Vec<record::Id> = appended.copied().collect();
+        appended
+            .into_iter()
+            .rev()
+            .for_each(|id| self.order.push_front(id));
     }
 }
--- a/crates/daemon/src/recent.rs
+++ b/crates/daemon/src/recent.rs
@@ -7,7 +7,7 @@
 
 use ragwortrill_core::{
     number::Offset,
-    record::Entry,
+    record::{self, Entry},
     time::{Instant, Span},
 };
 
@@ -55,6 +55,25 @@
         }
     }
 
+    /// Returns the offset and the identifier of the last record that was read.
+    pub(crate) fn last(&self) -> Option<(Offset, record::Id)> {
+        let inner = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let last = inner.rows.back();
+        last.map(|(offset, entry)| (*offset, entry.id))
+    }
+
+    /// Returns the entries after an offset, or none if the first of them is not kept.
+    pub(crate) fn entries_after(&self, offset: Offset) -> impl Iterator<Item = Entry> + use<> {
+        let inner = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let rows = inner.rows.iter().filter(|(other, _)| *other > offset);
+        let rows: Vec<(Offset, Entry)> = rows.cloned().collect();
+        let is_kept = rows
+            .first()
+            .is_some_and(|(first, _)| *first == offset.next());
+        let entries = rows.into_iter().map(|(_, entry)| entry);
+        entries.filter(move |_| is_kept)
+    }
+
     /// Returns the records after an offset, with the age of the proof that `end` is the log's end.
     pub(crate) fn after(&self, offset: Offset, now: Instant) -> Page {
         let inner = self.0.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -4,6 +4,10 @@
 //! an offset; if there are no records yet, it waits for some. Reads are linearizable: a response
 //! contains every record whose append was answered before the read was sent. Bodies are CBOR.
 //!
+//! A response to a read has the log's timeline, which rises each time that the service is restored
+//! from an older copy. An append may name the timeline and the offset after which it is to be
+//! written (`timeline`, `after`); if they differ from the log's, nothing is written (412).
+//!
 //! Statuses: 200; 400 for a malformed request; 410 with [`Bounds`] for an expired offset; 413 for
 //! a batch above its limits; 429 and 503 for a request that had no effect and may be retried. After
 //! any other failure it is unknown whether an append took effect.
@@ -18,7 +22,7 @@
 pub use client::Client;
 pub use codec::{VERSION, decode, encode};
 pub use error::Error;
-pub use page::{Bounds, Page, Query, Receipt, Row};
+pub use page::{Bounds, Condition, Page, Query, Receipt, Row};
 
 /// Path to which batches are appended and from which records are read.
 pub const PATH: &str = "/v1/records";
--- a/crates/platform/src/log/client.rs
+++ b/crates/platform/src/log/client.rs
@@ -4,8 +4,8 @@
 use ragwortrill_core::{number::Offset, time::Span};
 
 use super::{
-    Batch, Bounds, Error, MAX_BATCH_BYTES, MAX_RESPONSE_BYTES, MEDIA_TYPE, PATH, Page, Query,
-    Receipt,
+    Batch, Bounds, Condition, Error, MAX_BATCH_BYTES, MAX_RESPONSE_BYTES, MEDIA_TYPE, PATH, Page,
+    Query, Receipt,
 };
 use crate::http::{Content, Http, Response};
 
@@ -23,13 +23,28 @@
 
     /// Appends a batch: all of its entries or none.
     pub async fn append(&self, batch: &Batch) -> Result<Receipt, Error> {
+        self.append_to(PATH, batch).await
+    }
+
+    /// Appends a batch on a condition: all of its entries or none.
+    pub async fn append_if(&self, batch: &Batch, condition: Condition) -> Result<Receipt, Error> {
+        let after = condition.after.map(|after| format!("&after={after}"));
+        let path = format!(
+            "{PATH}?timeline={}{}",
+            condition.timeline,
+            after.unwrap_or_default()
+        );
+        self.append_to(&path, batch).await
+    }
+
+    async fn append_to(&self, path: &str, batch: &Batch) -> Result<Receipt, Error> {
         let content = Content {
             media_type: MEDIA_TYPE,
             bytes: batch.to_cbor(),
         };
         let response = self
             .0
-            .exchange(Method::POST, PATH, Some(content), Span::ZERO)
+            .exchange(Method::POST, path, Some(content), Span::ZERO)
             .await?;
         match response.status {
             StatusCode::OK => {
@@ -37,6 +52,7 @@
                 receipt.check(batch.len())?;
                 Ok(receipt)
             }
+            StatusCode::PRECONDITION_FAILED => Err(Error::Conflict),
             StatusCode::PAYLOAD_TOO_LARGE => Err(Error::TooLarge {
                 what: "the batch",
                 size: format!("{} entries", batch.len()),
--- a/crates/platform/src/log/error.rs
+++ b/crates/platform/src/log/error.rs
@@ -14,6 +14,9 @@
         /// The first retained offset.
         first: Offset,
     },
+    /// The log's timeline or end is not the one that the append names, so nothing was written.
+    #[error("the log was restored, or has other records; read it and try again")]
+    Conflict,
     /// The connection broke after the request was sent, or the service failed while it handled the
     /// request. An append may have taken effect.
     #[error(
--- a/crates/platform/src/log/page.rs
+++ b/crates/platform/src/log/page.rs
@@ -1,5 +1,5 @@
 use ragwortrill_core::{
-    number::Offset,
+    number::{Offset, Timeline},
     record::{self, Entry},
 };
 use serde::{Deserialize, Serialize};
@@ -18,6 +18,15 @@
     pub wait_ms: u64,
 }
 
+/// Condition of an append: without it nothing is written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Condition {
+    /// Timeline of the log.
+    pub timeline: Timeline,
+    /// Offset of the log's last record; none if it does not matter.
+    pub after: Option<Offset>,
+}
+
 /// An encoded entry with its offset in the log.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Row {
@@ -39,6 +48,9 @@
     pub end: Offset,
     /// Records in order of their offsets, without gaps.
     pub records: Vec<Row>,
+    /// Number of times that the service was restored from an older copy.
+    #[serde(default)]
+    pub timeline: Timeline,
 }
 
 /// Range of offsets that the service retains.
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -89,6 +89,7 @@
         first: Offset(1),
         end: Offset(end),
         records: offsets.iter().map(row).collect(),
+        timeline: ragwortrill_core::number::Timeline(0),
     };
     page.to_cbor()
 }
--- a/crates/platform/tests/codec.rs
+++ b/crates/platform/tests/codec.rs
@@ -192,6 +192,7 @@
         first: Offset(3),
         end: Offset(5),
         records: vec![],
+        timeline: ragwortrill_core::number::Timeline(1),
     };
     assert_eq!(Page::from_cbor(&page.to_cbor()), Ok(page));
     let receipt = Receipt {
--- a/crates/standin/src/log/handler.rs
+++ b/crates/standin/src/log/handler.rs
@@ -75,9 +75,16 @@
             }
             Err(error) => return reply::text(StatusCode::BAD_REQUEST, error),
         };
+        let fields = reply::query(request);
+        let number = |name: &str| fields.get(name).and_then(|text| text.parse().ok());
+        let (timeline, after) = (number("timeline"), number("after"));
+        if !self.0.read(|store| store.allows(timeline, after)) {
+            return reply::text(StatusCode::PRECONDITION_FAILED, "another timeline or end");
+        }
         let attempt = |store: &mut Store| {
             let lost = store.faults.lost_answers;
             let allowed = !store.faults.down && store.allow_append(Instant::now());
+            let allowed = allowed && store.allows(timeline, after);
             let appended = allowed.then(|| store.append(&batch))?;
             store.faults.lost_answers = lost.saturating_sub(1);
             Some((appended, lost > 0))
--- a/crates/standin/src/log/server.rs
+++ b/crates/standin/src/log/server.rs
@@ -73,6 +73,16 @@
         self.handler.0.read(page).unwrap_or_default()
     }
 
+    /// Keeps a copy of all records.
+    pub fn save_copy(&self) {
+        self.handler.0.change(Store::save_copy);
+    }
+
+    /// Restores the log from the copy.
+    pub fn restore(&self) {
+        self.handler.0.change(Store::restore);
+    }
+
     /// Appends a batch, regardless of faults.
     pub fn append(&self, batch: &Batch) -> Receipt {
         self.handler.0.change(|store| store.append(batch).receipt)
--- a/crates/standin/src/log/store.rs
+++ b/crates/standin/src/log/store.rs
@@ -3,7 +3,10 @@
     time::{Duration, Instant},
 };
 
-use ragwortrill_core::{number::Offset, record};
+use ragwortrill_core::{
+    number::{Offset, Timeline},
+    record,
+};
 use ragwortrill_platform::log::{
     Batch, Bounds, MAX_RESPONSE_BYTES, Page, Query, ROW_OVERHEAD_BYTES, Receipt, Row,
 };
@@ -22,6 +25,9 @@
     rows: VecDeque<Row>,
     ids: BTreeSet<record::Id>,
     window: Option<(Instant, u32)>,
+    timeline: Timeline,
+    /// End and records of the copy from which the log can be restored.
+    copy: (u64, VecDeque<Row>),
 }
 
 /// Result of an append.
@@ -62,6 +68,24 @@
         Appended { receipt, duplicate }
     }
 
+    /// Returns whether an append may be written, whose condition may name a timeline and the end of
+    /// the log.
+    pub(crate) fn allows(&self, timeline: Option<u64>, after: Option<u64>) -> bool {
+        timeline.is_none_or(|timeline| timeline == self.timeline.0)
+            && after.is_none_or(|after| after == self.end)
+    }
+
+    /// Keeps a copy of the records.
+    pub(crate) fn save_copy(&mut self) {
+        self.copy = (self.end, self.rows.clone());
+    }
+
+    /// Restores the records of the copy.
+    pub(crate) fn restore(&mut self) {
+        (self.end, self.rows) = self.copy.clone();
+        self.timeline = Timeline(self.timeline.0 + 1);
+    }
+
     /// Drops the oldest records above the retention limit.
     pub(crate) fn expire(&mut self) {
         let kept = self.faults.retained.unwrap_or(usize::MAX);
@@ -95,6 +119,7 @@
             first,
             end,
             records: fitting.cloned().collect(),
+            timeline: self.timeline,
         })
     }
 
