--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -73,6 +73,8 @@
     /// End offset of the ownership topic after this leader's last write or read. Appends are
     /// conditional on it.
     topic_end: Cell<Offset>,
+    /// Whether the claim in the store states that ranges may be missing.
+    is_uncertain: Cell<bool>,
     clients: RefCell<BTreeMap<Incarnation, Vec<Client>>>,
     /// Wakes the planning loop when a target has answered or ranges are written.
     progress: Notify,
@@ -84,13 +86,14 @@
     let lease = Lease::acquire(shared, &mut store).await?;
     let mut snapshot = read(shared, &mut store).await?;
     let topic = shared.protocol.topics.ownership;
-    let claim = lease.term().record()?;
-    let timeline = lease.term().timeline;
-    let is_first = snapshot.term.as_ref().map(|term| term.timeline) != Some(timeline);
-    let mut is_complete = true;
+    let earlier = snapshot.term.take();
+    let earlier = earlier.filter(|term| term.timeline == lease.term().timeline);
+    let is_first = earlier.is_none();
+    let mut is_uncertain = earlier.is_some_and(|term| term.is_uncertain);
     if is_first {
-        (snapshot, is_complete) = recover(shared, &mut store, &lease, snapshot).await?;
+        (snapshot, is_uncertain) = recover(shared, &mut store, &lease, snapshot).await?;
     }
+    let claim = claim(lease.term(), is_uncertain)?;
     // Earlier leaders append on condition of the topic's end, which this record moves, so none of
     // them can write a range from here on.
     let claims = std::slice::from_ref(&claim);
@@ -109,16 +112,19 @@
         "leadership acquired"
     );
     let leader = Leader::new(&snapshot.assignments, lease.earlier_grants_until());
-    let leader = match is_first {
-        true => leader.recovered(is_complete),
+    let leader = match is_first || is_uncertain {
+        true => leader.recovered(!is_uncertain),
         false => leader,
     };
-    shared.led_term.set(lease.term().rank());
+    if !is_uncertain {
+        shared.led_term.set(lease.term().rank());
+    }
     let leadership = Rc::new(Leadership {
         shared: shared.clone(),
         leader: RefCell::new(leader),
         lease: lease.clone(),
         topic_end: Cell::new(end),
+        is_uncertain: Cell::new(is_uncertain),
         clients: RefCell::default(),
         progress: Notify::new(),
     });
@@ -182,8 +188,8 @@
 }
 
 /// Writes all that hosts remember to a store that no leader has written to since it was restored
-/// from a copy. The claim that follows marks it as written. Returns also whether no later range can
-/// be missing.
+/// from a copy. The claim that follows marks it as written. Returns also whether later ranges may be
+/// missing.
 async fn recover(
     shared: &Rc<Shared>,
     store: &mut Store,
@@ -191,7 +197,7 @@
     copy: Snapshot,
 ) -> Result<(Snapshot, bool)> {
     let merged = recovery::merge(shared, &copy.assignments).await;
-    let is_complete = merged.is_complete;
+    let is_uncertain = !merged.is_complete;
     let mut snapshot = Snapshot {
         assignments: merged.assignments,
         ..copy
@@ -217,7 +223,16 @@
         let records = assign_offsets(part.to_vec(), end);
         apply::apply(shared, Topic::Ownership, records, false);
     }
-    Ok((snapshot, is_complete))
+    Ok((snapshot, is_uncertain))
+}
+
+/// Returns the record by which a leader claims the ownership topic.
+fn claim(term: &Term, is_uncertain: bool) -> Result<Draft> {
+    let claim = Term {
+        is_uncertain,
+        ..term.clone()
+    };
+    claim.record()
 }
 
 /// Returns the lowest epoch of a timeline, above all that earlier timelines can have reached: what
@@ -389,12 +404,23 @@
         }
         let topic = self.shared.protocol.topics.ownership;
         let drafts = ranges.iter().map(|range| range_draft(service, range));
-        let records: Vec<Draft> = drafts.collect::<Result<_>>()?;
+        let mut records: Vec<Draft> = drafts.collect::<Result<_>>()?;
+        let is_certain = self.shared.now() >= self.lease.earlier_grants_until();
+        let settles = self.is_uncertain.get() && is_certain;
+        if settles {
+            records.push(claim(self.lease.term(), false)?);
+        }
         match store
             .append(topic, Some(self.topic_end.get()), &records)
             .await?
         {
-            Append::Done(end) => Ok((assign_offsets(records, end), end)),
+            Append::Done(end) => {
+                if settles {
+                    self.is_uncertain.set(false);
+                    self.shared.led_term.set(self.lease.term().rank());
+                }
+                Ok((assign_offsets(records, end), end))
+            }
             Append::Conflict(_) => Err(anyhow!("another record was appended first")),
             Append::Refused => Err(anyhow!("the store rejected the append")),
         }
@@ -407,12 +433,12 @@
             if !self.lease.is_valid() {
                 return;
             }
+            let is_own = |term: &Term| term.is_same(self.lease.term());
             match read(&self.shared, store).await {
                 // Another leader has claimed the keys. It can't know which moves this host would
                 // continue, so this host stops.
                 Ok(snapshot)
-                    if snapshot.term.as_ref() != Some(self.lease.term())
-                        || !self.lease.is_valid() =>
+                    if !snapshot.term.as_ref().is_some_and(is_own) || !self.lease.is_valid() =>
                 {
                     self.lease.revoke();
                     return;
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -35,10 +35,13 @@
     pub(crate) number: u64,
     pub(crate) host: String,
     /// Whether the holder has released the lease and no longer sends grants and releases.
-    is_over: bool,
+    pub(crate) is_over: bool,
     /// Timeline of the store in which the holder acquired the lease.
     #[serde(default)]
     pub(crate) timeline: Timeline,
+    /// Whether ranges may be missing that an earlier leader granted, until all its grants have ended.
+    #[serde(default)]
+    pub(crate) is_uncertain: bool,
 }
 
 /// Order of terms: by timeline, then by number.
@@ -49,6 +52,11 @@
         (self.timeline, self.number)
     }
 
+    /// Returns whether two records are of the same lease.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        self.rank() == other.rank() && self.host == other.host
+    }
+
     /// Encodes the lease as a record to append.
     pub(crate) fn record(&self) -> Result<Draft> {
         Ok(Draft {
@@ -83,6 +91,7 @@
             host,
             is_over: false,
             timeline,
+            is_uncertain: false,
         };
         let topic = shared.protocol.topics.terms;
         let Append::Done(topic_end) = store
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -393,7 +393,9 @@
     }
 
     fn renew(&self, range: &Range, tick: &Tick<'_>) -> Option<(Incarnation, u64, Operation)> {
-        if tick.is_current && self.must_leave(range, tick.fleet) {
+        // An owner that has restarted since it refused the epoch would accept it.
+        let is_refused = self.refused.contains(&range.epoch);
+        if is_refused || tick.is_current && self.must_leave(range, tick.fleet) {
             return None;
         }
         Some((range.owner.clone(), range.epoch, grant(tick.hold, None)))
