--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -111,7 +111,7 @@
     /// Capacity, in per cent of a warm target.
     pub capacity_percent: u32,
     /// Rate limit that the target states.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde_as(as = "Option<DisplayFromStr>")]
     pub rate_limit: Option<Rate>,
 }
