--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -1,7 +1,7 @@
 //! Observation of targets that crash, and refusal of the requests that crash them.
 
 use ragwortrill_core::{request::Fingerprint, time::Instant};
-use ragwortrill_router::registration::Incarnation;
+use ragwortrill_router::{crash::Report, registration::Incarnation};
 
 use crate::{
     reply::{Problem, RETRY_AFTER_HELD_MS, RETRY_AFTER_QUARANTINED_MS},
@@ -61,3 +61,52 @@
     let problem = Problem::refusal(reason, RETRY_AFTER_HELD_MS);
     observer.is_held(fingerprint).then_some(problem)
 }
+
+/// Merges the crashes and answered suspects that a host observed, and tells all hosts at once what
+/// follows.
+pub(crate) fn merge(shared: &Shared, report: Report) {
+    let now = shared.now();
+    let mut aggregator = shared.crash_aggregator.borrow_mut();
+    let version = aggregator.version();
+    for crash in report.crashes {
+        let fingerprints: Vec<String> =
+            crash.in_flight.iter().map(Fingerprint::to_string).collect();
+        log::info!(
+            target = crash.target.id.as_str(), born = crash.target.start_ms,
+            in_flight = crash.in_flight.len(), fingerprints = fingerprints.join(" ");
+            "target crashed with requests in flight"
+        );
+        aggregator.add(now, crash);
+    }
+    for fingerprint in report.answered {
+        aggregator.clear_suspect(fingerprint);
+    }
+    let is_changed = aggregator.version() != version;
+    let verdicts = aggregator.verdicts();
+    drop(aggregator);
+    shared
+        .crash_observer
+        .borrow_mut()
+        .set_verdicts(now, verdicts);
+    if is_changed {
+        shared.update_ready.notify_waiters();
+    }
+}
+
+/// Evaluates the reported crashes, and refuses the requests that crash their targets.
+pub(crate) fn evaluate(shared: &Shared) {
+    let now = shared.now();
+    let mut aggregator = shared.crash_aggregator.borrow_mut();
+    let version = aggregator.version();
+    let found = aggregator.decide(now);
+    if aggregator.version() == version {
+        return;
+    }
+    let mut observer = shared.crash_observer.borrow_mut();
+    observer.set_verdicts(now, aggregator.verdicts());
+    for fingerprint in found {
+        log::warn!(fingerprint = fingerprint.to_string(); "requests with this fingerprint are quarantined: they crash their targets");
+        observer.quarantine(now, fingerprint, false);
+    }
+    shared.update_ready.notify_waiters();
+}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -17,13 +17,19 @@
     request::Fingerprint,
     time::{Instant, Span},
 };
-use ragwortrill_router::{crash, load::Samples, registration::Incarnation, update::Timing};
+use ragwortrill_router::{
+    crash::{Crash, Report as Crashes, Verdicts},
+    load::Samples,
+    registration::Incarnation,
+    update::Timing,
+};
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
 use crate::{
     apply,
     call::{Call, Client},
+    crash,
     follow::{self, Topic},
     protocol::Record,
     rate_limit,
@@ -140,11 +146,11 @@
         let Some(address) = leader_address(&shared) else {
             // The host leads itself or knows no leader, so it merges the crashes that it observed
             // itself.
-            merge_crashes(&shared, crashes.clone());
+            crash::merge(&shared, crashes.clone());
             let mut observer = shared.crash_observer.borrow_mut();
             observer.acknowledge(shared.now(), &crashes);
             drop(observer);
-            evaluate_crashes(&shared);
+            crash::evaluate(&shared);
             client = None;
             continue;
         };
@@ -181,7 +187,7 @@
     (HOLD * hosts.max(HOLD_HOSTS) / HOLD_HOSTS).min(MAX_HOLD)
 }
 
-fn take_report(shared: &Shared, crashes: &crash::Report, verdicts: u64) -> Report {
+fn take_report(shared: &Shared, crashes: &Crashes, verdicts: u64) -> Report {
     let offset = |topic| {
         let replicas = shared.replicas.borrow();
         let next = replicas
@@ -244,7 +250,7 @@
     for fingerprint in update.quarantined {
         observer.quarantine(now, fingerprint, false);
     }
-    let verdicts = crash::Verdicts {
+    let verdicts = Verdicts {
         suspects: update.suspects,
         held: update.held_suspects,
     };
@@ -278,55 +284,6 @@
     Ok(update.verdicts)
 }
 
-/// Merges the crashes and answered suspects that a host observed, and tells all hosts at once what
-/// follows.
-fn merge_crashes(shared: &Shared, report: crash::Report) {
-    let now = shared.now();
-    let mut aggregator = shared.crash_aggregator.borrow_mut();
-    let version = aggregator.version();
-    for crash in report.crashes {
-        let fingerprints: Vec<String> =
-            crash.in_flight.iter().map(Fingerprint::to_string).collect();
-        log::info!(
-            target = crash.target.id.as_str(), born = crash.target.start_ms,
-            in_flight = crash.in_flight.len(), fingerprints = fingerprints.join(" ");
-            "target crashed with requests in flight"
-        );
-        aggregator.add(now, crash);
-    }
-    for fingerprint in report.answered {
-        aggregator.clear_suspect(fingerprint);
-    }
-    let is_changed = aggregator.version() != version;
-    let verdicts = aggregator.verdicts();
-    drop(aggregator);
-    shared
-        .crash_observer
-        .borrow_mut()
-        .set_verdicts(now, verdicts);
-    if is_changed {
-        shared.update_ready.notify_waiters();
-    }
-}
-
-/// Evaluates the reported crashes, and refuses the requests that crash their targets.
-fn evaluate_crashes(shared: &Shared) {
-    let now = shared.now();
-    let mut aggregator = shared.crash_aggregator.borrow_mut();
-    let version = aggregator.version();
-    let found = aggregator.decide(now);
-    if aggregator.version() == version {
-        return;
-    }
-    let mut observer = shared.crash_observer.borrow_mut();
-    observer.set_verdicts(now, aggregator.verdicts());
-    for fingerprint in found {
-        log::warn!(fingerprint = fingerprint.to_string(); "requests with this fingerprint are quarantined: they crash their targets");
-        observer.quarantine(now, fingerprint, false);
-    }
-    shared.update_ready.notify_waiters();
-}
-
 fn apply_changes(shared: &Rc<Shared>, confirmed_at: Instant, topic: Topic, changes: Changes) {
     let record = |(key, value, offset): (String, Option<Vec<u8>>, u64)| Record {
         key,
@@ -346,9 +303,9 @@
 fn reported_crashes(
     crashes: Vec<(Incarnation, Vec<Fingerprint>)>,
     answered: BTreeSet<Fingerprint>,
-) -> crash::Report {
-    let crash = |(target, in_flight)| crash::Crash { target, in_flight };
-    crash::Report {
+) -> Crashes {
+    let crash = |(target, in_flight)| Crash { target, in_flight };
+    Crashes {
         crashes: crashes.into_iter().map(crash).collect(),
         answered,
     }
@@ -364,7 +321,7 @@
         let from = report.offsets.get(&topic).copied();
         follow::next_offset(shared, topic).map(|next| next.0) > from
     };
-    merge_crashes(shared, reported_crashes(report.crashes, report.acquitted));
+    crash::merge(shared, reported_crashes(report.crashes, report.acquitted));
     let version = shared.crash_aggregator.borrow().version();
     let is_new = is_new(Topic::Ownership) || is_new(Topic::Operators) || report.verdicts != version;
     for fingerprint in report.quarantined {
