Bound the orders and the planning steps of the leader

Callers of the host that leads wait behind its orders: a data centre of targets that drains lifts the orders of a leader of 264 targets to 480 in 100 ms, since each answer starts a planning step and each step sends up to 24 orders.

Orders are taken from a budget of 2 a second for each range and 100 more, with a burst of 24. A planning step is followed by a pause of at least 10 ms and of four times its duration, so that planning takes at most a fifth of the event loop.

--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -55,6 +55,11 @@
 const QUARANTINE_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Longest interval between two planning steps.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// Shortest pause between two planning steps, however many answers of targets arrive.
+const MIN_TICK_PAUSE: Duration = Duration::from_millis(10);
+/// Shortest pause after a planning step, as a multiple of the time that the step took, so that
+/// planning leaves the event loop to callers for most of the time.
+const TICK_PAUSE_FACTOR: u32 = 4;
 /// Timeout of a grant request to a target.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of a release request. The target answers only once its running work on the keys has
@@ -277,6 +282,7 @@
                 bail!("another host has claimed leadership");
             }
             self.write_quarantine();
+            let started = self.shared.now();
             for action in self.tick() {
                 match action {
                     Action::Send(order) => {
@@ -291,6 +297,8 @@
                     }
                 }
             }
+            let elapsed = self.shared.now().since(started).as_duration();
+            sleep(pause(elapsed)).await;
             let _ = timeout(TICK_INTERVAL, self.progress.notified()).await;
         }
     }
@@ -588,6 +596,11 @@
     }
 }
 
+/// Returns the pause after a planning step that took a time.
+fn pause(elapsed: Duration) -> Duration {
+    MIN_TICK_PAUSE.max(elapsed * TICK_PAUSE_FACTOR)
+}
+
 /// Returns whether an order only renews a grant, so that its answer makes no further step due.
 fn is_renewal(shared: &Shared, order: &Order) -> bool {
     let assignments = shared.assignments.borrow();
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -11,6 +11,7 @@
 };
 
 use ragwortrill_core::{
+    bucket::Bucket,
     name,
     rate_limit::Rate,
     time::{Instant, Span},
@@ -26,9 +27,14 @@
 
 /// Time from the response to a grant until it is renewed.
 const RENEWAL_INTERVAL: Span = Span::from_millis(1_000);
-/// Maximum number of orders that a tick sends for one service. A host with a small share of a core
-/// can't process the responses of hundreds of targets in time.
-const MAX_ORDERS_PER_TICK: usize = 24;
+/// Maximum number of orders that are sent at once for one service. A host with a small share of a
+/// core can't process the responses of hundreds of targets in time.
+const ORDER_BURST: f64 = 24.0;
+/// Orders per second for each range of a service. A renewal a second is due for each; the others are
+/// for moves.
+const ORDERS_PER_RANGE: f64 = 2.0;
+/// Orders per second that a service may have in addition, however few ranges it has.
+const BASE_ORDERS_PER_S: f64 = 100.0;
 /// Upper bound of the delay added to a renewal, so that renewals are not all due at once.
 const RENEWAL_JITTER: Span = Span::from_millis(300);
 /// Time after an order that failed or got no response until the next order for its range.
@@ -269,6 +275,8 @@
     unconfirmed: BTreeSet<u64>,
     /// Time of the last check of the balance.
     balanced_at: Instant,
+    /// Orders that may be sent now.
+    budget: Bucket,
 }
 
 impl Partition {
@@ -362,11 +370,11 @@
         };
         let mut due: Vec<Range> = self.durable.ranges.iter().filter(is_due).cloned().collect();
         due.sort_by_key(|range| self.due.get(&range.epoch).copied());
-        let mut sent = 0;
+        let rate = BASE_ORDERS_PER_S + ORDERS_PER_RANGE * self.durable.ranges.len() as f64;
         for range in due {
             // Only sent orders count: ranges that can't have one yet must not delay the renewals of
             // others.
-            if sent == MAX_ORDERS_PER_TICK {
+            if !self.budget.has_token(tick.now, rate, ORDER_BURST) {
                 break;
             }
             let step = match &range.state {
@@ -380,7 +388,7 @@
                 let end = self.grants_end.entry(target.clone()).or_default();
                 *end = (*end).max(expiry(tick.now, *hold));
             }
-            sent += 1;
+            self.budget.take(tick.now, rate, ORDER_BURST);
             self.in_flight.insert(range.epoch);
             actions.push(Action::Send(Order {
                 service: service.clone(),
--- a/crates/router/tests/leader.rs
+++ b/crates/router/tests/leader.rs
@@ -601,3 +601,58 @@
     sim.run(Span::from_secs(25));
     assert!(sim.is_settled(), "{:?}", sim.durable);
 }
+
+/// Guards against a leader that is busy with orders alone: a storm of draining targets lifts their
+/// number without a bound.
+#[test]
+fn storm_of_draining_targets_does_not_lift_the_orders_above_their_bound() {
+    struct Case {
+        targets: usize,
+        draining: usize,
+    }
+    let cases = [
+        Case {
+            targets: 12,
+            draining: 6,
+        },
+        Case {
+            targets: 264,
+            draining: 130,
+        },
+    ];
+    for Case { targets, draining } in cases {
+        let ids: Vec<String> = (0..targets).map(|index| format!("i-{index:03}")).collect();
+        let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+        let mut sim = Simulation::new(&ids);
+        sim.run(Span::from_secs(6));
+        for id in &ids[..draining] {
+            sim.drain(id);
+        }
+        let mut sent_at = Vec::new();
+        let mut most_ranges = 0;
+        let end = sim.now + Span::from_secs(3);
+        while sim.now < end {
+            let before = sim.orders.len();
+            sim.step();
+            sent_at.extend(vec![sim.now; sim.orders.len() - before]);
+            most_ranges = most_ranges.max(sim.durable.ranges.len());
+            sim.now = sim.now + Span::from_millis(5);
+        }
+        let window = Span::from_millis(100);
+        let in_window = |at: &Instant| {
+            let later = sent_at
+                .iter()
+                .filter(|t| **t >= *at && t.since(*at) < window);
+            later.count()
+        };
+        let most = sent_at.iter().map(in_window).max();
+        let bound = 24.0 + (100.0 + 2.0 * most_ranges as f64) * window.as_secs_f64();
+        assert!(
+            most.unwrap_or_default() as f64 <= bound,
+            "{targets} targets: {most:?} orders in 100 ms, {bound} allowed"
+        );
+        let leaving: Vec<&str> = ids[..draining].to_vec();
+        let owners = sim.owners();
+        assert!(owners.iter().all(|owner| !leaving.contains(owner)));
+    }
+}
