Find new records of a replica by their offsets

Each answer of the leader walked all records of three topics, and each record walked all tombstones: some 1,500 records for each of 82 hosts, up to 15 times a second each in a storm. The records are indexed by offset, so an answer costs what is new in it.

--- a/crates/entry/src/replica.rs
+++ b/crates/entry/src/replica.rs
@@ -1,6 +1,6 @@
 //! In-memory copy of the newest records of a topic, from which changes are relayed to other hosts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 use ragwortrill_core::{number::Offset, time::Instant};
@@ -14,6 +14,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Replica {
     records: BTreeMap<String, (Offset, Option<Bytes>)>,
+    /// Keys of the records by offset, so that the cost of an update grows with what is new in it.
+    keys: BTreeMap<Offset, String>,
+    /// Offsets of the tombstones.
+    tombstones: BTreeSet<Offset>,
     /// Offset of the next record to read; none before the first complete list.
     next: Option<Offset>,
     /// Offset before which changes may be missing from `records`.
@@ -35,10 +39,18 @@
 
     /// Stores a record. Returns false if a newer one of its key is stored already.
     pub(crate) fn store(&mut self, record: &Record) -> bool {
-        let known = self.records.get(&record.key);
-        if known.is_some_and(|(offset, _)| *offset > record.offset) {
+        let known = self.records.get(&record.key).map(|(offset, _)| *offset);
+        if known.is_some_and(|offset| offset > record.offset) {
             return false;
         }
+        if let Some(known) = known {
+            self.keys.remove(&known);
+            self.tombstones.remove(&known);
+        }
+        if record.value.is_none() {
+            self.tombstones.insert(record.offset);
+        }
+        self.keys.insert(record.offset, record.key.clone());
         let value = (record.offset, record.value.clone());
         self.records.insert(record.key.clone(), value);
         self.evict_oldest_tombstone();
@@ -79,30 +91,25 @@
     }
 
     fn since(&self, from: Offset) -> Vec<Record> {
-        let later = self
-            .records
-            .iter()
-            .filter(|(_, (offset, _))| *offset >= from);
-        let record = |(key, (offset, value)): (&String, &(Offset, Option<Bytes>))| Record {
-            key: key.clone(),
-            value: value.clone(),
-            offset: *offset,
+        let record = |(offset, key): (&Offset, &String)| {
+            let (_, value) = self.records.get(key)?;
+            Some(Record {
+                key: key.clone(),
+                value: value.clone(),
+                offset: *offset,
+            })
         };
-        let mut records: Vec<Record> = later.map(record).collect();
-        records.sort_by_key(|record| record.offset);
-        records
+        self.keys.range(from..).filter_map(record).collect()
     }
 
     fn evict_oldest_tombstone(&mut self) {
-        let tombstones = self
-            .records
-            .iter()
-            .filter(|(_, (_, value))| value.is_none());
-        if tombstones.clone().count() <= MAX_TOMBSTONES {
+        if self.tombstones.len() <= MAX_TOMBSTONES {
             return;
         }
-        let oldest = tombstones.min_by_key(|(_, (offset, _))| *offset);
-        if let Some((key, (offset, _))) = oldest.map(|(key, value)| (key.clone(), value.clone())) {
+        let Some(offset) = self.tombstones.pop_first() else {
+            return;
+        };
+        if let Some(key) = self.keys.remove(&offset) {
             self.records.remove(&key);
             self.complete_from = self.complete_from.max(offset.next());
         }
