Answer the reports of hosts at a fixed pace

Callers of the host that leads wait behind its exchanges: each record of the ownership topic and each change of the verdicts on crashes woke the report of every host, and each host was back 50 ms later, some 1,200 exchanges a second with 82 hosts.

Answers are 5 ms apart, whatever happens, and each has all that is new by then. A host whose report got no answer waits longer before the next one, up to 400 ms.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -20,6 +20,7 @@
 use ragwortrill_router::{
     crash::{Crash, Report as Crashes, Verdicts},
     load::Samples,
+    pace,
     registration::Incarnation,
     update::Timing,
 };
@@ -41,6 +42,8 @@
 pub(crate) const PATH: &str = "/exchange";
 /// Delay between the leader's response and the next report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest delay between a report without a response and the next one. It doubles with each failure.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Time for which the leader holds a report before it responds, while nothing changes.
 const HOLD: Duration = Duration::from_millis(250);
 /// Number of hosts up to which reports are held for `HOLD`. With more hosts, the time grows in
@@ -133,14 +136,16 @@
     let mut client: Option<(SocketAddr, Client)> = None;
     let mut leader = None;
     let mut verdicts = 0;
+    let mut delay = REPORT_INTERVAL;
     loop {
-        sleep(REPORT_INTERVAL).await;
+        sleep(delay).await;
         let current = shared.leader.borrow().clone();
         if current != leader {
             // The new leader knows none of the crashes.
             shared.crash_observer.borrow_mut().report_again();
             leader = current;
             verdicts = 0;
+            delay = REPORT_INTERVAL;
         }
         let crashes = shared.crash_observer.borrow().report();
         let Some(address) = leader_address(&shared) else {
@@ -152,6 +157,7 @@
             drop(observer);
             crash::evaluate(&shared);
             client = None;
+            delay = REPORT_INTERVAL;
             continue;
         };
         let report = take_report(&shared, &crashes, verdicts);
@@ -162,10 +168,12 @@
         match send_report(&shared, connected, &report).await {
             Ok(version) => {
                 verdicts = version;
+                delay = REPORT_INTERVAL;
                 let mut observer = shared.crash_observer.borrow_mut();
                 observer.acknowledge(shared.now(), &crashes);
             }
             Err(error) => {
+                delay = (delay * 2).min(MAX_REPORT_INTERVAL);
                 log::debug!(leader = address.to_string(), error = format!("{error:#}"); "exchange with the leader failed; retrying")
             }
         }
@@ -181,10 +189,16 @@
     address.filter(|_| !is_own)
 }
 
-/// Returns how long the leader holds a report.
+/// Returns how long the leader holds a report while nothing changes.
 fn hold_time(shared: &Shared) -> Duration {
     let hosts = shared.hosts.borrow().len() as u32;
-    (HOLD * hosts.max(HOLD_HOSTS) / HOLD_HOSTS).min(MAX_HOLD)
+    let usual = (HOLD * hosts.max(HOLD_HOSTS) / HOLD_HOSTS).min(MAX_HOLD);
+    usual.max(round(shared))
+}
+
+/// Returns the time in which the leader answers each host once.
+fn round(shared: &Shared) -> Duration {
+    pace::round(shared.hosts.borrow().len()).as_duration()
 }
 
 fn take_report(shared: &Shared, crashes: &Crashes, verdicts: u64) -> Report {
@@ -238,7 +252,7 @@
     };
     let sent = shared.now();
     let reply = client
-        .call(&call, hold_time(shared) + RESPONSE_MARGIN)
+        .call(&call, hold_time(shared) + round(shared) + RESPONSE_MARGIN)
         .await?;
     if reply.status != 200 {
         bail!("the leader answered with status {}", reply.status);
@@ -312,7 +326,7 @@
 }
 
 /// Responds to a host's report when the operators' or ownership topic has a new record, or after
-/// `hold_time`.
+/// `hold_time`, at the pace of [`pace::Pace`]. What is new by then is gathered in one response.
 pub(crate) async fn handle_report(shared: &Shared, body: &[u8]) -> Result<Vec<u8>> {
     let received_at = shared.now();
     let report: Report = ciborium::from_reader(body).context("the report can't be read")?;
@@ -332,6 +346,9 @@
         let _ = timeout(hold_time(shared), shared.update_ready.notified()).await;
     }
     let now = shared.now();
+    let turn = shared.pace.borrow_mut().allot(now);
+    sleep(turn.since(now).as_duration()).await;
+    let now = shared.now();
     let mut traffic = shared.traffic.borrow_mut();
     for (service, counts) in &report.traffic {
         traffic
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -23,6 +23,7 @@
     fleet::Fleet,
     links::Links,
     load::Load,
+    pace::Pace,
     queue::{Queue, Ticket},
     registration::Incarnation,
     restart::{Bounds, Detector},
@@ -104,6 +105,8 @@
     /// Notified when there are new records of the operators' or ownership topic, which are relayed
     /// to other hosts at once.
     pub(crate) update_ready: Notify,
+    /// Pace of this host's answers to reports while it leads.
+    pub(crate) pace: RefCell<Pace>,
     /// Whether waiting requests are being dispatched, so that dispatching does not recurse.
     pub(crate) is_dispatching: Cell<bool>,
     /// Progress of a planned stop of the host.
@@ -201,6 +204,7 @@
             waiters: RefCell::default(),
             queued: Notify::new(),
             update_ready: Notify::new(),
+            pace: RefCell::default(),
             is_dispatching: Cell::new(false),
             stop: Progress::default(),
             has_listed_targets: Cell::new(false),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod leader;
 pub mod links;
 pub mod load;
+pub mod pace;
 pub mod plan;
 pub mod queue;
 pub mod registration;
