--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -17,13 +17,20 @@
     request::Fingerprint,
     time::{Instant, Span},
 };
-use ragwortrill_router::{crash, load::Samples, registration::Incarnation, update::Timing};
+use ragwortrill_router::{
+    crash::{Crash, Report as Crashes, Verdicts},
+    load::Samples,
+    pace,
+    registration::Incarnation,
+    update::Timing,
+};
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
 use crate::{
     apply,
     call::{Call, Client},
+    crash,
     follow::{self, Topic},
     protocol::Record,
     rate_limit,
@@ -35,6 +42,8 @@
 pub(crate) const PATH: &str = "/exchange";
 /// Delay between the leader's response and the next report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest delay between a report without a response and the next one. It doubles with each failure.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Time for which the leader holds a report before it responds, while nothing changes.
 const HOLD: Duration = Duration::from_millis(250);
 /// Number of hosts up to which reports are held for `HOLD`. With more hosts, the time grows in
@@ -127,25 +136,28 @@
     let mut client: Option<(SocketAddr, Client)> = None;
     let mut leader = None;
     let mut verdicts = 0;
+    let mut delay = REPORT_INTERVAL;
     loop {
-        sleep(REPORT_INTERVAL).await;
+        sleep(delay).await;
         let current = shared.leader.borrow().clone();
         if current != leader {
             // The new leader knows none of the crashes.
             shared.crash_observer.borrow_mut().report_again();
             leader = current;
             verdicts = 0;
+            delay = REPORT_INTERVAL;
         }
         let crashes = shared.crash_observer.borrow().report();
         let Some(address) = leader_address(&shared) else {
             // The host leads itself or knows no leader, so it merges the crashes that it observed
             // itself.
-            merge_crashes(&shared, crashes.clone());
+            crash::merge(&shared, crashes.clone());
             let mut observer = shared.crash_observer.borrow_mut();
             observer.acknowledge(shared.now(), &crashes);
             drop(observer);
-            evaluate_crashes(&shared);
+            crash::evaluate(&shared);
             client = None;
+            delay = REPORT_INTERVAL;
             continue;
         };
         let report = take_report(&shared, &crashes, verdicts);
@@ -156,10 +168,12 @@
         match send_report(&shared, connected, &report).await {
             Ok(version) => {
                 verdicts = version;
+                delay = REPORT_INTERVAL;
                 let mut observer = shared.crash_observer.borrow_mut();
                 observer.acknowledge(shared.now(), &crashes);
             }
             Err(error) => {
+                delay = (delay * 2).min(MAX_REPORT_INTERVAL);
                 log::debug!(leader = address.to_string(), error = format!("{error:#}"); "exchange with the leader failed; retrying")
             }
         }
@@ -175,13 +189,19 @@
     address.filter(|_| !is_own)
 }
 
-/// Returns how long the leader holds a report.
+/// Returns how long the leader holds a report while nothing changes.
 fn hold_time(shared: &Shared) -> Duration {
     let hosts = shared.hosts.borrow().len() as u32;
-    (HOLD * hosts.max(HOLD_HOSTS) / HOLD_HOSTS).min(MAX_HOLD)
+    let usual = (HOLD * hosts.max(HOLD_HOSTS) / HOLD_HOSTS).min(MAX_HOLD);
+    usual.max(round(shared))
+}
+
+/// Returns the time in which the leader answers each host once.
+fn round(shared: &Shared) -> Duration {
+    pace::round(shared.hosts.borrow().len()).as_duration()
 }
 
-fn take_report(shared: &Shared, crashes: &crash::Report, verdicts: u64) -> Report {
+fn take_report(shared: &Shared, crashes: &Crashes, verdicts: u64) -> Report {
     let offset = |topic| {
         let replicas = shared.replicas.borrow();
         let next = replicas
@@ -232,7 +252,7 @@
     };
     let sent = shared.now();
     let reply = client
-        .call(&call, hold_time(shared) + RESPONSE_MARGIN)
+        .call(&call, hold_time(shared) + round(shared) + RESPONSE_MARGIN)
         .await?;
     if reply.status != 200 {
         bail!("the leader answered with status {}", reply.status);
@@ -244,7 +264,7 @@
     for fingerprint in update.quarantined {
         observer.quarantine(now, fingerprint, false);
     }
-    let verdicts = crash::Verdicts {
+    let verdicts = Verdicts {
         suspects: update.suspects,
         held: update.held_suspects,
     };
@@ -278,55 +298,6 @@
     Ok(update.verdicts)
 }
 
-/// Merges the crashes and answered suspects that a host observed, and tells all hosts at once what
-/// follows.
-fn merge_crashes(shared: &Shared, report: crash::Report) {
-    let now = shared.now();
-    let mut aggregator = shared.crash_aggregator.borrow_mut();
-    let version = aggregator.version();
-    for crash in report.crashes {
-        let fingerprints: Vec<String> =
-            crash.in_flight.iter().map(Fingerprint::to_string).collect();
-        log::info!(
-            target = crash.target.id.as_str(), born = crash.target.start_ms,
-            in_flight = crash.in_flight.len(), fingerprints = fingerprints.join(" ");
-            "target crashed with requests in flight"
-        );
-        aggregator.add(now, crash);
-    }
-    for fingerprint in report.answered {
-        aggregator.clear_suspect(fingerprint);
-    }
-    let is_changed = aggregator.version() != version;
-    let verdicts = aggregator.verdicts();
-    drop(aggregator);
-    shared
-        .crash_observer
-        .borrow_mut()
-        .set_verdicts(now, verdicts);
-    if is_changed {
-        shared.update_ready.notify_waiters();
-    }
-}
-
-/// Evaluates the reported crashes, and refuses the requests that crash their targets.
-fn evaluate_crashes(shared: &Shared) {
-    let now = shared.now();
-    let mut aggregator = shared.crash_aggregator.borrow_mut();
-    let version = aggregator.version();
-    let found = aggregator.decide(now);
-    if aggregator.version() == version {
-        return;
-    }
-    let mut observer = shared.crash_observer.borrow_mut();
-    observer.set_verdicts(now, aggregator.verdicts());
-    for fingerprint in found {
-        log::warn!(fingerprint = fingerprint.to_string(); "requests with this fingerprint are quarantined: they crash their targets");
-        observer.quarantine(now, fingerprint, false);
-    }
-    shared.update_ready.notify_waiters();
-}
-
 fn apply_changes(shared: &Rc<Shared>, confirmed_at: Instant, topic: Topic, changes: Changes) {
     let record = |(key, value, offset): (String, Option<Vec<u8>>, u64)| Record {
         key,
@@ -346,16 +317,16 @@
 fn reported_crashes(
     crashes: Vec<(Incarnation, Vec<Fingerprint>)>,
     answered: BTreeSet<Fingerprint>,
-) -> crash::Report {
-    let crash = |(target, in_flight)| crash::Crash { target, in_flight };
-    crash::Report {
+) -> Crashes {
+    let crash = |(target, in_flight)| Crash { target, in_flight };
+    Crashes {
         crashes: crashes.into_iter().map(crash).collect(),
         answered,
     }
 }
 
 /// Responds to a host's report when the operators' or ownership topic has a new record, or after
-/// `hold_time`.
+/// `hold_time`, at the pace of [`pace::Pace`]. What is new by then is gathered in one response.
 pub(crate) async fn handle_report(shared: &Shared, body: &[u8]) -> Result<Vec<u8>> {
     let received_at = shared.now();
     let report: Report = ciborium::from_reader(body).context("the report can't be read")?;
@@ -364,7 +335,7 @@
         let from = report.offsets.get(&topic).copied();
         follow::next_offset(shared, topic).map(|next| next.0) > from
     };
-    merge_crashes(shared, reported_crashes(report.crashes, report.acquitted));
+    crash::merge(shared, reported_crashes(report.crashes, report.acquitted));
     let version = shared.crash_aggregator.borrow().version();
     let is_new = is_new(Topic::Ownership) || is_new(Topic::Operators) || report.verdicts != version;
     for fingerprint in report.quarantined {
@@ -375,6 +346,9 @@
         let _ = timeout(hold_time(shared), shared.update_ready.notified()).await;
     }
     let now = shared.now();
+    let turn = shared.pace.borrow_mut().allot(now);
+    sleep(turn.since(now).as_duration()).await;
+    let now = shared.now();
     let mut traffic = shared.traffic.borrow_mut();
     for (service, counts) in &report.traffic {
         traffic
