Bound the evaluation of crashes, and count each loss of many targets once

Cause: - Aggregator::verdicts compared each pending crash with every crash of ten minutes, and ran for each report and each answer. Each report and each answered suspect raised the version, and with it the answers to all hosts. - A crash among four ends within 2 s of it counted for no fingerprint, and was recorded as decided, so it never counted. Reports that a new leader got were all taken as ends of that moment, i.e. as one loss. - A host held the fingerprints of its own unacknowledged crashes, also in a loss of many targets.

Now reports are only recorded, at one lookup a fingerprint. One evaluation in 100 ms touches each pair of a target and a fingerprint once, when its report window is over, and each suspect once; its verdicts are cached, and the version rises only if they differ. Ends are numbered in order, so the size of a loss and "at all targets of the loss" are binary searches. All state is bounded, and hosts are told 512 suspects at most, those with the most crashes first. The bound stands in crash::aggregator.

A loss of many targets now counts once, and again after 2 s at the earliest, for a fingerprint that was not answered since; three crashes or losses quarantine it. An answer clears a harmless one in between. Every host keeps the times of ends for ten minutes (5 s before), so a new leader tells crashes apart that are reported to it at once.

The leader logs a crash once, when it is evaluated, at most four an evaluation, instead of once for each host's report.

The tests of crash.rs call decide() before they read the verdicts, and assert that it quarantines nothing: verdicts are those of the last evaluation.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -13,7 +13,7 @@
 const MAX_SUSPECTS: usize = 1_024;
 /// Number of crashes with a fingerprint in flight, and no answer to it, at which it is quarantined
 /// whatever else was in flight.
-const MAX_CRASHES: u32 = 3;
+pub const MAX_CRASHES: u32 = 3;
 
 /// How requests with a fingerprint are treated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -1,13 +1,21 @@
 //! Observation of targets that crash, and refusal of the requests that crash them.
 
 use ragwortrill_core::{request::Fingerprint, time::Instant};
-use ragwortrill_router::{crash::Report, registration::Incarnation};
+use ragwortrill_router::{
+    crash::{Evaluated, Report},
+    registration::Incarnation,
+};
 
 use crate::{
     reply::{Problem, RETRY_AFTER_HELD_MS, RETRY_AFTER_QUARANTINED_MS},
     shared::Shared,
 };
 
+/// Crashes of one evaluation that have a line of their own in the log.
+const MAX_LOGGED_CRASHES: usize = 4;
+/// Fingerprints that are logged of the requests in flight at one end.
+const MAX_LOGGED_FINGERPRINTS: usize = 16;
+
 /// Records a request that was sent to a target and got no answer. A target that drains or whose
 /// entry is gone is about to end, so its end would be no crash.
 pub(crate) fn record_unanswered(
@@ -31,11 +39,11 @@
         .record_loss(now, target);
     let crash = shared.crash_observer.borrow_mut().record_end(now, target);
     if let Some(crash) = crash {
-        let fingerprints = crash.in_flight.iter().map(Fingerprint::to_string);
-        let fingerprints: Vec<String> = fingerprints.collect();
+        let fingerprints = crash.in_flight.iter().take(MAX_LOGGED_FINGERPRINTS);
+        let fingerprints: Vec<String> = fingerprints.map(Fingerprint::to_string).collect();
         log::info!(
             target = target.id.as_str(), born = target.start_ms,
-            fingerprints = fingerprints.join(" ");
+            in_flight = crash.in_flight.len(), fingerprints = fingerprints.join(" ");
             "target ended with requests of this host in flight"
         );
     }
@@ -62,44 +70,27 @@
     observer.is_held(fingerprint).then_some(problem)
 }
 
-/// Merges the crashes and answered suspects that a host observed, and tells all hosts at once what
-/// follows.
+/// Merges the crashes and answered suspects that a host observed. They are evaluated at a fixed pace.
 pub(crate) fn merge(shared: &Shared, report: Report) {
     let now = shared.now();
     let mut aggregator = shared.crash_aggregator.borrow_mut();
-    let version = aggregator.version();
     for crash in report.crashes {
-        let fingerprints: Vec<String> =
-            crash.in_flight.iter().map(Fingerprint::to_string).collect();
-        log::info!(
-            target = crash.target.id.as_str(), born = crash.target.start_ms,
-            in_flight = crash.in_flight.len(), fingerprints = fingerprints.join(" ");
-            "target crashed with requests in flight"
-        );
         aggregator.add(now, crash);
     }
     for fingerprint in report.answered {
         aggregator.clear_suspect(fingerprint);
     }
-    let is_changed = aggregator.version() != version;
-    let verdicts = aggregator.verdicts();
-    drop(aggregator);
-    shared
-        .crash_observer
-        .borrow_mut()
-        .set_verdicts(now, verdicts);
-    if is_changed {
-        shared.update_ready.notify_waiters();
-    }
 }
 
-/// Evaluates the reported crashes, and refuses the requests that crash their targets.
+/// Evaluates the reported crashes if an evaluation is due, refuses the requests that crash their
+/// targets, and tells all hosts at once what follows.
 pub(crate) fn evaluate(shared: &Shared) {
     let now = shared.now();
     let mut aggregator = shared.crash_aggregator.borrow_mut();
     let version = aggregator.version();
     let found = aggregator.decide(now);
-    if aggregator.version() == version {
+    log_evaluated(&aggregator.take_evaluated());
+    if found.is_empty() && aggregator.version() == version {
         return;
     }
     let mut observer = shared.crash_observer.borrow_mut();
@@ -110,3 +101,16 @@
     }
     shared.update_ready.notify_waiters();
 }
+
+fn log_evaluated(crashes: &[Evaluated]) {
+    for crash in crashes.iter().take(MAX_LOGGED_CRASHES) {
+        log::info!(
+            target = crash.target.id.as_str(), born = crash.target.start_ms,
+            suspects = crash.suspects, lost = crash.lost;
+            "target crashed with requests in flight"
+        );
+    }
+    if crashes.len() > MAX_LOGGED_CRASHES {
+        log::info!(crashes = crashes.len(); "more targets crashed with requests in flight");
+    }
+}
--- a/crates/router/src/crash.rs
+++ b/crates/router/src/crash.rs
@@ -5,14 +5,23 @@
 //! crashed if it also ends. It ends if it refuses connections, if its next incarnation appears, or
 //! if its entry goes although it did not drain.
 
+mod aggregator;
+mod ends;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use ragwortrill_core::{
-    quarantine::Quarantine,
     request::Fingerprint,
     time::{Instant, Span},
 };
 
+use self::ends::Ends;
+pub use self::{
+    aggregator::{
+        Aggregator, EVALUATION_INTERVAL, Evaluated, MAX_EVALUATION_STEPS, MAX_PENDING, MAX_SUSPECTS,
+    },
+    ends::MAX_ENDS,
+};
 use crate::registration::Incarnation;
 
 /// Maximum time from a request that got no answer to the end of its target for the two to count as a
@@ -29,8 +38,10 @@
 const VERDICT_TIME: Span = Span::from_secs(5);
 /// Largest number of crashes that a host remembers for the next leader.
 const MAX_REMEMBERED: usize = 256;
+/// Maximum number of fingerprints that are kept of the requests in flight at one crash.
+const MAX_IN_FLIGHT: usize = 256;
 /// Crashes with a fingerprint in flight from which its requests wait for the leader's verdict.
-const HELD_CRASHES: usize = 2;
+const HELD_CRASHES: u32 = 2;
 /// Time within which targets that end count as lost together.
 const MASS_LOSS_WINDOW: Span = Span::from_millis(2_000);
 /// Number of targets that are lost together from which a request is suspected only if it alone was in
@@ -49,6 +60,9 @@
     /// When this host learnt of each suspect.
     suspected_since: BTreeMap<Fingerprint, Instant>,
     quarantined: BTreeMap<Fingerprint, Entry>,
+    ends: Ends,
+    /// Whether the last end belongs to a loss of many targets.
+    is_mass_loss: bool,
 }
 
 /// Requests to a target since its last sign of life.
@@ -120,7 +134,8 @@
             silence.since = sent_at;
             silence.unanswered.clear();
         }
-        if sent_at.since(silence.since) < CAUSE_WINDOW {
+        let has_room = silence.unanswered.len() < MAX_IN_FLIGHT;
+        if has_room && sent_at.since(silence.since) < CAUSE_WINDOW {
             silence.unanswered.push(Unanswered {
                 sent_at,
                 fingerprint,
@@ -146,6 +161,8 @@
     /// Records that a target has ended without having drained. Returns the crash if requests to it
     /// got no answer.
     pub fn record_end(&mut self, now: Instant, target: &Incarnation) -> Option<Crash> {
+        self.ends.record(now, target);
+        self.is_mass_loss = self.ends.loss(now).is_mass();
         let silence = self.silences.remove(target)?;
         let recent = silence
             .unanswered
@@ -261,166 +278,19 @@
     }
 
     /// Tells whether requests with a fingerprint are to be refused until the leader has evaluated
-    /// the crashes at which they were in flight.
+    /// the crashes at which they were in flight. In a loss of many targets this host's own crashes
+    /// that the leader has not acknowledged are no reason.
     pub fn is_held(&self, fingerprint: Fingerprint) -> bool {
-        let own = self.report.crashes.iter();
-        let own = own.filter(|crash| crash.in_flight.contains(&fingerprint));
-        let own = own.count();
-        let known = usize::from(self.verdicts.suspects.contains(&fingerprint));
-        self.verdicts.held.contains(&fingerprint) || own > 0 && own + known >= HELD_CRASHES
-    }
-}
-
-/// A crash that is not evaluated yet.
-#[derive(Clone, Debug)]
-struct Pending {
-    since: Instant,
-    in_flight: BTreeSet<Fingerprint>,
-}
-
-/// Crashes as reported by all hosts, which the leader evaluates.
-#[derive(Clone, Debug, Default)]
-pub struct Aggregator {
-    quarantine: Quarantine,
-    pending: BTreeMap<Incarnation, Pending>,
-    /// Evaluated crashes with the fingerprints that counted.
-    decided: BTreeMap<Incarnation, Pending>,
-    /// When targets ended, with requests in flight or without.
-    losses: BTreeMap<Incarnation, Instant>,
-    /// Number of changes of the verdicts.
-    version: u64,
-}
-
-impl Aggregator {
-    /// Records that a target ended without having drained, whether or not requests were in flight.
-    pub fn record_loss(&mut self, now: Instant, target: &Incarnation) {
-        self.losses.retain(|_, at| now.since(*at) < VERDICT_TIME);
-        self.losses.entry(target.clone()).or_insert(now);
-    }
-
-    /// Adds a crash that a host observed.
-    pub fn add(&mut self, now: Instant, crash: Crash) {
-        let counted = self.decided.get(&crash.target);
-        let is_new = |f: &Fingerprint| counted.is_none_or(|c| !c.in_flight.contains(f));
-        let in_flight: BTreeSet<Fingerprint> = crash.in_flight.into_iter().filter(is_new).collect();
-        if in_flight.is_empty() {
-            return;
-        }
-        let pending = self.pending.entry(crash.target).or_insert(Pending {
-            since: now,
-            in_flight: BTreeSet::new(),
-        });
-        let before = pending.in_flight.len();
-        pending.in_flight.extend(in_flight);
-        if pending.in_flight.len() > before {
-            self.version += 1;
-        }
-    }
-
-    /// Clears a fingerprint of suspicion, since a request with it was answered.
-    pub fn clear_suspect(&mut self, fingerprint: Fingerprint) {
-        self.quarantine.clear_suspect(fingerprint);
-        for pending in self.pending.values_mut() {
-            pending.in_flight.remove(&fingerprint);
-        }
-        self.version += 1;
-    }
-
-    /// Evaluates the crashes whose report window is over. Returns the fingerprints to quarantine.
-    pub fn decide(&mut self, now: Instant) -> Vec<Fingerprint> {
-        let complete = self
-            .pending
-            .iter()
-            .filter(|(_, pending)| now.since(pending.since) >= REPORT_WINDOW);
-        let targets: Vec<Incarnation> = complete.map(|(target, _)| target.clone()).collect();
-        let mut quarantined = Vec::new();
-        for target in targets {
-            let suspects = self.suspects_at(&target);
-            let Some(pending) = self.pending.remove(&target) else {
-                continue;
-            };
-            let is_late = self.decided.contains_key(&target);
-            let counted = self.decided.entry(target).or_insert(Pending {
-                since: pending.since,
-                in_flight: BTreeSet::new(),
-            });
-            counted.in_flight.extend(pending.in_flight);
-            let found = match is_late {
-                true => self.quarantine.record_late_crash(now, &suspects),
-                false => self.quarantine.record_crash(now, &suspects),
-            };
-            quarantined.extend(found);
-            self.version += 1;
-        }
-        self.decided
-            .retain(|_, crash| now.since(crash.since) < QUARANTINE_TIME);
-        self.quarantine.expire(now);
-        quarantined
-    }
-
-    /// Returns the fingerprints that are suspected on the crash of a target.
-    fn suspects_at(&self, target: &Incarnation) -> Vec<Fingerprint> {
-        let Some(crash) = self.pending.get(target) else {
-            return Vec::new();
-        };
-        let lost = self.lost_with(crash);
-        if lost.len() < MASS_LOSS_TARGETS {
-            return crash.in_flight.iter().copied().collect();
-        }
-        let is_at_all = |f: &&Fingerprint| lost.values().all(|in_flight| in_flight.contains(*f));
-        let common: Vec<Fingerprint> = crash.in_flight.iter().filter(is_at_all).copied().collect();
-        match common.len() {
-            1 => common,
-            _ => Vec::new(),
-        }
-    }
-
-    /// Returns the targets that ended together with one, itself included, with the fingerprints that
-    /// were in flight.
-    fn lost_with(&self, crash: &Pending) -> BTreeMap<&Incarnation, BTreeSet<Fingerprint>> {
-        let is_together = |at: Instant| {
-            let (first, last) = (crash.since.min(at), crash.since.max(at));
-            last.since(first) < MASS_LOSS_WINDOW
-        };
-        let mut lost: BTreeMap<&Incarnation, BTreeSet<Fingerprint>> = BTreeMap::new();
-        let losses = self.losses.iter().filter(|(_, at)| is_together(**at));
-        lost.extend(losses.map(|(target, _)| (target, BTreeSet::new())));
-        let all = self.pending.iter().chain(&self.decided);
-        for (target, other) in all.filter(|(_, other)| is_together(other.since)) {
-            lost.entry(target).or_default().extend(&other.in_flight);
+        if self.verdicts.held.contains(&fingerprint) {
+            return true;
         }
-        lost
-    }
-
-    /// Returns what hosts are told about suspects.
-    ///
-    /// Those of a loss of many targets are not held: an honest one is answered by other targets
-    /// before the verdict, which clears it.
-    pub fn verdicts(&self) -> Verdicts {
-        let evaluated = self.quarantine.suspects();
-        let mut suspects: BTreeSet<Fingerprint> = evaluated.keys().copied().collect();
-        let mut crashes: BTreeMap<Fingerprint, usize> = BTreeMap::new();
-        for (target, crash) in &self.pending {
-            let found = self.suspects_at(target);
-            suspects.extend(&found);
-            if self.lost_with(crash).len() < MASS_LOSS_TARGETS {
-                found
-                    .into_iter()
-                    .for_each(|f| *crashes.entry(f).or_default() += 1);
-            }
+        if self.is_mass_loss {
+            return false;
         }
-        let is_held = |(fingerprint, pending): (&Fingerprint, &usize)| {
-            let earlier = evaluated.get(fingerprint).map_or(0, |s| s.crashes as usize);
-            (pending + earlier >= HELD_CRASHES).then_some(*fingerprint)
-        };
-        Verdicts {
-            held: crashes.iter().filter_map(is_held).collect(),
-            suspects,
-        }
-    }
-
-    /// Returns the number of changes of the verdicts so far.
-    pub fn version(&self) -> u64 {
-        self.version
+        let own = self.report.crashes.iter();
+        let own = own.filter(|crash| crash.in_flight.contains(&fingerprint));
+        let own = own.count() as u32;
+        let known = u32::from(self.verdicts.suspects.contains(&fingerprint));
+        own > 0 && own + known >= HELD_CRASHES
     }
 }
--- a/crates/router/tests/crash.rs
+++ b/crates/router/tests/crash.rs
@@ -120,6 +120,7 @@
     let mut observer = Observer::default();
     let mut aggregator = Aggregator::default();
     aggregator.add(at(0), crash(1, &[7]));
+    assert!(aggregator.decide(at(0)).is_empty());
     observer.set_verdicts(at(100), aggregator.verdicts());
     observer.record_answer(Fingerprint(7), at(50));
     assert!(observer.report().answered.is_empty());
@@ -230,12 +231,14 @@
     let mut aggregator = Aggregator::default();
     let mut observer = Observer::default();
     aggregator.add(at(0), crash(1, &[7]));
+    assert!(aggregator.decide(at(0)).is_empty());
     observer.set_verdicts(at(0), aggregator.verdicts());
     assert!(!observer.is_held(Fingerprint(7)), "one crash");
     observer.record_unanswered(&target(2), Fingerprint(7), at(100));
     observer.record_end(at(110), &target(2));
     assert!(observer.is_held(Fingerprint(7)), "its own second crash");
     aggregator.add(at(200), crash(2, &[7]));
+    assert!(aggregator.decide(at(200)).is_empty());
     let mut other = Observer::default();
     other.set_verdicts(at(210), aggregator.verdicts());
     assert!(
@@ -243,6 +246,7 @@
         "the second crash at another host"
     );
     aggregator.clear_suspect(Fingerprint(7));
+    assert!(aggregator.decide(at(300)).is_empty());
     other.set_verdicts(at(300), aggregator.verdicts());
     assert!(!other.is_held(Fingerprint(7)), "an answer");
     assert!(aggregator.decide(at(300) + VERDICT).is_empty());
@@ -269,6 +273,7 @@
     for number in 1..7 {
         aggregator.add(at(0), crash(number, &[7]));
     }
+    assert!(aggregator.decide(at(0)).is_empty());
     let verdicts = aggregator.verdicts();
     assert!(verdicts.suspects.contains(&Fingerprint(7)));
     assert!(verdicts.held.is_empty());
