Keep suspects with several crashes when there are too many

What callers see: after the crashes of targets that had over a thousand requests in flight, a request that had crashed two targets together with others was forgotten, and crashed more.

Cause: the oldest suspect was evicted, whatever was known of it, and the oldest was searched for again for each fingerprint of a crash. Now the suspects with the fewest crashes are evicted, and of these the oldest, once for each crash.

Before: suspect_with_two_crashes_outlasts_many_with_one fails, the third crash quarantines nothing ([] in place of both fingerprints).

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -9,7 +9,7 @@
 
 /// Time after which a fingerprint is no longer suspected or quarantined.
 const RETENTION: Span = Span::from_secs(600);
-/// Maximum number of suspects. The oldest are evicted.
+/// Maximum number of suspects. Those with the fewest crashes are evicted, and of these the oldest.
 const MAX_SUSPECTS: usize = 1_024;
 /// Number of crashes with a fingerprint in flight, and no answer to it, at which it is quarantined
 /// whatever else was in flight.
@@ -90,6 +90,7 @@
         for fingerprint in &distinct {
             self.suspect(now, *fingerprint, is_alone);
         }
+        self.trim();
         let repeated = |f: &&Fingerprint| self.suspects.get(*f).is_some_and(|s| s.crashes >= 2);
         let sole = distinct.iter().filter(repeated).count() == 1;
         let is_enough = |s: &Suspicion| sole || s.was_alone || s.crashes >= MAX_CRASHES;
@@ -155,16 +156,18 @@
         suspicion.crashes += 1;
         suspicion.was_alone |= is_alone;
         suspicion.last_crash = now;
-        self.trim();
     }
 
     fn trim(&mut self) {
-        while self.suspects.len() > MAX_SUSPECTS {
-            let oldest = self.suspects.iter().min_by_key(|(_, s)| s.last_crash);
-            let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) else {
-                return;
-            };
-            self.suspects.remove(&oldest);
+        let excess = self.suspects.len().saturating_sub(MAX_SUSPECTS);
+        if excess == 0 {
+            return;
+        }
+        let rank = |(f, s): (&Fingerprint, &Suspicion)| (s.crashes, s.last_crash, *f);
+        let mut ranked: Vec<(u32, Instant, Fingerprint)> = self.suspects.iter().map(rank).collect();
+        ranked.sort_unstable();
+        for (_, _, fingerprint) in ranked.into_iter().take(excess) {
+            self.suspects.remove(&fingerprint);
         }
     }
 }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -144,3 +144,18 @@
     assert_eq!(quarantine.suspects().len(), 1_024);
     assert_eq!(quarantine.status(Fingerprint(2_999)), Status::Suspect);
 }
+
+/// Guards against a crashing request that is forgotten because many others were in flight at the
+/// crashes of other targets.
+#[test]
+fn suspect_with_two_crashes_outlasts_many_with_one() {
+    let mut quarantine = Quarantine::default();
+    let with_others = fingerprints(&[98, 99]);
+    assert!(quarantine.record_crash(at(0), &with_others).is_empty());
+    assert!(quarantine.record_crash(at(1), &with_others).is_empty());
+    for crash in 0..30 {
+        let in_flight: Vec<u64> = (1_000 + crash * 100..1_100 + crash * 100).collect();
+        quarantine.record_crash(at(2 + crash), &fingerprints(&in_flight));
+    }
+    assert_eq!(quarantine.record_crash(at(40), &with_others), with_others);
+}
