Measure how late the event loop of a host is

Callers of a host whose event loop is seconds late are served as if their requests were new, and nothing shows that the host is late: its metrics and logs say only how long requests took since they were parsed.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod hop;
 mod job;
 pub mod journal;
+pub mod lag;
 mod leadership;
 mod lease;
 pub mod message;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -50,6 +50,7 @@
     version: Gauge<u64>,
     timeline: Gauge<u64>,
     age: Gauge<f64>,
+    lag: Gauge<f64>,
 }
 
 impl Metrics {
@@ -212,6 +213,11 @@
                 .with_unit("s")
                 .with_description("Time since the store last told what is newest, by topic")
                 .build(),
+            lag: meter
+                .f64_gauge("ragwortrill.loop.lag")
+                .with_unit("s")
+                .with_description("Largest recent delay of the event loop")
+                .build(),
         }
     }
 
@@ -241,6 +247,7 @@
         let config = shared.config.borrow();
         let version = config.as_ref().map_or(0, |config| config.version.0);
         self.version.record(version, &[]);
+        self.lag.record(shared.recent_lag().as_secs_f64(), &[]);
         let timeline = shared.timeline.get().unwrap_or_default();
         self.timeline.record(timeline.0, &[]);
         for topic in Topic::ALL {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -12,6 +12,7 @@
 use crate::{
     admission, caller, candidacy,
     follow::{self, Topic},
+    lag,
     protocol::Protocol,
     reach, ready, relay, service,
     settings::Settings,
@@ -86,6 +87,7 @@
     tokio::task::spawn_local(candidacy::run(shared.clone()));
     tokio::task::spawn_local(admission::run(shared.clone()));
     tokio::task::spawn_local(reach::run(shared.clone()));
+    tokio::task::spawn_local(lag::run(shared.clone()));
     ending.await;
     stop::run(&shared, accepting).await;
     Ok(())
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -40,6 +40,7 @@
     clock::Clock,
     follow::Topic,
     hop::Helper,
+    lag::Lag,
     lease::Rank,
     metrics::Metrics,
     pool::Pool,
@@ -54,6 +55,8 @@
     pub(crate) settings: RefCell<Settings>,
     pub(crate) protocol: Protocol,
     pub(crate) clock: Clock,
+    /// How late the event loop is.
+    pub(crate) lag: Lag,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) assignments: RefCell<BTreeMap<name::Service, Assignment>>,
@@ -171,10 +174,12 @@
 impl Shared {
     pub(crate) fn new(settings: Settings, protocol: Protocol) -> anyhow::Result<Self> {
         let metrics = Metrics::new()?;
+        let clock = Clock::start();
         Ok(Self {
             settings: RefCell::new(settings),
             protocol,
-            clock: Clock::start(),
+            clock,
+            lag: Lag::new(clock.now()),
             config: RefCell::default(),
             fleet: RefCell::default(),
             assignments: RefCell::default(),
@@ -219,6 +224,11 @@
         self.clock.now()
     }
 
+    /// Returns how late this host's event loop was at most in the recent past.
+    pub(crate) fn recent_lag(&self) -> Span {
+        self.lag.recent(self.now())
+    }
+
     /// Calls a function with the local state of a target, which is created if absent.
     pub(crate) fn with_endpoint<T>(
         &self,
