Count requests from the earliest time at which they can have arrived

Callers that had left, or whose time was over, had their requests sent to targets seconds later (GONE). A host took a request for new when it parsed it. One whose event loop is 4 s late reads bytes that have lain unread for 4 s, and skipped the look at the caller, which is made from an age of 50 ms. Behind unread bytes, the look did not see the end either: peek sees bytes first.

Each read is recorded with the earliest time at which its bytes can have arrived: now less the lag of the event loop, but not before the previous read, so a new request on a kept connection stays new. Requests that wait in the read buffer keep that time, and deadlines count from it. A request whose time is over is refused at once. The end of a connection is asked of the kernel by poll with RDHUP.

platform/tests/late.rs pauses the event loop of a host for 900 ms. Before the change three cases fail: requests of a caller that has left (one, and 20 at once) are run, and a request with 400 ms is answered with 200. The case of 20 requests needs the new look. The three pass with the change. entry/tests/arrivals.rs checks the times of the bytes.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -86,9 +86,8 @@
 }
 
 async fn serve(shared: Rc<Shared>, stream: TcpStream, is_forwarded: bool) {
-    let (stream, buffer) = Connection::new(stream).into_parts();
-    let stream = Rc::new(stream);
-    let mut session = Session::new(shared.clone(), stream.clone(), buffer, is_forwarded);
+    let stream = Rc::new(Connection::new(stream).into_stream());
+    let mut session = Session::new(shared.clone(), stream.clone(), is_forwarded);
     // Reply that became ready while an earlier one was written.
     let mut next = None;
     loop {
@@ -124,7 +123,7 @@
             Some(response) = session.pending.next() => next = Some(response),
             read = connection::read(&stream, &mut session.buffer), if reads => match read {
                 Ok(false) | Err(_) => return,
-                Ok(true) => {}
+                Ok(true) => session.record_read(),
             },
             () = shared.stop.reached(Phase::Closing), if !shared.stop.has_reached(Phase::Closing) => {}
             () = sleep_until(wakes_at) => session.handle_timeout(),
@@ -167,7 +166,10 @@
             },
             Some(response) = session.pending.next(), if next.is_none() => *next = Some(response),
             read = connection::read(stream, &mut session.buffer), if reads => match read {
-                Ok(true) => reads = session.has_space(),
+                Ok(true) => {
+                    session.record_read();
+                    reads = session.has_space();
+                }
                 Ok(false) | Err(_) if is_streamed => return Delivery::Left,
                 Ok(false) | Err(_) => reads = false,
             },
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -8,12 +8,9 @@
 };
 
 use bytes::BytesMut;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    time::timeout,
-};
+use tokio::{io::AsyncReadExt, net::TcpStream, time::timeout};
 
 use crate::message::{self, Response};
 
@@ -88,9 +85,9 @@
         }
     }
 
-    /// Writes all bytes.
+    /// Writes all bytes. The first ones leave at once if the connection takes them.
     pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+        write(&self.stream, bytes).await
     }
 
     /// Returns whether the peer has sent nothing and has not closed the connection.
@@ -109,19 +106,18 @@
         }
     }
 
-    /// Returns the stream and the buffer.
-    pub(crate) fn into_parts(self) -> (TcpStream, BytesMut) {
-        (self.stream, self.buffer)
+    /// Returns the stream, without the bytes in the buffer.
+    pub(crate) fn into_stream(self) -> TcpStream {
+        self.stream
     }
 }
 
-/// Returns whether the peer has closed the connection. Asks the kernel.
+/// Returns whether the peer has closed the connection or its sending side. Asks the kernel, and sees
+/// the end behind bytes that are not read yet.
 pub(crate) fn is_closed(stream: &TcpStream) -> bool {
-    let mut byte = [MaybeUninit::uninit()];
-    match SockRef::from(stream).peek(&mut byte) {
-        Ok(length) => length == 0,
-        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-    }
+    let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    poll(&mut polled, Some(&Timespec::default())).is_ok() && polled[0].revents().intersects(ends)
 }
 
 /// Reads bytes into a buffer. Returns false at the end of the stream.
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -20,7 +20,7 @@
     crash,
     message::Request,
     presence::Presence,
-    reply::{Problem, RETRY_AFTER_ABSENT_MS},
+    reply::{Problem, RETRY_AFTER_ABSENT_MS, RETRY_AFTER_BUSY_MS},
     shared::Shared,
 };
 
@@ -32,6 +32,7 @@
 pub(crate) struct Incoming {
     pub(crate) head: Request,
     pub(crate) body: Bytes,
+    /// Earliest time at which the first byte can have arrived.
     pub(crate) received: Instant,
     /// A request that is not idempotent stays in the register until it ends, even if its caller
     /// leaves.
@@ -119,8 +120,12 @@
         if let Some(problem) = crash::refusal(shared, fingerprint) {
             return Err(problem);
         }
+        let deadline = incoming.received + (timeout - REPLY_MARGIN);
+        if deadline <= shared.now() {
+            return Err(Problem::refusal("no time is left", RETRY_AFTER_BUSY_MS));
+        }
         Ok(Self {
-            deadline: incoming.received + (timeout - REPLY_MARGIN),
+            deadline,
             incoming,
             rule,
             service,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 mod activity;
 mod admission;
 mod apply;
+pub mod arrivals;
 mod attempt;
 pub mod call;
 mod caller;
--- a/crates/entry/src/presence.rs
+++ b/crates/entry/src/presence.rs
@@ -10,9 +10,9 @@
 
 use crate::connection;
 
-/// Time since the arrival of a request from which its caller's socket is looked at before the
-/// request is sent. A host that is short of processor time reads the end of a connection late.
-const MIN_WAIT: Span = Span::from_millis(50);
+/// Age of a request from which its caller's socket is looked at before the request is sent. A host
+/// that is short of processor time reads the end of a connection late.
+const MIN_AGE: Span = Span::from_millis(50);
 
 /// A request's view of its caller.
 #[derive(Clone)]
@@ -52,12 +52,12 @@
         while departure.changed().await.is_ok() {}
     }
 
-    /// Returns whether the caller of a request that arrived at `received` has left. Asks the kernel
-    /// if the request has waited, since the event loop may not have reported it yet.
+    /// Returns whether the caller of a request that may have arrived at `received` has left. Asks the
+    /// kernel if the request is old enough, since the event loop may not have reported it yet.
     pub(crate) fn has_left(&self, received: Instant, now: Instant) -> bool {
         let is_marked = |departure: &watch::Receiver<()>| departure.has_changed().is_err();
         self.departure.as_ref().is_some_and(is_marked)
-            || now.since(received) >= MIN_WAIT && connection::is_closed(&self.stream)
+            || now.since(received) >= MIN_AGE && connection::is_closed(&self.stream)
     }
 }
 
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     activity::Stage,
+    arrivals::Arrivals,
     connection,
     delivery::Response,
     job::Incoming,
@@ -38,6 +39,8 @@
     is_forwarded: bool,
     /// Bytes that were read and belong to no request yet.
     pub(crate) buffer: BytesMut,
+    /// When the bytes in the buffer arrived.
+    arrivals: Arrivals,
     /// Replies in the order of their requests.
     pub(crate) pending: Pending,
     /// Request whose body is not complete yet.
@@ -53,33 +56,41 @@
     head: Request,
     decoder: Decoder,
     body: BytesMut,
+    /// Earliest time at which the first byte of the request can have arrived.
     received: Instant,
 }
 
 impl Session {
-    /// Creates the session of an accepted connection, with the bytes that were already read from it.
-    pub(crate) fn new(
-        shared: Rc<Shared>,
-        stream: Rc<TcpStream>,
-        buffer: BytesMut,
-        is_forwarded: bool,
-    ) -> Self {
+    /// Creates the session of an accepted connection.
+    pub(crate) fn new(shared: Rc<Shared>, stream: Rc<TcpStream>, is_forwarded: bool) -> Self {
         let number = shared.accepted_connections.get() + 1;
         shared.accepted_connections.set(number);
+        let now = shared.now();
+        let established = now - shared.lag.current(now);
         Self {
             number,
             caller: Presence::new(stream),
             is_forwarded,
-            buffer,
+            buffer: BytesMut::new(),
+            arrivals: Arrivals::new(established),
             pending: FuturesOrdered::new(),
             partial: None,
             head_since: None,
-            idle_since: shared.now(),
+            idle_since: now,
             is_closed: false,
             shared,
         }
     }
 
+    /// Records that bytes were read into the buffer.
+    pub(crate) fn record_read(&mut self) {
+        let now = self.shared.now();
+        let lag = self.shared.lag.current(now);
+        let is_drained = self.buffer.len() < self.buffer.capacity();
+        self.arrivals
+            .record(now, lag, self.buffer.len(), is_drained);
+    }
+
     /// Parses the buffer and starts the requests that are complete.
     pub(crate) fn parse(&mut self) {
         while !self.is_closed && self.pending.len() < self.max_pending() {
@@ -87,6 +98,7 @@
                 Some(partial) => self.continue_body(partial),
                 None => self.start_head(),
             };
+            self.arrivals.retain(self.buffer.len());
             match is_started {
                 Ok(true) => {}
                 Ok(false) => return,
@@ -106,8 +118,9 @@
 
     fn start_head(&mut self) -> Result<bool, Problem> {
         let limits = self.limits();
-        let head = message::take_request(&mut self.buffer, limits.header_bytes);
         let now = self.shared.now();
+        let received = self.arrivals.oldest().unwrap_or(now);
+        let head = message::take_request(&mut self.buffer, limits.header_bytes);
         match head {
             Ok(Some(head)) => {
                 self.head_since = None;
@@ -116,7 +129,7 @@
                     head,
                     decoder,
                     body: BytesMut::new(),
-                    received: now,
+                    received,
                 };
                 self.continue_body(partial)
             }
