Check a request again right before its bytes leave

A target that drains, is evacuated or has been replaced got requests that were admitted before: a host that opened a connection sent the request when the connection was there, whatever it had learnt meanwhile.

attempt::send and the hop through another host ask for each reason not to send in one place: a stop, the caller, the time, a quarantined fingerprint and, for a target, whether it still serves under the same incarnation. The request goes back to admission and takes another target.

The check of the fingerprint and of the hop have no test of their own.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -20,6 +20,7 @@
     metrics::Way,
     rate_limit, reach,
     reply::{Remainder, Reply, Source},
+    search,
     shared::Shared,
     stop::Phase,
 };
@@ -82,20 +83,16 @@
     let Some(connection) = checkout.connection() else {
         return Attempt::failed(Outcome::NotSent, "no connection".to_owned());
     };
-    if shared.stop.has_reached(Phase::GivingUp) {
-        checkout.give_back(None);
-        return Attempt::failed(Outcome::NotSent, "the host stops".to_owned());
-    }
     let sent = shared.now();
-    if job.is_abandoned(sent) {
+    let obstacle = obstacle(shared, job, sent).or_else(|| {
+        let is_serving = search::is_serving(shared, incarnation);
+        (!is_serving).then_some("the target does not serve any more")
+    });
+    if let Some(cause) = obstacle {
         checkout.give_back(None);
-        return Attempt::failed(Outcome::NotSent, CALLER_LEFT.to_owned());
+        return Attempt::failed(Outcome::NotSent, cause.to_owned());
     }
     let left = job.deadline.since(sent);
-    if left.as_millis() == 0 {
-        checkout.give_back(None);
-        return Attempt::failed(Outcome::NotSent, "no time is left".to_owned());
-    }
     activity.set(Stage::Sent(incarnation.id.clone()));
     count_limited(shared, job, incarnation, &permit);
     let wire = encode(shared, job, target, left);
@@ -153,6 +150,21 @@
     }
 }
 
+/// Returns why a request is not to be sent any more. Asked right before its bytes leave: the host may
+/// have waited for a connection, and its event loop may be late.
+pub(crate) fn obstacle(shared: &Shared, job: &Job, now: Instant) -> Option<&'static str> {
+    if shared.stop.has_reached(Phase::GivingUp) {
+        return Some("the host stops");
+    }
+    if job.is_abandoned(now) {
+        return Some(CALLER_LEFT);
+    }
+    if job.deadline.since(now).as_millis() == 0 {
+        return Some("no time is left");
+    }
+    crash::refusal(shared, job.fingerprint).map(|problem| problem.reason)
+}
+
 /// Counts a request that is sent to a target with a rate limit, by the way that it took there.
 fn count_limited(shared: &Shared, job: &Job, incarnation: &Incarnation, permit: &Permit) {
     if rate_limit::rate(shared, incarnation, shared.now()).is_some() {
--- a/crates/entry/src/hop.rs
+++ b/crates/entry/src/hop.rs
@@ -158,10 +158,10 @@
         Err(error) => return pause(error.to_string()),
     };
     let now = shared.now();
-    let left = job.deadline.since(now);
-    if left.as_millis() == 0 || job.is_abandoned(now) {
-        return Attempt::failed(Outcome::NotSent, attempt::CALLER_LEFT.to_owned());
+    if let Some(cause) = attempt::obstacle(shared, job, now) {
+        return Attempt::failed(Outcome::NotSent, cause.to_owned());
     }
+    let left = job.deadline.since(now);
     job.incoming.activity.set(Stage::Forwarded);
     shared.metrics.record_forwarded();
     log::info!(request = job.id.as_str(), service = job.service.as_str(), via = host; "request sent through another host");
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -124,6 +124,11 @@
     }
 }
 
+/// Returns whether a target is there and takes requests.
+pub(crate) fn is_serving(shared: &Shared, incarnation: &Incarnation) -> bool {
+    serving(&shared.fleet.borrow(), incarnation).is_some()
+}
+
 fn serving<'a>(fleet: &'a Fleet, incarnation: &Incarnation) -> Option<&'a Target> {
     let target = fleet.get(&incarnation.id)?;
     let is_same = &target.registration.incarnation == incarnation;
