--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 mod activity;
 mod admission;
 mod apply;
+pub mod arrivals;
 mod attempt;
 pub mod call;
 mod caller;
@@ -18,6 +19,7 @@
 mod hop;
 mod job;
 pub mod journal;
+pub mod lag;
 mod leadership;
 mod lease;
 pub mod message;
