Test messages and records against those of earlier releases

Hosts of two versions run side by side while they are replaced one after the other. Nothing tested that they understand each other.

Records of the lease and of key ranges, and what hosts remember of them, are the same in both releases. The types become public for the test.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -48,7 +48,7 @@
 
 /// A topic that hosts follow.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub(crate) enum Topic {
+pub enum Topic {
     /// The operators' configuration and commands.
     Operators,
     /// Entries of targets.
@@ -58,10 +58,11 @@
 }
 
 impl Topic {
-    pub(crate) const ALL: [Self; 3] = [Self::Operators, Self::Targets, Self::Ownership];
+    /// All topics.
+    pub const ALL: [Self; 3] = [Self::Operators, Self::Targets, Self::Ownership];
 
     /// Returns the label of the topic in metrics.
-    pub(crate) fn label(self) -> &'static str {
+    pub fn label(self) -> &'static str {
         match self {
             Self::Operators => "operators",
             Self::Targets => "targets",
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -31,7 +31,7 @@
 
 /// Record of the lease in the store.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) struct Term {
+pub struct Term {
     pub(crate) number: u64,
     pub(crate) host: String,
     /// Whether the holder has released the lease and no longer sends grants and releases.
@@ -45,7 +45,7 @@
 }
 
 /// Order of terms: by timeline, then by number.
-pub(crate) type Rank = (Timeline, u64);
+pub type Rank = (Timeline, u64);
 
 impl Term {
     pub(crate) fn rank(&self) -> Rank {
--- a/crates/entry/src/rate_limit.rs
+++ b/crates/entry/src/rate_limit.rs
@@ -24,7 +24,7 @@
 /// A statement of a target, as hosts tell it to each other.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) struct Relayed {
+pub struct Relayed {
     target: Incarnation,
     /// The limit; none if it has ended.
     #[serde_as(as = "Option<DisplayFromStr>")]
--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -53,7 +53,7 @@
 
 /// Whether a host reaches a target.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) enum View {
+pub enum View {
     /// The target accepted a connection.
     Reached,
     /// The target refused a connection.
--- a/crates/entry/src/recovery.rs
+++ b/crates/entry/src/recovery.rs
@@ -31,7 +31,7 @@
 
 /// What a host remembers of the ownership of keys.
 #[derive(Debug, Default, Deserialize, Serialize)]
-struct Memory {
+pub struct Memory {
     /// Key ranges by service.
     ranges: BTreeMap<name::Service, Vec<Range>>,
     /// Latest term that the host knows.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -58,7 +58,7 @@
 
 /// Report of a host to the leader.
 #[derive(Debug, Deserialize, Serialize)]
-struct Report {
+pub struct Report {
     /// Timeline of the store to which the offsets belong.
     #[serde(default)]
     timeline: Timeline,
@@ -91,7 +91,7 @@
 
 /// The leader's response to a report.
 #[derive(Debug, Deserialize, Serialize)]
-struct Update {
+pub struct Update {
     /// Timeline of the store to which the offsets belong.
     #[serde(default)]
     timeline: Timeline,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -123,7 +123,7 @@
 
 /// Record of a registered host in the store.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub(crate) struct Host {
+pub struct Host {
     /// Address for the other hosts.
     pub(crate) address: Option<SocketAddr>,
     /// Address for requests that other hosts forward.
--- /dev/null
+++ b/crates/entry/tests/messages.rs
@@ -0,0 +1,137 @@
+//! Messages between hosts and records in the store, exchanged with hosts of an earlier release.
+
+mod earlier;
+
+use std::{fmt::Debug, fs, path::Path};
+
+use ragwortrill_entry::{
+    lease::Term,
+    reach::View,
+    recovery::Memory,
+    relay::{Report, Update},
+    shared::Host,
+};
+use ragwortrill_router::{assignment::Range, registration::Incarnation};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// A message or record as a host of an earlier release wrote it, and how it reads what this release
+/// makes of it.
+struct Case {
+    file: &'static str,
+    round_trip: fn(&[u8]) -> (String, String),
+}
+
+fn read(file: &str) -> Vec<u8> {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/messages");
+    let text = fs::read_to_string(path.join(file)).unwrap();
+    let text = text.trim();
+    if file.ends_with(".json") {
+        return text.as_bytes().to_vec();
+    }
+    let byte = |at: usize| u8::from_str_radix(&text[at..at + 2], 16).unwrap();
+    (0..text.len()).step_by(2).map(byte).collect()
+}
+
+fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut encoded = Vec::new();
+    ciborium::into_writer(value, &mut encoded).unwrap();
+    encoded
+}
+
+/// Returns a message as the earlier release reads it, before and after this release has decoded and
+/// encoded it.
+fn message<Old, New>(golden: &[u8]) -> (String, String)
+where
+    Old: Debug + DeserializeOwned,
+    New: DeserializeOwned + Serialize,
+{
+    let before: Old = ciborium::from_reader(golden).unwrap();
+    let decoded: New = ciborium::from_reader(golden).unwrap();
+    let after: Old = ciborium::from_reader(encode(&decoded).as_slice()).unwrap();
+    (format!("{before:?}"), format!("{after:?}"))
+}
+
+/// The same for a record in the store.
+fn record<Old, New>(golden: &[u8]) -> (String, String)
+where
+    Old: Debug + DeserializeOwned,
+    New: DeserializeOwned + Serialize,
+{
+    let before: Old = serde_json::from_slice(golden).unwrap();
+    let decoded: New = serde_json::from_slice(golden).unwrap();
+    let encoded = serde_json::to_vec(&decoded).unwrap();
+    let after: Old = serde_json::from_slice(&encoded).unwrap();
+    (format!("{before:?}"), format!("{after:?}"))
+}
+
+/// Guards against a host that can't read the messages and records of hosts of the earlier release,
+/// or writes some that they can't read, while hosts are replaced one after the other.
+#[test]
+fn messages_and_records_are_exchanged_with_the_earlier_release() {
+    let cases = [
+        Case {
+            file: "report-3898a17.hex",
+            round_trip: message::<earlier::Report, Report>,
+        },
+        Case {
+            file: "report-7d27191.hex",
+            round_trip: message::<earlier::Report, Report>,
+        },
+        Case {
+            file: "update-3898a17.hex",
+            round_trip: message::<earlier::Update, Update>,
+        },
+        Case {
+            file: "update-7d27191.hex",
+            round_trip: message::<earlier::Update, Update>,
+        },
+        Case {
+            file: "memory-7d27191.hex",
+            round_trip: message::<earlier::Memory, Memory>,
+        },
+        Case {
+            file: "question-7d27191.hex",
+            round_trip: message::<earlier::Incarnation, Incarnation>,
+        },
+        Case {
+            file: "view-reached-7d27191.hex",
+            round_trip: message::<earlier::View, View>,
+        },
+        Case {
+            file: "view-refused-7d27191.hex",
+            round_trip: message::<earlier::View, View>,
+        },
+        Case {
+            file: "view-silent-7d27191.hex",
+            round_trip: message::<earlier::View, View>,
+        },
+        Case {
+            file: "view-unknown-7d27191.hex",
+            round_trip: message::<earlier::View, View>,
+        },
+        Case {
+            file: "host-3898a17.json",
+            round_trip: record::<earlier::Host, Host>,
+        },
+        Case {
+            file: "host-7d27191.json",
+            round_trip: record::<earlier::Host, Host>,
+        },
+        Case {
+            file: "range-held-7d27191.json",
+            round_trip: record::<earlier::Range, Range>,
+        },
+        Case {
+            file: "range-moving-7d27191.json",
+            round_trip: record::<earlier::Range, Range>,
+        },
+        Case {
+            file: "term-7d27191.json",
+            round_trip: record::<earlier::Term, Term>,
+        },
+    ];
+    for case in cases {
+        let (before, after) = (case.round_trip)(&read(case.file));
+        assert_eq!(before, after, "{}", case.file);
+    }
+}
