Relay large records compressed and as byte strings

The leader sent each value as a CBOR array of integers, which takes two bytes for each byte above 23 and one step of the codec each: 394,774 bytes for a configuration of 197,363 bytes, 32 MB for 81 hosts. That is 1.3 s of the leader's link (200 Mbit/s), or 26 s of a small host's link. The answers ran into their timeout, the hosts asked again, and read the store themselves 0.7 s before the bound.

Values are sent as byte strings, and those from 4 KiB on compressed, once for all hosts: 14,857 bytes for the same configuration. Hosts say that they read compressed records; hosts of earlier releases don't, and get byte strings, which their codec reads as arrays.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -25,15 +25,17 @@
     update::Timing,
 };
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 use tokio::time::{sleep, timeout};
 
 use crate::{
     apply,
     call::{Call, Client},
-    crash,
+    compression, crash,
     follow::{self, Topic},
     protocol::Record,
     rate_limit,
+    replica::Replica,
     shared::Shared,
     stop::Phase,
 };
@@ -87,6 +89,9 @@
     /// Rate limits that targets state to the host.
     #[serde(default)]
     rate_limits: Vec<rate_limit::Relayed>,
+    /// Whether the host reads compressed records. Hosts of version 7d27191 and earlier don't.
+    #[serde(default)]
+    reads_compressed: bool,
 }
 
 /// The leader's response to a report.
@@ -116,9 +121,16 @@
 }
 
 /// New records of one topic.
+#[serde_as]
 #[derive(Debug, Deserialize, Serialize)]
-struct Changes {
+pub struct Changes {
+    /// Keys, values and offsets of the records.
+    #[serde_as(as = "Vec<(_, Option<serde_with::Bytes>, _)>")]
     records: Vec<(String, Option<Vec<u8>>, u64)>,
+    /// Keys, compressed values and offsets of large records.
+    #[serde(default)]
+    #[serde_as(as = "Vec<(_, serde_with::Bytes, _)>")]
+    compressed: Vec<(String, Vec<u8>, u64)>,
     /// Whether these are the newest records of all keys.
     #[serde(default)]
     is_complete: bool,
@@ -131,6 +143,59 @@
     age_us: u64,
 }
 
+impl Changes {
+    /// Returns what a host lacks that has all records before an offset, or has none if there is no
+    /// offset. Returns none if the replica can't tell.
+    pub fn since(
+        replica: &Replica,
+        from: Option<Offset>,
+        now: Instant,
+        compresses: bool,
+    ) -> Option<Self> {
+        let next = replica.next_offset()?;
+        let records = match from {
+            Some(from) => replica.changes_since(from)?,
+            None => replica.all()?,
+        };
+        let mut plain = Vec::new();
+        let mut compressed = Vec::new();
+        for record in records {
+            let packed = compresses.then(|| replica.compressed(&record)).flatten();
+            let offset = record.offset.0;
+            match packed {
+                Some(packed) => compressed.push((record.key, packed.to_vec(), offset)),
+                None => plain.push((record.key, record.value.map(Vec::from), offset)),
+            }
+        }
+        Some(Self {
+            records: plain,
+            compressed,
+            is_complete: from.is_none(),
+            next_offset: next.0,
+            age_us: now.since(replica.read_at()).0,
+        })
+    }
+
+    /// Returns the records, in their order.
+    pub fn into_records(self) -> Result<Vec<Record>> {
+        let record = |(key, value, offset): (String, Option<Vec<u8>>, u64)| Record {
+            key,
+            value: value.map(Bytes::from),
+            offset: Offset(offset),
+        };
+        let mut records: Vec<Record> = self.records.into_iter().map(record).collect();
+        for (key, value, offset) in self.compressed {
+            records.push(Record {
+                key,
+                value: Some(compression::decompress(&value)?),
+                offset: Offset(offset),
+            });
+        }
+        records.sort_by_key(|record| record.offset);
+        Ok(records)
+    }
+}
+
 /// Sends reports to the leader for as long as the host runs.
 pub(crate) async fn run(shared: Rc<Shared>) {
     let mut client: Option<(SocketAddr, Client)> = None;
@@ -233,6 +298,7 @@
         quarantined: quarantined.into_iter().collect(),
         verdicts,
         rate_limits,
+        reads_compressed: true,
         traffic: traffic
             .iter_mut()
             .map(|(service, traffic)| (service.clone(), traffic.take_unsent()))
@@ -293,25 +359,25 @@
             age: Span(changes.age_us),
         };
         let confirmed_at = timing.confirmed_at(sent).min(shared.now());
-        apply_changes(shared, confirmed_at, topic, changes);
+        apply_changes(shared, confirmed_at, topic, changes)?;
     }
     Ok(update.verdicts)
 }
 
-fn apply_changes(shared: &Rc<Shared>, confirmed_at: Instant, topic: Topic, changes: Changes) {
-    let record = |(key, value, offset): (String, Option<Vec<u8>>, u64)| Record {
-        key,
-        value: value.map(Bytes::from),
-        offset: Offset(offset),
-    };
-    let records: Vec<Record> = changes.records.into_iter().map(record).collect();
+fn apply_changes(
+    shared: &Rc<Shared>,
+    confirmed_at: Instant,
+    topic: Topic,
+    changes: Changes,
+) -> Result<()> {
     let known = follow::next_offset(shared, topic);
-    let follows = |known: Offset| known.0 <= changes.next_offset;
-    if !known.map_or(changes.is_complete, follows) {
-        return;
+    let (is_complete, next) = (changes.is_complete, Offset(changes.next_offset));
+    if !known.map_or(is_complete, |known| known <= next) {
+        return Ok(());
     }
-    apply::apply(shared, topic, records, changes.is_complete);
-    follow::advance(shared, topic, Offset(changes.next_offset), confirmed_at);
+    apply::apply(shared, topic, changes.into_records()?, is_complete);
+    follow::advance(shared, topic, next, confirmed_at);
+    Ok(())
 }
 
 fn reported_crashes(
@@ -371,19 +437,10 @@
     let replicas = shared.replicas.borrow();
     let changes = |topic: Topic, from: Option<u64>| {
         let replica = replicas.get(&topic)?;
-        let next = replica.next_offset()?;
-        let records = match from {
-            Some(from) => replica.changes_since(Offset(from))?,
-            None => replica.all()?,
-        };
-        let record = |r: Record| (r.key, r.value.map(|value| value.to_vec()), r.offset.0);
-        let changes = Changes {
-            records: records.into_iter().map(record).collect(),
-            is_complete: from.is_none(),
-            next_offset: next.0,
-            age_us: now.since(replica.read_at()).0,
-        };
-        Some((topic, changes))
+        Some((
+            topic,
+            Changes::since(replica, from.map(Offset), now, report.reads_compressed)?,
+        ))
     };
     let timeline = shared.timeline.get().unwrap_or_default();
     // Offsets of another timeline say nothing about what the host lacks.
--- a/crates/entry/src/replica.rs
+++ b/crates/entry/src/replica.rs
@@ -1,21 +1,26 @@
 //! In-memory copy of the newest records of a topic, from which changes are relayed to other hosts.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use bytes::Bytes;
 use ragwortrill_core::{number::Offset, time::Instant};
 
-use crate::protocol::Record;
+use crate::{compression, protocol::Record};
 
 /// Largest number of tombstones that are kept, so that removed keys are relayed to other hosts.
 const MAX_TOMBSTONES: usize = 2_000;
 
 /// Newest records of a topic by key. A record without a value is the tombstone of a removed key.
 #[derive(Debug, Default)]
-pub(crate) struct Replica {
+pub struct Replica {
     records: BTreeMap<String, (Offset, Option<Bytes>)>,
     /// Keys of the records by offset, so that the cost of an update grows with what is new in it.
     keys: BTreeMap<Offset, String>,
+    /// Compressed values of large records by offset, which are sent to many hosts.
+    compressed: RefCell<BTreeMap<Offset, Option<Bytes>>>,
     /// Offsets of the tombstones.
     tombstones: BTreeSet<Offset>,
     /// Offset of the next record to read; none before the first complete list.
@@ -28,23 +33,24 @@
 
 impl Replica {
     /// Returns the offset of the next record to read.
-    pub(crate) fn next_offset(&self) -> Option<Offset> {
+    pub fn next_offset(&self) -> Option<Offset> {
         self.next
     }
 
     /// Returns the time as of which the replica is known to be up to date with the store.
-    pub(crate) fn read_at(&self) -> Instant {
+    pub fn read_at(&self) -> Instant {
         self.read_at
     }
 
     /// Stores a record. Returns false if a newer one of its key is stored already.
-    pub(crate) fn store(&mut self, record: &Record) -> bool {
+    pub fn store(&mut self, record: &Record) -> bool {
         let known = self.records.get(&record.key).map(|(offset, _)| *offset);
         if known.is_some_and(|offset| offset > record.offset) {
             return false;
         }
         if let Some(known) = known {
             self.keys.remove(&known);
+            self.compressed.get_mut().remove(&known);
             self.tombstones.remove(&known);
         }
         if record.value.is_none() {
@@ -58,7 +64,7 @@
     }
 
     /// Records that all records before `next` have been read, as the store held them at `read_at`.
-    pub(crate) fn advance(&mut self, next: Offset, read_at: Instant) {
+    pub fn advance(&mut self, next: Offset, read_at: Instant) {
         if self.next.is_none() {
             self.complete_from = next;
         }
@@ -90,6 +96,20 @@
         Some(self.since(from))
     }
 
+    /// Returns the compressed value of a record of this replica, if it is large and compression
+    /// makes it much smaller. The value is compressed once.
+    pub fn compressed(&self, record: &Record) -> Option<Bytes> {
+        let value = record.value.as_ref()?;
+        if value.len() < compression::MIN_BYTES {
+            return None;
+        }
+        let mut compressed = self.compressed.borrow_mut();
+        let entry = compressed.entry(record.offset);
+        entry
+            .or_insert_with(|| compression::compress(value))
+            .clone()
+    }
+
     fn since(&self, from: Offset) -> Vec<Record> {
         let record = |(offset, key): (&Offset, &String)| {
             let (_, value) = self.records.get(key)?;
--- a/crates/entry/tests/earlier/mod.rs
+++ b/crates/entry/tests/earlier/mod.rs
@@ -71,8 +71,8 @@
 }
 
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
-struct Changes {
-    records: Vec<(String, Option<Vec<u8>>, u64)>,
+pub struct Changes {
+    pub records: Vec<(String, Option<Vec<u8>>, u64)>,
     #[serde(default)]
     is_complete: bool,
     next: u64,
--- a/crates/entry/tests/messages.rs
+++ b/crates/entry/tests/messages.rs
@@ -4,11 +4,15 @@
 
 use std::{fmt::Debug, fs, path::Path};
 
+use bytes::Bytes;
+use ragwortrill_core::{number::Offset, time::Instant};
 use ragwortrill_entry::{
     lease::Term,
+    protocol::Record,
     reach::View,
     recovery::Memory,
-    relay::{Report, Update},
+    relay::{Changes, Report, Update},
+    replica::Replica,
     shared::Host,
 };
 use ragwortrill_router::{assignment::Range, registration::Incarnation};
@@ -135,3 +139,27 @@
         assert_eq!(before, after, "{}", case.file);
     }
 }
+
+/// Guards against a leader that sends compressed records to a host of a release that can't read
+/// them: it would take the configuration as unchanged.
+#[test]
+fn earlier_releases_get_large_records_uncompressed() {
+    let value = vec![b'a'; 100_000];
+    let mut replica = Replica::default();
+    replica.advance(Offset(1), Instant(0));
+    replica.store(&Record {
+        key: "config".to_owned(),
+        value: Some(Bytes::from(value.clone())),
+        offset: Offset(8),
+    });
+    replica.advance(Offset(9), Instant(0));
+    let cases = [
+        (false, vec![("config".to_owned(), Some(value), 8)]),
+        (true, Vec::new()),
+    ];
+    for (compresses, records) in cases {
+        let changes = Changes::since(&replica, Some(Offset(1)), Instant(0), compresses).unwrap();
+        let decoded: earlier::Changes = ciborium::from_reader(encode(&changes).as_slice()).unwrap();
+        assert_eq!(decoded.records, records, "compresses: {compresses}");
+    }
+}
