Start own reads of the store by the host's own speed

A host read the store itself once the leader's records were 0.7 s short of the bound, whatever its own reads took and whether or not the leader answered at all.

A host now remembers the time of its slowest recent read and how late its event loop was, and starts earlier by twice the first and the second, but not before records are 1 s old, the age that they reach in normal operation. If the leader's answer is overdue or the exchange failed, it reads at that age at once. The first such read doesn't wait for a new record, so that it confirms the state. With fast reads and answers in time nothing changes. A copy that gets older than the bound is logged, and its gauge shows -1 until the topic has been read, where it showed the time since the start.

Both tests of router/tests/fallback.rs failed while max_relay_age returned the usual age in each case (1.8 s for a host with reads of 0.5 s).

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -41,6 +41,8 @@
 /// Age up to which the leader's relayed records of the ownership topic replace this host's own
 /// reads, which would wait for new records.
 const MAX_OWNERSHIP_RELAY_AGE: Span = Span::from_millis(4_300);
+/// Age from which this host's copy of the ownership topic counts as outdated.
+const MAX_OWNERSHIP_AGE: Span = Span::from_millis(5_000);
 /// Interval between two checks whether the leader's relayed records are recent enough.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Assumed age of a response of the store when it arrives.
@@ -96,15 +98,26 @@
         self == Self::Ownership && (shared.leader.borrow().is_none() || shared.is_leading.get())
     }
 
-    /// Returns the age up to which the leader's relayed records replace this host's own reads.
-    fn max_relay_age(self, shared: &Shared) -> Span {
+    /// Returns the age that this host's copy of the topic must not exceed.
+    fn max_age(self, shared: &Shared) -> Span {
         let bounds = &shared.settings.borrow().bounds;
         match self {
-            Self::Targets => Bounds::max_relay_age(bounds.drain),
-            Self::Operators => Bounds::max_relay_age(bounds.config_apply),
-            Self::Ownership => MAX_OWNERSHIP_RELAY_AGE,
+            Self::Targets => bounds.drain,
+            Self::Operators => bounds.config_apply,
+            Self::Ownership => MAX_OWNERSHIP_AGE,
         }
     }
+
+    /// Returns the age up to which the leader's relayed records replace this host's own reads.
+    fn max_relay_age(self, shared: &Shared) -> Span {
+        let bound = self.max_age(shared);
+        let usual = match self {
+            Self::Ownership => return MAX_OWNERSHIP_RELAY_AGE,
+            _ => Bounds::max_relay_age(bound),
+        };
+        let fallback = shared.fallback.borrow();
+        fallback.max_relay_age(shared.now(), bound, usual)
+    }
 }
 
 /// Follows a topic: reads it from the store unless the leader's relayed records are recent enough.
@@ -118,18 +131,27 @@
         }
         if is_relayed(&shared, topic) && next_offset(&shared, topic).is_some() {
             shared.failed_topics.borrow_mut().remove(&topic);
-            sleep(RELAY_CHECK_INTERVAL).await;
+            wait_to_check_relay(&shared).await;
             if topic == Topic::Targets {
                 expire_targets(&shared);
             }
             continue;
         }
-        // After a failure, a read that waits would delay the recovery by its wait.
-        let wait = match is_failing || topic.is_polled(&shared) {
+        report_age(&shared, topic);
+        // After a failure, a read that waits would delay the recovery by its wait. The first read in
+        // place of a late relay confirms at once what is newest.
+        let is_urgent = is_failing || is_due(&shared, topic);
+        let wait = match is_urgent || topic.is_polled(&shared) {
             true => Span::ZERO,
             false => topic.read_wait(),
         };
+        let started = shared.now();
         let outcome = read_once(&shared, &mut store, topic, wait).await;
+        if outcome.is_ok() && wait == Span::ZERO {
+            let now = shared.now();
+            let mut fallback = shared.fallback.borrow_mut();
+            fallback.record_read(now, now.since(started));
+        }
         record_store_result(&shared, outcome.is_ok());
         let name = topic.store_name(&shared);
         match outcome {
@@ -165,6 +187,47 @@
     }
 }
 
+/// Waits until the age of the relayed records is to be checked again, and records how late the event
+/// loop was.
+async fn wait_to_check_relay(shared: &Shared) {
+    let due = shared.now() + Span::from_micros(RELAY_CHECK_INTERVAL.as_micros() as u64);
+    sleep(RELAY_CHECK_INTERVAL).await;
+    let now = shared.now();
+    let mut fallback = shared.fallback.borrow_mut();
+    fallback.record_lag(now, now.since(due));
+}
+
+/// Returns the age of this host's copy of a topic; none before its first complete list.
+fn age(shared: &Shared, topic: Topic) -> Option<Span> {
+    let replicas = shared.replicas.borrow();
+    let replica = replicas.get(&topic)?;
+    replica.next_offset()?;
+    Some(shared.now().since(replica.read_at()))
+}
+
+/// Returns whether the topic has to be read before a read that waits could confirm its state.
+fn is_due(shared: &Shared, topic: Topic) -> bool {
+    age(shared, topic).is_some_and(|age| age >= topic.max_relay_age(shared))
+}
+
+/// Logs when this host's copy of a topic gets older than it may be, and when it is recent again.
+fn report_age(shared: &Shared, topic: Topic) {
+    let Some(age) = age(shared, topic) else {
+        return;
+    };
+    let is_outdated = age > topic.max_age(shared);
+    let mut outdated = shared.outdated_topics.borrow_mut();
+    match is_outdated {
+        true if outdated.insert(topic) => {
+            log::warn!(topic = topic.label(), age_ms = age.as_millis(), bound_ms = topic.max_age(shared).as_millis(); "topic was not read in time; this host acts on older records");
+        }
+        false if outdated.remove(&topic) => {
+            log::info!(topic = topic.label(), age_ms = age.as_millis(); "topic is up to date again");
+        }
+        _ => {}
+    }
+}
+
 /// Makes the operators' topic be listed anew once they have written again what a restore of the
 /// store lost.
 fn relist_operators(shared: &Shared) {
@@ -215,7 +278,9 @@
 /// Records that the leader has relayed all records before an offset, as the store held them at
 /// `read_at`.
 pub(crate) fn advance(shared: &Shared, topic: Topic, next: Offset, read_at: Instant) {
+    report_age(shared, topic);
     shared.advance_replica(topic, next, read_at);
+    report_age(shared, topic);
     shared.relayed_at.borrow_mut().insert(topic, read_at);
     if topic == Topic::Targets && is_relayed(shared, topic) {
         record_store_result(shared, true);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -7,7 +7,7 @@
 use ragwortrill_core::time::Span;
 use ragwortrill_router::retry::Outcome;
 
-use crate::{exporter::Exporter, follow::Topic, shared::Shared};
+use crate::{exporter::Exporter, follow::Topic, replica::Replica, shared::Shared};
 
 /// Counters, histograms and gauges of a host.
 #[derive(Debug)]
@@ -210,7 +210,9 @@
             age: meter
                 .f64_gauge("ragwortrill.store.age")
                 .with_unit("s")
-                .with_description("Time since the store last told what is newest, by topic")
+                .with_description(
+                    "Age of what this host knows of the store, by topic; -1 if it knows nothing",
+                )
                 .build(),
         }
     }
@@ -245,7 +247,9 @@
         self.timeline.record(timeline.0, &[]);
         for topic in Topic::ALL {
             let replicas = shared.replicas.borrow();
-            let read_at = replicas.get(&topic).map(|replica| replica.read_at());
+            let is_read = |replica: &&Replica| replica.next_offset().is_some();
+            let replica = replicas.get(&topic).filter(is_read);
+            let read_at = replica.map(Replica::read_at);
             let age = read_at.map_or(-1.0, |at| now.since(at).as_secs_f64());
             self.age
                 .record(age, &[KeyValue::new("topic", topic.label())]);
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -55,6 +55,8 @@
 const MAX_HOLD: Duration = Duration::from_millis(550);
 /// Time allowed for the leader's response in addition to the time for which it holds the report.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
+/// Time from the leader's response until it has arrived, after which the host reads the store itself.
+const DELIVERY_TIME: Duration = Duration::from_millis(100);
 /// Largest response of the leader, in which it sends all records that a host lacks.
 const MAX_UPDATE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -221,6 +223,7 @@
             observer.acknowledge(shared.now(), &crashes);
             drop(observer);
             crash::evaluate(&shared);
+            shared.fallback.borrow_mut().answer_arrived();
             client = None;
             delay = REPORT_INTERVAL;
             continue;
@@ -234,11 +237,14 @@
             Ok(version) => {
                 verdicts = version;
                 delay = REPORT_INTERVAL;
+                shared.fallback.borrow_mut().answer_arrived();
                 let mut observer = shared.crash_observer.borrow_mut();
                 observer.acknowledge(shared.now(), &crashes);
             }
             Err(error) => {
                 delay = (delay * 2).min(MAX_REPORT_INTERVAL);
+                let now = shared.now();
+                shared.fallback.borrow_mut().answer_failed(now);
                 log::debug!(leader = address.to_string(), error = format!("{error:#}"); "exchange with the leader failed; retrying")
             }
         }
@@ -317,9 +323,10 @@
         body: Bytes::from(body),
     };
     let sent = shared.now();
-    let reply = client
-        .call(&call, hold_time(shared) + round(shared) + RESPONSE_MARGIN)
-        .await?;
+    let usual = hold_time(shared) + round(shared);
+    let due = sent + Span::from_micros((usual + DELIVERY_TIME).as_micros() as u64);
+    shared.fallback.borrow_mut().expect_answer(due);
+    let reply = client.call(&call, usual + RESPONSE_MARGIN).await?;
     if reply.status != 200 {
         bail!("the leader answered with status {}", reply.status);
     }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -20,6 +20,7 @@
     breaker::Breaker,
     config::Config,
     crash::{Aggregator, Observer},
+    fallback::Fallback,
     fleet::Fleet,
     links::Links,
     load::Load,
@@ -79,6 +80,10 @@
     pub(crate) store_recovered: Notify,
     /// Time as of which the leader's relayed records of a topic are up to date.
     pub(crate) relayed_at: RefCell<BTreeMap<Topic, Instant>>,
+    /// When this host reads the store itself although another host leads.
+    pub(crate) fallback: RefCell<Fallback>,
+    /// Topics of which this host's copy was found older than it may be.
+    pub(crate) outdated_topics: RefCell<BTreeSet<Topic>>,
     pub(crate) endpoints: RefCell<BTreeMap<Incarnation, Endpoint>>,
     pub(crate) traffic: RefCell<BTreeMap<name::Service, Traffic>>,
     /// Crashes of targets that this host observed, with the requests that were in flight.
@@ -189,6 +194,8 @@
             relist_at: Cell::new(None),
             store_recovered: Notify::new(),
             relayed_at: RefCell::default(),
+            fallback: RefCell::default(),
+            outdated_topics: RefCell::default(),
             endpoints: RefCell::default(),
             traffic: RefCell::default(),
             crash_observer: RefCell::default(),
--- /dev/null
+++ b/crates/router/src/fallback.rs
@@ -0,0 +1,81 @@
+//! Decides when a host reads the store itself, because what the leader relays gets too old.
+
+use ragwortrill_core::time::{Instant, Span};
+
+/// Age that the leader's relayed records reach in normal operation: they may be as old as the leader's
+/// last read, and the next answer comes after the time for which the leader holds a report. A host
+/// that read the store itself before would do so all the time.
+const MIN_RELAY_AGE: Span = Span::from_millis(1_000);
+/// Time for the requests that are already being sent when a new record takes effect.
+const SENDING_TIME: Span = Span::from_millis(100);
+/// Time after which a slow read or a late event loop counts half.
+const HALF_LIFE: Span = Span::from_secs(5);
+
+/// What a host knows of its own reads and of the leader's answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Fallback {
+    read_time: Peak,
+    lag: Peak,
+    /// When the answer to the pending report is due; in the past after a report without an answer.
+    answer_due: Option<Instant>,
+}
+
+/// Largest of the latest values.
+#[derive(Clone, Copy, Debug, Default)]
+struct Peak {
+    value: Span,
+    at: Instant,
+}
+
+impl Peak {
+    fn record(&mut self, now: Instant, value: Span) {
+        if value >= self.get(now) {
+            *self = Self { value, at: now };
+        }
+    }
+
+    fn get(&self, now: Instant) -> Span {
+        let halvings = now.since(self.at).0 / HALF_LIFE.0;
+        Span(self.value.0 >> halvings.min(63))
+    }
+}
+
+impl Fallback {
+    /// Records how long an own read took, from its start until its records were applied.
+    pub fn record_read(&mut self, now: Instant, taken: Span) {
+        self.read_time.record(now, taken);
+    }
+
+    /// Records how late a timer of the event loop was.
+    pub fn record_lag(&mut self, now: Instant, lag: Span) {
+        self.lag.record(now, lag);
+    }
+
+    /// Records that a report was sent whose answer is due at a time.
+    pub fn expect_answer(&mut self, due: Instant) {
+        // After a report without an answer, the relay stays late until the next answer.
+        self.answer_due = Some(self.answer_due.map_or(due, |earlier| earlier.min(due)));
+    }
+
+    /// Records that the leader's answer arrived, or that no other host leads any more.
+    pub fn answer_arrived(&mut self) {
+        self.answer_due = None;
+    }
+
+    /// Records that a report got no answer.
+    pub fn answer_failed(&mut self, now: Instant) {
+        self.expect_answer(now);
+    }
+
+    /// Returns the age up to which relayed records replace an own read. `usual` is that age for a host
+    /// whose reads are fast, and `bound` the age that the host's view must not exceed.
+    pub fn max_relay_age(&self, now: Instant, bound: Span, usual: Span) -> Span {
+        let least = MIN_RELAY_AGE.min(usual);
+        if self.answer_due.is_some_and(|due| due <= now) {
+            return least;
+        }
+        // A failed read is repeated once.
+        let needed = self.read_time.get(now).scale(2, 1) + self.lag.get(now) + SENDING_TIME;
+        (bound - needed).min(usual).max(least)
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod choice;
 pub mod config;
 pub mod crash;
+pub mod fallback;
 pub mod fleet;
 pub mod leader;
 pub mod links;
--- /dev/null
+++ b/crates/router/tests/fallback.rs
@@ -0,0 +1,177 @@
+//! Age of relayed records at which a host reads the store itself.
+
+use ragwortrill_core::time::{Instant, Span};
+use ragwortrill_router::fallback::Fallback;
+
+/// Bound on the age of a configuration.
+const BOUND: Span = Span::from_millis(2_500);
+/// Age up to which a host with fast reads relies on relayed records.
+const USUAL: Span = Span::from_millis(1_800);
+
+struct Case {
+    name: &'static str,
+    /// Time that an own read took.
+    read_ms: u64,
+    /// Lateness of the event loop.
+    lag_ms: u64,
+    /// Time since both were seen.
+    passed_ms: u64,
+    /// Largest and least age at which the host still relies on relayed records.
+    at_most_ms: u64,
+    at_least_ms: u64,
+}
+
+fn at(ms: u64) -> Instant {
+    Instant(Span::from_millis(100_000 + ms).0)
+}
+
+/// Guards against a slow or late host that starts its own read so late that it acts on a configuration
+/// that is older than the bound, and against needless reads of a fast host.
+#[test]
+fn slow_and_late_hosts_read_the_store_earlier() {
+    let cases = [
+        Case {
+            name: "fast",
+            read_ms: 60,
+            lag_ms: 10,
+            passed_ms: 0,
+            at_most_ms: 1_800,
+            at_least_ms: 1_800,
+        },
+        Case {
+            name: "slow reads",
+            read_ms: 500,
+            lag_ms: 0,
+            passed_ms: 0,
+            at_most_ms: 1_500,
+            at_least_ms: 1_000,
+        },
+        Case {
+            name: "late event loop",
+            read_ms: 300,
+            lag_ms: 400,
+            passed_ms: 0,
+            at_most_ms: 1_500,
+            at_least_ms: 1_000,
+        },
+        Case {
+            name: "no earlier than relayed records arrive in normal operation",
+            read_ms: 5_000,
+            lag_ms: 5_000,
+            passed_ms: 0,
+            at_most_ms: 1_000,
+            at_least_ms: 1_000,
+        },
+        Case {
+            name: "slow a while ago",
+            read_ms: 500,
+            lag_ms: 400,
+            passed_ms: 30_000,
+            at_most_ms: 1_800,
+            at_least_ms: 1_800,
+        },
+    ];
+    for case in cases {
+        let mut fallback = Fallback::default();
+        fallback.record_read(at(0), Span::from_millis(case.read_ms));
+        fallback.record_lag(at(0), Span::from_millis(case.lag_ms));
+        let age = fallback.max_relay_age(at(case.passed_ms), BOUND, USUAL);
+        let name = case.name;
+        assert!(age.as_millis() <= case.at_most_ms, "{name}: {age}");
+        assert!(age.as_millis() >= case.at_least_ms, "{name}: {age}");
+    }
+}
+
+/// An event of the exchange with the leader.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// A report is sent whose answer is due after a time.
+    Sent {
+        due_ms: u64,
+    },
+    Answered,
+    Failed,
+}
+
+struct Exchange {
+    name: &'static str,
+    events: &'static [(u64, Event)],
+    now_ms: u64,
+    is_late: bool,
+}
+
+/// Guards against a host that believes the age of earlier answers while the leader is silent, and
+/// reads the store only shortly before the bound.
+#[test]
+fn host_reads_the_store_as_soon_as_the_leader_is_late() {
+    use Event::{Answered, Failed, Sent};
+    let cases = [
+        Exchange {
+            name: "no report yet",
+            events: &[],
+            now_ms: 0,
+            is_late: false,
+        },
+        Exchange {
+            name: "answer is not due yet",
+            events: &[(0, Sent { due_ms: 900 })],
+            now_ms: 800,
+            is_late: false,
+        },
+        Exchange {
+            name: "answer is due",
+            events: &[(0, Sent { due_ms: 900 })],
+            now_ms: 900,
+            is_late: true,
+        },
+        Exchange {
+            name: "answer arrived",
+            events: &[(0, Sent { due_ms: 900 }), (950, Answered)],
+            now_ms: 950,
+            is_late: false,
+        },
+        Exchange {
+            name: "refused at once",
+            events: &[(0, Sent { due_ms: 900 }), (5, Failed)],
+            now_ms: 5,
+            is_late: true,
+        },
+        Exchange {
+            name: "next report after one without an answer",
+            events: &[
+                (0, Sent { due_ms: 900 }),
+                (1_300, Failed),
+                (1_400, Sent { due_ms: 2_300 }),
+            ],
+            now_ms: 1_500,
+            is_late: true,
+        },
+        Exchange {
+            name: "answer after one that failed",
+            events: &[
+                (0, Sent { due_ms: 900 }),
+                (1_300, Failed),
+                (1_400, Sent { due_ms: 2_300 }),
+                (1_600, Answered),
+            ],
+            now_ms: 1_700,
+            is_late: false,
+        },
+    ];
+    for case in cases {
+        let mut fallback = Fallback::default();
+        for (ms, event) in case.events {
+            match event {
+                Sent { due_ms } => fallback.expect_answer(at(*due_ms)),
+                Answered => fallback.answer_arrived(),
+                Failed => fallback.answer_failed(at(*ms)),
+            }
+        }
+        let age = fallback.max_relay_age(at(case.now_ms), BOUND, USUAL);
+        let expected = match case.is_late {
+            true => Span::from_millis(1_000),
+            false => USUAL,
+        };
+        assert_eq!(age, expected, "{}", case.name);
+    }
+}
