--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -25,15 +25,18 @@
     update::Timing,
 };
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 use tokio::time::{sleep, timeout};
 
 use crate::{
     apply,
     call::{Call, Client},
-    crash,
+    compression, crash,
     follow::{self, Topic},
+    notice::{Digests, Notices},
     protocol::Record,
     rate_limit,
+    replica::Replica,
     shared::Shared,
     stop::Phase,
 };
@@ -53,12 +56,14 @@
 const MAX_HOLD: Duration = Duration::from_millis(550);
 /// Time allowed for the leader's response in addition to the time for which it holds the report.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
+/// Time from the leader's response until it has arrived, after which the host reads the store itself.
+const DELIVERY_TIME: Duration = Duration::from_millis(100);
 /// Largest response of the leader, in which it sends all records that a host lacks.
 const MAX_UPDATE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Report of a host to the leader.
 #[derive(Debug, Deserialize, Serialize)]
-struct Report {
+pub struct Report {
     /// Timeline of the store to which the offsets belong.
     #[serde(default)]
     timeline: Timeline,
@@ -68,6 +73,13 @@
     /// Topics that the host has not read and can't read from the store.
     #[serde(default)]
     unread: BTreeSet<Topic>,
+    /// Whether the host reads compressed records. Hosts of version 7d27191 and earlier don't.
+    #[serde(default)]
+    reads_compressed: bool,
+    /// Hashes of the notices that the host has from this leader; none if it needs all of them, as
+    /// hosts of version 7d27191 and earlier do in each answer.
+    #[serde(default)]
+    known: Option<Digests>,
     /// Number of requests since the last report, by service and bucket of keys.
     #[serde(rename = "heat")]
     traffic: BTreeMap<name::Service, BTreeMap<u16, u32>>,
@@ -91,7 +103,7 @@
 
 /// The leader's response to a report.
 #[derive(Debug, Deserialize, Serialize)]
-struct Update {
+pub struct Update {
     /// Timeline of the store to which the offsets belong.
     #[serde(default)]
     timeline: Timeline,
@@ -99,6 +111,9 @@
     #[serde(rename = "held")]
     held_us: u64,
     topics: BTreeMap<Topic, Changes>,
+    /// Hashes of all notices of the leader. A part whose hash the host reported is left out below.
+    #[serde(default)]
+    digests: Option<Digests>,
     /// Fingerprints of requests that may crash their targets.
     suspects: BTreeSet<Fingerprint>,
     /// Suspects whose requests are refused until their crashes are evaluated.
@@ -116,9 +131,16 @@
 }
 
 /// New records of one topic.
+#[serde_as]
 #[derive(Debug, Deserialize, Serialize)]
-struct Changes {
+pub struct Changes {
+    /// Keys, values and offsets of the records.
+    #[serde_as(as = "Vec<(_, Option<serde_with::Bytes>, _)>")]
     records: Vec<(String, Option<Vec<u8>>, u64)>,
+    /// Keys, compressed values and offsets of large records.
+    #[serde(default)]
+    #[serde_as(as = "Vec<(_, serde_with::Bytes, _)>")]
+    compressed: Vec<(String, Vec<u8>, u64)>,
     /// Whether these are the newest records of all keys.
     #[serde(default)]
     is_complete: bool,
@@ -131,11 +153,94 @@
     age_us: u64,
 }
 
+impl Changes {
+    /// Returns what a host lacks that has all records before an offset, or has none if there is no
+    /// offset. Returns none if the replica can't tell.
+    pub fn since(
+        replica: &Replica,
+        from: Option<Offset>,
+        now: Instant,
+        compresses: bool,
+    ) -> Option<Self> {
+        let next = replica.next_offset()?;
+        let records = match from {
+            Some(from) => replica.changes_since(from)?,
+            None => replica.all()?,
+        };
+        let mut plain = Vec::new();
+        let mut compressed = Vec::new();
+        for record in records {
+            let packed = compresses.then(|| replica.compressed(&record)).flatten();
+            let offset = record.offset.0;
+            match packed {
+                Some(packed) => compressed.push((record.key, packed.to_vec(), offset)),
+                None => plain.push((record.key, record.value.map(Vec::from), offset)),
+            }
+        }
+        Some(Self {
+            records: plain,
+            compressed,
+            is_complete: from.is_none(),
+            next_offset: next.0,
+            age_us: now.since(replica.read_at()).0,
+        })
+    }
+
+    /// Returns the records, in their order.
+    pub fn into_records(self) -> Result<Vec<Record>> {
+        let record = |(key, value, offset): (String, Option<Vec<u8>>, u64)| Record {
+            key,
+            value: value.map(Bytes::from),
+            offset: Offset(offset),
+        };
+        let mut records: Vec<Record> = self.records.into_iter().map(record).collect();
+        for (key, value, offset) in self.compressed {
+            records.push(Record {
+                key,
+                value: Some(compression::decompress(&value)?),
+                offset: Offset(offset),
+            });
+        }
+        records.sort_by_key(|record| record.offset);
+        Ok(records)
+    }
+}
+
+/// What a host has of the leader's notices.
+#[derive(Clone, Debug, Default)]
+pub struct Known {
+    /// Hashes of the notices; none if the leader is of version 7d27191 or earlier and sends all of
+    /// them in each answer.
+    pub digests: Option<Digests>,
+    /// Verdicts on suspected requests.
+    pub verdicts: Verdicts,
+    /// Version of the verdicts, by which the leader sees whether it has news for the host.
+    pub version: u64,
+}
+
+impl Known {
+    /// Records an update. Verdicts are left out of it if the host has them.
+    pub fn learn(&mut self, update: &Update) {
+        let (known, current) = (self.digests.as_ref(), update.digests.as_ref());
+        let has_verdicts = known
+            .zip(current)
+            .is_some_and(|(known, current)| known.has_verdicts_of(current));
+        if !has_verdicts {
+            self.verdicts = Verdicts {
+                suspects: update.suspects.clone(),
+                held: update.held_suspects.clone(),
+            };
+        }
+        self.digests = update.digests;
+        self.version = update.verdicts;
+    }
+}
+
 /// Sends reports to the leader for as long as the host runs.
 pub(crate) async fn run(shared: Rc<Shared>) {
     let mut client: Option<(SocketAddr, Client)> = None;
     let mut leader = None;
-    let mut verdicts = 0;
+    let mut known = Known::default();
     let mut delay = REPORT_INTERVAL;
     loop {
         sleep(delay).await;
@@ -144,7 +249,7 @@
             // The new leader knows none of the crashes.
             shared.crash_observer.borrow_mut().report_again();
             leader = current;
-            verdicts = 0;
+            known = Known::default();
             delay = REPORT_INTERVAL;
         }
         let crashes = shared.crash_observer.borrow().report();
@@ -156,24 +261,30 @@
             observer.acknowledge(shared.now(), &crashes);
             drop(observer);
             crash::evaluate(&shared);
+            shared.fallback.borrow_mut().answer_arrived();
+            known = Known::default();
             client = None;
             delay = REPORT_INTERVAL;
             continue;
         };
-        let report = take_report(&shared, &crashes, verdicts);
+        let report = take_report(&shared, &crashes, &known);
         let (_, connected) = match client.take() {
             Some(known) if known.0 == address => client.insert(known),
             _ => client.insert((address, Client::new(address, MAX_UPDATE_BYTES))),
         };
-        match send_report(&shared, connected, &report).await {
-            Ok(version) => {
-                verdicts = version;
+        match send_report(&shared, connected, &report, &mut known).await {
+            Ok(()) => {
                 delay = REPORT_INTERVAL;
+                shared.fallback.borrow_mut().answer_arrived();
                 let mut observer = shared.crash_observer.borrow_mut();
                 observer.acknowledge(shared.now(), &crashes);
             }
             Err(error) => {
                 delay = (delay * 2).min(MAX_REPORT_INTERVAL);
+                // A part of the answer may have been applied.
+                known = Known::default();
+                let now = shared.now();
+                shared.fallback.borrow_mut().answer_failed(now);
                 log::debug!(leader = address.to_string(), error = format!("{error:#}"); "exchange with the leader failed; retrying")
             }
         }
@@ -201,7 +312,7 @@
     pace::round(shared.hosts.borrow().len()).as_duration()
 }
 
-fn take_report(shared: &Shared, crashes: &Crashes, verdicts: u64) -> Report {
+fn take_report(shared: &Shared, crashes: &Crashes, known: &Known) -> Report {
     let offset = |topic| {
         let replicas = shared.replicas.borrow();
         let next = replicas
@@ -222,6 +333,8 @@
     Report {
         timeline: shared.timeline.get().unwrap_or_default(),
         unread: failed.iter().copied().filter(is_unread).collect(),
+        reads_compressed: true,
+        known: known.digests,
         offsets: Topic::ALL.into_iter().filter_map(offset).collect(),
         work_times: work_times.collect(),
         crashes: crashes
@@ -231,7 +344,7 @@
             .collect(),
         acquitted: crashes.answered.clone(),
         quarantined: quarantined.into_iter().collect(),
-        verdicts,
+        verdicts: known.version,
         rate_limits,
         traffic: traffic
             .iter_mut()
@@ -240,8 +353,14 @@
     }
 }
 
-/// Sends a report and applies the leader's response. Returns the version of its verdicts.
-async fn send_report(shared: &Rc<Shared>, client: &mut Client, report: &Report) -> Result<u64> {
+/// Sends a report and applies the leader's response. `known` is what the host has of the leader's
+/// notices.
+async fn send_report(
+    shared: &Rc<Shared>,
+    client: &mut Client,
+    report: &Report,
+    known: &mut Known,
+) -> Result<()> {
     let mut body = Vec::new();
     ciborium::into_writer(report, &mut body)?;
     let call = Call {
@@ -251,24 +370,22 @@
         body: Bytes::from(body),
     };
     let sent = shared.now();
-    let reply = client
-        .call(&call, hold_time(shared) + round(shared) + RESPONSE_MARGIN)
-        .await?;
+    let usual = hold_time(shared) + round(shared);
+    let due = sent + Span::from_micros((usual + DELIVERY_TIME).as_micros() as u64);
+    shared.fallback.borrow_mut().expect_answer(due);
+    let reply = client.call(&call, usual + RESPONSE_MARGIN).await?;
     if reply.status != 200 {
         bail!("the leader answered with status {}", reply.status);
     }
     let update: Update = ciborium::from_reader(reply.body.as_ref())
         .context("the leader's response can't be decoded")?;
     let now = shared.now();
+    known.learn(&update);
     let mut observer = shared.crash_observer.borrow_mut();
     for fingerprint in update.quarantined {
         observer.quarantine(now, fingerprint, false);
     }
-    let verdicts = Verdicts {
-        suspects: update.suspects,
-        held: update.held_suspects,
-    };
-    observer.set_verdicts(now, verdicts);
+    observer.set_verdicts(now, known.verdicts.clone());
     drop(observer);
     let timing = Timing {
         held: Span(update.held_us),
@@ -282,10 +399,10 @@
         .is_none_or(|known| known < update.timeline)
     {
         shared.observe_timeline(update.timeline);
-        return Ok(update.verdicts);
+        return Ok(());
     }
     if shared.timeline.get() != Some(update.timeline) {
-        return Ok(update.verdicts);
+        return Ok(());
     }
     for (topic, changes) in update.topics {
         let timing = Timing {
@@ -293,25 +410,34 @@
             age: Span(changes.age_us),
         };
         let confirmed_at = timing.confirmed_at(sent).min(shared.now());
-        apply_changes(shared, confirmed_at, topic, changes);
+        apply_changes(shared, confirmed_at, topic, changes)?;
     }
-    Ok(update.verdicts)
+    Ok(())
 }
 
-fn apply_changes(shared: &Rc<Shared>, confirmed_at: Instant, topic: Topic, changes: Changes) {
-    let record = |(key, value, offset): (String, Option<Vec<u8>>, u64)| Record {
-        key,
-        value: value.map(Bytes::from),
-        offset: Offset(offset),
-    };
-    let records: Vec<Record> = changes.records.into_iter().map(record).collect();
+fn apply_changes(
+    shared: &Rc<Shared>,
+    confirmed_at: Instant,
+    topic: Topic,
+    changes: Changes,
+) -> Result<()> {
     let known = follow::next_offset(shared, topic);
-    let follows = |known: Offset| known.0 <= changes.next_offset;
-    if !known.map_or(changes.is_complete, follows) {
-        return;
+    let (is_complete, next) = (changes.is_complete, Offset(changes.next_offset));
+    if !known.map_or(is_complete, |known| known <= next) {
+        return Ok(());
+    }
+    apply::apply(shared, topic, changes.into_records()?, is_complete);
+    follow::advance(shared, topic, next, confirmed_at);
+    Ok(())
+}
+
+/// Returns what this host, which leads, tells other hosts.
+fn notices(shared: &Shared, now: Instant) -> Notices {
+    Notices {
+        verdicts: shared.crash_aggregator.borrow().verdicts(),
+        quarantined: shared.crash_observer.borrow().news(now),
+        rate_limits: rate_limit::known(shared),
     }
-    apply::apply(shared, topic, records, changes.is_complete);
-    follow::advance(shared, topic, Offset(changes.next_offset), confirmed_at);
 }
 
 fn reported_crashes(
@@ -330,7 +456,7 @@
 pub(crate) async fn handle_report(shared: &Shared, body: &[u8]) -> Result<Vec<u8>> {
     let received_at = shared.now();
     let report: Report = ciborium::from_reader(body).context("the report can't be read")?;
-    rate_limit::merge(shared, received_at, report.rate_limits);
+    rate_limit::merge(shared, received_at, report.rate_limits.clone());
     let is_new = |topic| {
         let from = report.offsets.get(&topic).copied();
         follow::next_offset(shared, topic).map(|next| next.0) > from
@@ -371,19 +497,10 @@
     let replicas = shared.replicas.borrow();
     let changes = |topic: Topic, from: Option<u64>| {
         let replica = replicas.get(&topic)?;
-        let next = replica.next_offset()?;
-        let records = match from {
-            Some(from) => replica.changes_since(Offset(from))?,
-            None => replica.all()?,
-        };
-        let record = |r: Record| (r.key, r.value.map(|value| value.to_vec()), r.offset.0);
-        let changes = Changes {
-            records: records.into_iter().map(record).collect(),
-            is_complete: from.is_none(),
-            next_offset: next.0,
-            age_us: now.since(replica.read_at()).0,
-        };
-        Some((topic, changes))
+        Some((
+            topic,
+            Changes::since(replica, from.map(Offset), now, report.reads_compressed)?,
+        ))
     };
     let timeline = shared.timeline.get().unwrap_or_default();
     // Offsets of another timeline say nothing about what the host lacks.
@@ -393,24 +510,23 @@
     let requested = offsets
         .map(|(topic, from)| (*topic, Some(*from)))
         .chain(unread.map(|topic| (*topic, None)));
-    let aggregator = shared.crash_aggregator.borrow();
-    let (verdicts, version) = (aggregator.verdicts(), aggregator.version());
+    let mut notices = notices(shared, now);
+    let digests = notices.digests(now);
+    if let Some(known) = &report.known {
+        notices.omit(now, known, &report.rate_limits);
+    }
     let update = Update {
         timeline,
         held_us: now.since(received_at).0,
         topics: requested
             .filter_map(|(topic, from)| changes(topic, from))
             .collect(),
-        suspects: verdicts.suspects,
-        held_suspects: verdicts.held,
-        quarantined: shared
-            .crash_observer
-            .borrow()
-            .news(now)
-            .into_iter()
-            .collect(),
-        verdicts: version,
-        rate_limits: rate_limit::known(shared),
+        digests: Some(digests),
+        suspects: notices.verdicts.suspects,
+        held_suspects: notices.verdicts.held,
+        quarantined: notices.quarantined.into_iter().collect(),
+        verdicts: shared.crash_aggregator.borrow().version(),
+        rate_limits: notices.rate_limits,
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&update, &mut encoded)?;
