--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -116,7 +116,7 @@
             _ => Bounds::max_relay_age(bound),
         };
         let fallback = shared.fallback.borrow();
-        fallback.max_relay_age(shared.now(), bound, usual)
+        fallback.max_relay_age(shared.now(), shared.recent_lag(), bound, usual)
     }
 }
 
@@ -131,7 +131,7 @@
         }
         if is_relayed(&shared, topic) && next_offset(&shared, topic).is_some() {
             shared.failed_topics.borrow_mut().remove(&topic);
-            wait_to_check_relay(&shared).await;
+            sleep(RELAY_CHECK_INTERVAL).await;
             if topic == Topic::Targets {
                 expire_targets(&shared);
             }
@@ -187,16 +187,6 @@
     }
 }
 
-/// Waits until the age of the relayed records is to be checked again, and records how late the event
-/// loop was.
-async fn wait_to_check_relay(shared: &Shared) {
-    let due = shared.now() + Span::from_micros(RELAY_CHECK_INTERVAL.as_micros() as u64);
-    sleep(RELAY_CHECK_INTERVAL).await;
-    let now = shared.now();
-    let mut fallback = shared.fallback.borrow_mut();
-    fallback.record_lag(now, now.since(due));
-}
-
 /// Returns the age of this host's copy of a topic; none before its first complete list.
 fn age(shared: &Shared, topic: Topic) -> Option<Span> {
     let replicas = shared.replicas.borrow();
--- a/crates/router/src/fallback.rs
+++ b/crates/router/src/fallback.rs
@@ -8,14 +8,13 @@
 const MIN_RELAY_AGE: Span = Span::from_millis(1_000);
 /// Time for the requests that are already being sent when a new record takes effect.
 const SENDING_TIME: Span = Span::from_millis(100);
-/// Time after which a slow read or a late event loop counts half.
+/// Time after which a slow read counts half.
 const HALF_LIFE: Span = Span::from_secs(5);
 
 /// What a host knows of its own reads and of the leader's answers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Fallback {
     read_time: Peak,
-    lag: Peak,
     /// When the answer to the pending report is due; in the past after a report without an answer.
     answer_due: Option<Instant>,
 }
@@ -46,11 +45,6 @@
         self.read_time.record(now, taken);
     }
 
-    /// Records how late a timer of the event loop was.
-    pub fn record_lag(&mut self, now: Instant, lag: Span) {
-        self.lag.record(now, lag);
-    }
-
     /// Records that a report was sent whose answer is due at a time.
     pub fn expect_answer(&mut self, due: Instant) {
         // After a report without an answer, the relay stays late until the next answer.
@@ -68,14 +62,15 @@
     }
 
     /// Returns the age up to which relayed records replace an own read. `usual` is that age for a host
-    /// whose reads are fast, and `bound` the age that the host's view must not exceed.
-    pub fn max_relay_age(&self, now: Instant, bound: Span, usual: Span) -> Span {
+    /// whose reads are fast, `bound` the age that the host's view must not exceed, and `lag` how late
+    /// its event loop is.
+    pub fn max_relay_age(&self, now: Instant, lag: Span, bound: Span, usual: Span) -> Span {
         let least = MIN_RELAY_AGE.min(usual);
         if self.answer_due.is_some_and(|due| due <= now) {
             return least;
         }
         // A failed read is repeated once.
-        let needed = self.read_time.get(now).scale(2, 1) + self.lag.get(now) + SENDING_TIME;
+        let needed = self.read_time.get(now).scale(2, 1) + lag + SENDING_TIME;
         (bound - needed).min(usual).max(least)
     }
 }
--- a/crates/router/tests/fallback.rs
+++ b/crates/router/tests/fallback.rs
@@ -14,7 +14,7 @@
     read_ms: u64,
     /// Lateness of the event loop.
     lag_ms: u64,
-    /// Time since both were seen.
+    /// Time since the read.
     passed_ms: u64,
     /// Largest and least age at which the host still relies on relayed records.
     at_most_ms: u64,
@@ -65,7 +65,7 @@
         Case {
             name: "slow a while ago",
             read_ms: 500,
-            lag_ms: 400,
+            lag_ms: 0,
             passed_ms: 30_000,
             at_most_ms: 1_800,
             at_least_ms: 1_800,
@@ -74,8 +74,8 @@
     for case in cases {
         let mut fallback = Fallback::default();
         fallback.record_read(at(0), Span::from_millis(case.read_ms));
-        fallback.record_lag(at(0), Span::from_millis(case.lag_ms));
-        let age = fallback.max_relay_age(at(case.passed_ms), BOUND, USUAL);
+        let lag = Span::from_millis(case.lag_ms);
+        let age = fallback.max_relay_age(at(case.passed_ms), lag, BOUND, USUAL);
         let name = case.name;
         assert!(age.as_millis() <= case.at_most_ms, "{name}: {age}");
         assert!(age.as_millis() >= case.at_least_ms, "{name}: {age}");
@@ -167,7 +167,7 @@
                 Failed => fallback.answer_failed(at(*ms)),
             }
         }
-        let age = fallback.max_relay_age(at(case.now_ms), BOUND, USUAL);
+        let age = fallback.max_relay_age(at(case.now_ms), Span::ZERO, BOUND, USUAL);
         let expected = match case.is_late {
             true => Span::from_millis(1_000),
             false => USUAL,
