Let a leader whose event loop is 1 s late hand over

Callers, orders and the other hosts wait for a leader that is late, and nothing ended that while the store still named it.

platform/tests/late.rs, late_leader_hands_over: the late host goes on leading without the change; passes with it.

--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -65,6 +65,9 @@
 /// Timeout of a release request. The target answers only once its running work on the keys has
 /// ended.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Lag of the event loop from which another host should lead: the leader's callers wait as long, and
+/// its orders are as late.
+const MAX_LAG: Span = Span::from_millis(1_000);
 /// Number of low bits of an epoch that count within one timeline of the store.
 const EPOCH_BITS: u32 = 32;
 /// Largest number of records of one append. A record of a range has up to a few hundred bytes.
@@ -277,6 +280,11 @@
                 candidate.withdraw(self.shared.now());
                 bail!("this host has lost its links to most targets; resigning as leader");
             }
+            let lag = self.shared.recent_lag();
+            if lag >= MAX_LAG {
+                candidate.withdraw(self.shared.now());
+                bail!("the event loop of this host is {lag} late; resigning as leader");
+            }
             if self.is_replaced() {
                 self.lease.revoke();
                 bail!("another host has claimed leadership");
