Check an order's right to leave at the moment at which it leaves

A key can have two owners if a leader sends a grant after its lease has ended, or so long after it planned the grant that the grant outlives the end that the plan counts on (850 ms after the plan and the hold). Both were checked before the connection was opened; a late event loop writes the order whenever it comes back to it.

Client::call_if asks for the validity of a call right before each attempt to write its first bytes, without a point of suspension in between. The leader allows a grant 700 ms and a release 2.5 s from its plan, and only while its lease is valid and it knows of no successor. An order that was not sent counts neither as silence of the target nor as a lost link.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -52,6 +52,9 @@
     /// The response is malformed; the call may have been executed.
     #[error("the response is not an HTTP/1.1 message: {0}")]
     Message(#[from] message::Error),
+    /// The call was not sent, since it was not valid any more when its bytes could leave.
+    #[error("the call was not valid any more when it could be sent")]
+    Expired,
     /// No response came in time; the call may have been executed.
     #[error("no response within {0:?}")]
     Timeout(Duration),
@@ -87,6 +90,17 @@
 
     /// Sends a call and waits for the response.
     pub async fn call(&mut self, call: &Call, limit: Duration) -> Result<Reply, Error> {
+        self.call_if(call, limit, || true).await
+    }
+
+    /// Sends a call if it is valid at the moment at which its first bytes leave, and waits for the
+    /// response. A late event loop may send it long after it was started.
+    pub async fn call_if(
+        &mut self,
+        call: &Call,
+        limit: Duration,
+        is_valid: impl Fn() -> bool,
+    ) -> Result<Reply, Error> {
         let mut connection = match self.connection.take().filter(Connection::is_idle) {
             Some(connection) => connection,
             None => {
@@ -95,12 +109,16 @@
             }
         };
         let wire = encode(call, self.address);
-        let outcome = timeout(limit, exchange(&mut connection, &wire, self.max_body_bytes)).await;
-        match outcome {
+        let exchange = exchange(&mut connection, &wire, self.max_body_bytes, is_valid);
+        match timeout(limit, exchange).await {
             Ok(Ok((reply, keeps_alive))) => {
                 self.connection = Some(connection).filter(|_| keeps_alive);
                 Ok(reply)
             }
+            Ok(Err(Error::Expired)) => {
+                self.connection = Some(connection);
+                Err(Error::Expired)
+            }
             Ok(Err(error)) => Err(error),
             Err(_) => {
                 connection.reset();
@@ -131,8 +149,12 @@
     connection: &mut Connection,
     wire: &[u8],
     max_body_bytes: usize,
+    is_valid: impl Fn() -> bool,
 ) -> Result<(Reply, bool), Error> {
-    connection.write(wire).await.map_err(Error::Broken)?;
+    let is_sent = connection.write_if(wire, is_valid).await;
+    if !is_sent.map_err(Error::Broken)? {
+        return Err(Error::Expired);
+    }
     let response = connection.read_head(MAX_HEAD_BYTES, false).await?;
     let mut decoder = Decoder::new(response.framing);
     let mut body = BytesMut::new();
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -90,6 +90,25 @@
         write(&self.stream, bytes).await
     }
 
+    /// Writes all bytes if a condition holds at the moment at which the first ones leave. Returns
+    /// whether it held.
+    pub(crate) async fn write_if(
+        &mut self,
+        bytes: &[u8],
+        condition: impl Fn() -> bool,
+    ) -> io::Result<bool> {
+        while condition() {
+            match self.stream.try_write(bytes) {
+                Ok(length) => return self.write(&bytes[length..]).await.map(|()| true),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.stream.writable().await?
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(false)
+    }
+
     /// Returns whether the peer has sent nothing and has not closed the connection.
     pub(crate) fn is_idle(&self) -> bool {
         let mut byte = [0];
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -65,6 +65,11 @@
 /// Timeout of a release request. The target answers only once its running work on the keys has
 /// ended.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Age from which a planned grant is not sent any more. The plan counts on the end of a grant that
+/// arrives 850 ms after it was planned at the latest.
+const MAX_GRANT_AGE: Span = Span::from_millis(700);
+/// Age from which a planned release is not sent any more.
+const MAX_RELEASE_AGE: Span = Span::from_millis(2_500);
 /// Number of low bits of an epoch that count within one timeline of the store.
 const EPOCH_BITS: u32 = 32;
 /// Largest number of records of one append. A record of a range has up to a few hundred bytes.
@@ -286,7 +291,7 @@
             for action in self.tick() {
                 match action {
                     Action::Send(order) => {
-                        tokio::task::spawn_local(self.clone().send(order));
+                        tokio::task::spawn_local(self.clone().send(order, started));
                     }
                     Action::Write(service, ranges) => {
                         tokio::task::spawn_local(self.clone().write(service, ranges));
@@ -481,10 +486,10 @@
         }
     }
 
-    async fn send(self: Rc<Self>, order: Order) {
-        let answer = match self.lease.is_valid() {
-            true => self.call(&order).await,
-            false => Response::Silent,
+    async fn send(self: Rc<Self>, order: Order, planned_at: Instant) {
+        let answer = match self.may_send(&order, planned_at) {
+            true => self.call(&order, planned_at).await,
+            false => Response::Unsent,
         };
         self.record_order(&order, &answer);
         let is_routine = matches!(
@@ -503,8 +508,11 @@
             "grant or release ended"
         );
         let now = self.shared.now();
-        let has_follow_up = !matches!(answer, Response::Silent | Response::Unreached)
-            && !is_renewal(&self.shared, &order);
+        let is_unanswered = matches!(
+            answer,
+            Response::Silent | Response::Unreached | Response::Unsent
+        );
+        let has_follow_up = !is_unanswered && !is_renewal(&self.shared, &order);
         self.leader
             .borrow_mut()
             .record_response(now, &order, answer);
@@ -524,11 +532,22 @@
             Response::Misdirected => "misdirected",
             Response::Silent => "silent",
             Response::Unreached => "unreached",
+            Response::Unsent => "unsent",
         };
         self.shared.metrics.record_order(operation, answer);
     }
 
-    async fn call(&self, order: &Order) -> Response {
+    /// Returns whether an order that was planned at a time may still leave.
+    fn may_send(&self, order: &Order, planned_at: Instant) -> bool {
+        let max_age = match order.operation {
+            Operation::Grant { .. } => MAX_GRANT_AGE,
+            Operation::Release => MAX_RELEASE_AGE,
+        };
+        let age = self.shared.now().since(planned_at);
+        age <= max_age && self.lease.is_valid() && !self.is_replaced()
+    }
+
+    async fn call(&self, order: &Order, planned_at: Instant) -> Response {
         let idle = self
             .clients
             .borrow_mut()
@@ -544,14 +563,17 @@
             Operation::Release => RELEASE_TIMEOUT,
         };
         let call = (self.shared.protocol.encode_order)(order);
-        let outcome = client.call(&call, limit).await;
+        let outcome = client
+            .call_if(&call, limit, || self.may_send(order, planned_at))
+            .await;
         self.clients
             .borrow_mut()
             .entry(order.target.clone())
             .or_default()
             .push(client);
-        if let Err(error) = &outcome {
-            self.check_link(order, error).await;
+        match &outcome {
+            Ok(_) | Err(Error::Expired) => {}
+            Err(error) => self.check_link(order, error).await,
         }
         self.interpret(order, outcome)
     }
@@ -585,6 +607,7 @@
                     Response::Silent
                 }
             },
+            Err(Error::Expired) => Response::Unsent,
             Err(error) => {
                 log::info!(target = order.target.id.as_str(), error = error.to_string(); "target did not answer a grant or release");
                 match reach::is_lost(&self.shared, &order.service, &order.target) {
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -102,6 +102,8 @@
     Silent,
     /// No response arrived, since this host has lost its link to the target. Other hosts reach it.
     Unreached,
+    /// The order was not sent, since it was too old or this host did not lead any more.
+    Unsent,
 }
 
 /// An effect that the leader requests from its host.
@@ -594,7 +596,7 @@
         self.in_flight.remove(&order.range_epoch);
         match &response {
             Response::Silent => *self.unanswered.entry(order.target.clone()).or_default() += 1,
-            Response::Unreached => {}
+            Response::Unreached | Response::Unsent => {}
             _ => {
                 self.unanswered.remove(&order.target);
             }
