--- a/crates/entry/src/lag.rs
+++ b/crates/entry/src/lag.rs
@@ -81,11 +81,13 @@
 /// Measures the lag for as long as the host runs, and logs it while it is high.
 pub(crate) async fn run(shared: Rc<Shared>) {
     let mut logged_at = None;
+    // Largest lag since the last log line.
+    let mut lag = Span::ZERO;
     loop {
         sleep(INTERVAL.as_duration()).await;
         let now = shared.now();
         shared.lag.record(now);
-        let lag = shared.lag.recent(now);
+        lag = lag.max(shared.lag.current(now));
         let is_due = logged_at.is_none_or(|at| now.since(at) >= LOG_INTERVAL);
         if lag >= LOG_THRESHOLD && is_due {
             logged_at = Some(now);
@@ -94,6 +96,7 @@
                 requests = shared.active_requests.len();
                 "event loop is late"
             );
+            lag = Span::ZERO;
         }
     }
 }
