--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, bail};
 use bytes::Bytes;
 use futures_util::future;
 use ragwortrill_core::{
@@ -242,6 +242,10 @@
     };
     let mut client = Client::new(address, MAX_ANSWER_BYTES);
     let reply = client.call(&call, QUESTION_TIMEOUT).await?;
+    if reply.status != 200 {
+        // Hosts of version 3898a17 and earlier don't know the path.
+        bail!("the host answered with status {}", reply.status);
+    }
     ciborium::from_reader(reply.body.as_ref()).context("the host's answer can't be decoded")
 }
 
