Read records of the store for as long as they arrive

A host gave a read of the store up after 1 s, even while its bytes arrived, and began anew, with more to read each time. The leader was a slowed host then, so the relay was late as well. The host acted on version 15 until 22.07 s, 6.5 s after version 18 was acknowledged (CONFIG, 7 requests).

A read now fails if nothing arrives for its timeout, as before for a store that is silent, or if it takes 5 s more in all.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -1,7 +1,7 @@
 //! HTTP client for requests of the control path: to the platform's store, to targets and to other
 //! hosts.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, pin::pin, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use tokio::time::timeout;
@@ -95,8 +95,9 @@
             }
         };
         let wire = encode(call, self.address);
-        let outcome = timeout(limit, exchange(&mut connection, &wire, self.max_body_bytes)).await;
-        match outcome {
+        let received = Cell::new(0);
+        let exchange = exchange(&mut connection, &wire, self.max_body_bytes, &received);
+        match timeout(limit, exchange).await {
             Ok(Ok((reply, keeps_alive))) => {
                 self.connection = Some(connection).filter(|_| keeps_alive);
                 Ok(reply)
@@ -110,6 +111,61 @@
     }
 }
 
+impl Client {
+    /// Sends a call whose response may be large. It fails if no byte of the response arrives for
+    /// `idle` (noticed after twice that time at the latest), or if the response is not complete
+    /// after `total`.
+    pub async fn fetch(
+        &mut self,
+        call: &Call,
+        idle: Duration,
+        total: Duration,
+    ) -> Result<Reply, Error> {
+        let mut connection = match self.connection.take().filter(Connection::is_idle) {
+            Some(connection) => connection,
+            None => {
+                let opened = Connection::open(self.address, CONNECT_TIMEOUT.min(idle)).await;
+                opened.map_err(Error::Connect)?
+            }
+        };
+        let wire = encode(call, self.address);
+        let received = Cell::new(0);
+        let exchange = exchange(&mut connection, &wire, self.max_body_bytes, &received);
+        match timeout(total, while_receiving(idle, &received, exchange)).await {
+            Ok(Some(Ok((reply, keeps_alive)))) => {
+                self.connection = Some(connection).filter(|_| keeps_alive);
+                Ok(reply)
+            }
+            Ok(Some(Err(error))) => Err(error),
+            Ok(None) => {
+                connection.reset();
+                Err(Error::Timeout(idle))
+            }
+            Err(_) => {
+                connection.reset();
+                Err(Error::Timeout(total))
+            }
+        }
+    }
+}
+
+/// Waits for an exchange for as long as the number of received bytes grows.
+async fn while_receiving<T>(
+    idle: Duration,
+    received: &Cell<usize>,
+    exchange: impl Future<Output = T>,
+) -> Option<T> {
+    let mut exchange = pin!(exchange);
+    loop {
+        let before = received.get();
+        match timeout(idle, &mut exchange).await {
+            Ok(outcome) => return Some(outcome),
+            Err(_) if received.get() == before => return None,
+            Err(_) => {}
+        }
+    }
+}
+
 fn encode(call: &Call, address: SocketAddr) -> BytesMut {
     let mut head = format!(
         "{} {} HTTP/1.1\r\nHost: {address}\r\n",
@@ -131,6 +187,7 @@
     connection: &mut Connection,
     wire: &[u8],
     max_body_bytes: usize,
+    received: &Cell<usize>,
 ) -> Result<(Reply, bool), Error> {
     connection.write(wire).await.map_err(Error::Broken)?;
     let response = connection.read_head(MAX_HEAD_BYTES, false).await?;
@@ -138,7 +195,10 @@
     let mut body = BytesMut::new();
     while !decoder.is_done() {
         match decoder.take(&mut connection.buffer)? {
-            Some(bytes) => body.extend_from_slice(&bytes),
+            Some(bytes) => {
+                body.extend_from_slice(&bytes);
+                received.set(body.len());
+            }
             None if decoder.is_done() => break,
             None if decoder.ends_with_connection() => {
                 if !connection.read().await.map_err(Error::Broken)? {
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -6,13 +6,16 @@
 use ragwortrill_core::{number::Offset, time::Span};
 
 use crate::{
-    call::{Call, Client, Reply},
+    call::{self, Call, Client, Reply},
     protocol::{Append, Draft, Member, Membership, Read, Record},
     shared::Shared,
 };
 
 /// Timeout of requests to the store. Reads add the time for which they wait for a record.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest time in which the records of a read arrive. On a busy link several versions of a large
+/// configuration take longer than `RESPONSE_TIMEOUT`, and each retry would begin anew.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// Largest response of the store. It sends at most 1 MB of records, which grow by their encoding.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -41,7 +44,7 @@
         loop {
             let after = records.last().map(|record: &Record| record.key.as_str());
             let reply = self
-                .call(&(log.newest)(topic, after), RESPONSE_TIMEOUT)
+                .fetch(&(log.newest)(topic, after), RESPONSE_TIMEOUT)
                 .await?;
             let page = (log.decode_newest)(&reply)?;
             if *timeline.get_or_insert(self.shared.timeline.get()) != self.shared.timeline.get() {
@@ -60,7 +63,7 @@
     pub(crate) async fn read(&mut self, topic: &str, from: Offset, wait: Span) -> Result<Read> {
         let log = self.shared.protocol.log;
         let limit = RESPONSE_TIMEOUT + wait.as_duration();
-        let reply = self.call(&(log.read)(topic, from, wait), limit).await?;
+        let reply = self.fetch(&(log.read)(topic, from, wait), limit).await?;
         (log.decode_read)(&reply, from)
     }
 
@@ -94,6 +97,16 @@
 
     async fn call(&mut self, call: &Call, limit: Duration) -> Result<Reply> {
         let outcome = self.client.call(call, limit).await;
+        self.check(call, outcome)
+    }
+
+    /// Calls the store for records, and waits for them while they arrive.
+    async fn fetch(&mut self, call: &Call, idle: Duration) -> Result<Reply> {
+        let outcome = self.client.fetch(call, idle, idle + TRANSFER_TIMEOUT).await;
+        self.check(call, outcome)
+    }
+
+    fn check(&self, call: &Call, outcome: Result<Reply, call::Error>) -> Result<Reply> {
         let result = match &outcome {
             Ok(reply) if matches!(reply.status, 429 | 503) => "refused",
             Ok(_) => "answered",
