--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -1,7 +1,7 @@
 //! HTTP client for requests of the control path: to the platform's store, to targets and to other
 //! hosts.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, pin::pin, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use tokio::time::timeout;
@@ -101,15 +101,13 @@
         limit: Duration,
         is_valid: impl Fn() -> bool,
     ) -> Result<Reply, Error> {
-        let mut connection = match self.connection.take().filter(Connection::is_idle) {
-            Some(connection) => connection,
-            None => {
-                let opened = Connection::open(self.address, CONNECT_TIMEOUT.min(limit)).await;
-                opened.map_err(Error::Connect)?
-            }
-        };
+        let mut connection = self.connect(limit).await?;
         let wire = encode(call, self.address);
-        let exchange = exchange(&mut connection, &wire, self.max_body_bytes, is_valid);
+        let received = Cell::new(0);
+        let exchange = async {
+            send(&mut connection, &wire, is_valid).await?;
+            receive(&mut connection, self.max_body_bytes, &received).await
+        };
         match timeout(limit, exchange).await {
             Ok(Ok((reply, keeps_alive))) => {
                 self.connection = Some(connection).filter(|_| keeps_alive);
@@ -128,6 +126,69 @@
     }
 }
 
+impl Client {
+    /// Returns the idle connection, or opens one.
+    async fn connect(&mut self, limit: Duration) -> Result<Connection, Error> {
+        match self.connection.take().filter(Connection::is_idle) {
+            Some(connection) => Ok(connection),
+            None => {
+                let opened = Connection::open(self.address, CONNECT_TIMEOUT.min(limit)).await;
+                opened.map_err(Error::Connect)
+            }
+        }
+    }
+
+    /// Sends a call whose response may be large. It fails if no byte of the response arrives for
+    /// `idle` (noticed after twice that time at the latest), or if the response is not complete
+    /// after `total`.
+    pub async fn fetch(
+        &mut self,
+        call: &Call,
+        idle: Duration,
+        total: Duration,
+    ) -> Result<Reply, Error> {
+        let mut connection = self.connect(idle).await?;
+        let wire = encode(call, self.address);
+        let received = Cell::new(0);
+        let exchange = async {
+            send(&mut connection, &wire, || true).await?;
+            receive(&mut connection, self.max_body_bytes, &received).await
+        };
+        match timeout(total, while_receiving(idle, &received, exchange)).await {
+            Ok(Some(Ok((reply, keeps_alive)))) => {
+                self.connection = Some(connection).filter(|_| keeps_alive);
+                Ok(reply)
+            }
+            Ok(Some(Err(error))) => Err(error),
+            Ok(None) => {
+                connection.reset();
+                Err(Error::Timeout(idle))
+            }
+            Err(_) => {
+                connection.reset();
+                Err(Error::Timeout(total))
+            }
+        }
+    }
+}
+
+/// Waits for an exchange for as long as the number of received bytes grows.
+async fn while_receiving<T>(
+    idle: Duration,
+    received: &Cell<usize>,
+    exchange: impl Future<Output = T>,
+) -> Option<T> {
+    let mut exchange = pin!(exchange);
+    loop {
+        let before = received.get();
+        match timeout(idle, &mut exchange).await {
+            Ok(outcome) => return Some(outcome),
+            Err(_) if received.get() == before => return None,
+            Err(_) => {}
+        }
+    }
+}
+
 fn encode(call: &Call, address: SocketAddr) -> BytesMut {
     let mut head = format!(
         "{} {} HTTP/1.1\r\nHost: {address}\r\n",
@@ -145,22 +206,34 @@
     wire
 }
 
-async fn exchange(
+/// Sends a call if it is valid at the moment at which its first bytes leave.
+async fn send(
     connection: &mut Connection,
     wire: &[u8],
-    max_body_bytes: usize,
     is_valid: impl Fn() -> bool,
-) -> Result<(Reply, bool), Error> {
+) -> Result<(), Error> {
     let is_sent = connection.write_if(wire, is_valid).await;
-    if !is_sent.map_err(Error::Broken)? {
-        return Err(Error::Expired);
+    match is_sent.map_err(Error::Broken)? {
+        true => Ok(()),
+        false => Err(Error::Expired),
     }
+}
+
+/// Reads the response. `received` counts the bytes of its body.
+async fn receive(
+    connection: &mut Connection,
+    max_body_bytes: usize,
+    received: &Cell<usize>,
+) -> Result<(Reply, bool), Error> {
     let response = connection.read_head(MAX_HEAD_BYTES, false).await?;
     let mut decoder = Decoder::new(response.framing);
     let mut body = BytesMut::new();
     while !decoder.is_done() {
         match decoder.take(&mut connection.buffer)? {
-            Some(bytes) => body.extend_from_slice(&bytes),
+            Some(bytes) => {
+                body.extend_from_slice(&bytes);
+                received.set(body.len());
+            }
             None if decoder.is_done() => break,
             None if decoder.ends_with_connection() => {
                 if !connection.read().await.map_err(Error::Broken)? {
