Send no request twice on one connection to a target

Callers got a 503, which states that a request was not run, for orders that a target ran; with more attempts, an order could run twice.

A refused request is sent again, and may go to the same target on the same pooled connection. A target that writes its refusal once more there puts the copy where the response to the second sending is due. The copy has the id of that sending, so the check of ids took it for the response.

Each connection to a target now has a number, and a request remembers the connections that carried it and stayed open. The pool does not give it one of them; if all connections that the limit allows are such ones, the one that was idle for the longest time is closed and replaced. On any other connection, a copy has another id and is skipped as before. Connections stay open after a refusal, so only a request that is sent again to the same target may need a new one.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -46,6 +46,8 @@
     pub(crate) cause: String,
     /// Whether the retry budget has been charged for the next attempt.
     pub(crate) is_retry_charged: bool,
+    /// Number of the connection that carried the request, if it stays open.
+    pub(crate) connection: Option<u64>,
 }
 
 impl Attempt {
@@ -56,6 +58,7 @@
             status: 0,
             cause,
             is_retry_charged: false,
+            connection: None,
         }
     }
 }
@@ -341,7 +344,9 @@
         true => into_reply(received, checkout, job.deadline, source),
         false => (None, Some(checkout)),
     };
-    if let Some(checkout) = checkout.filter(|_| is_reusable) {
+    let kept = checkout.filter(|_| is_reusable);
+    let connection = kept.as_ref().map(Checkout::number);
+    if let Some(checkout) = kept {
         checkout.give_back(idle_timeout);
     }
     Attempt {
@@ -350,6 +355,7 @@
         status,
         cause,
         is_retry_charged: false,
+        connection,
     }
 }
 
--- a/crates/entry/src/checkout.rs
+++ b/crates/entry/src/checkout.rs
@@ -6,7 +6,13 @@
 use ragwortrill_core::time::{Instant, Span};
 use ragwortrill_router::registration::Incarnation;
 
-use crate::{connection::Connection, job::Job, reach, shared::Shared};
+use crate::{
+    connection::Connection,
+    job::Job,
+    pool::{Kept, Pool},
+    reach,
+    shared::Shared,
+};
 
 /// Timeout for opening a connection to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -17,34 +23,52 @@
     shared: Rc<Shared>,
     incarnation: Incarnation,
     connection: Option<Connection>,
+    number: u64,
     opened_at: Instant,
     is_counted: bool,
 }
 
 impl Checkout {
     /// Takes an idle connection from the pool, or opens a new one.
+    ///
+    /// A request never gets a connection that carried it before: a target may write its earlier
+    /// refusal once more, and the id could not tell that from the response.
     pub(crate) async fn open(
         shared: &Rc<Shared>,
         job: &Job,
         incarnation: &Incarnation,
     ) -> Result<Self, io::Error> {
         let now = shared.now();
-        let idle = shared.with_endpoint(incarnation, |endpoint| endpoint.pool.take(now));
-        let is_reused = idle.is_some();
-        let (connection, opened_at) = idle.unzip();
-        let mut checkout = Self {
+        let take = |pool: &mut Pool| pool.take(now, &job.carried_by);
+        let kept = shared.with_endpoint(incarnation, |endpoint| take(&mut endpoint.pool));
+        let checkout = |connection, number, opened_at, is_counted| Self {
             shared: shared.clone(),
             incarnation: incarnation.clone(),
             connection,
-            opened_at: opened_at.unwrap_or(now),
-            is_counted: is_reused,
+            number,
+            opened_at,
+            is_counted,
         };
-        if !is_reused {
-            checkout.connect(job).await?;
+        if let Some(kept) = kept {
+            let Kept {
+                connection,
+                number,
+                opened_at,
+            } = kept;
+            return Ok(checkout(Some(connection), number, opened_at, true));
         }
+        let number = shared.opened_connections.get() + 1;
+        shared.opened_connections.set(number);
+        let mut checkout = checkout(None, number, now, false);
+        checkout.connect(job).await?;
         Ok(checkout)
     }
 
+    /// Returns the number of the connection, which no other one of this host has.
+    pub(crate) fn number(&self) -> u64 {
+        self.number
+    }
+
     /// Returns the connection; none only if opening it failed.
     pub(crate) fn connection(&mut self) -> Option<&mut Connection> {
         self.connection.as_mut()
@@ -65,9 +89,13 @@
         let now = self.shared.now();
         if let Some(connection) = self.connection.take() {
             self.is_counted = false;
-            self.shared.with_endpoint(&self.incarnation, |p| {
-                p.pool.put(now, connection, self.opened_at, idle_timeout)
-            });
+            let kept = Kept {
+                connection,
+                number: self.number,
+                opened_at: self.opened_at,
+            };
+            self.shared
+                .with_endpoint(&self.incarnation, |p| p.pool.put(now, kept, idle_timeout));
         }
     }
 
@@ -77,6 +105,10 @@
         let max_connections = service.map_or(u32::MAX, |service| service.connections);
         let max_connections = self.shared.share().count(max_connections, 1);
         let is_full = self.shared.with_endpoint(&self.incarnation, |endpoint| {
+            if endpoint.pool.open_count() >= max_connections {
+                // The idle ones have carried the request before.
+                endpoint.pool.close_oldest();
+            }
             endpoint.pool.open_count() >= max_connections
         });
         if is_full {
--- a/crates/entry/src/hop.rs
+++ b/crates/entry/src/hop.rs
@@ -237,5 +237,6 @@
         status,
         cause: String::new(),
         is_retry_charged: false,
+        connection: None,
     }
 }
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -56,6 +56,8 @@
     pub(crate) deadline: Instant,
     /// Targets of earlier attempts.
     pub(crate) tried: Vec<Incarnation>,
+    /// Numbers of the connections that earlier attempts left open.
+    pub(crate) carried_by: Vec<u64>,
     pub(crate) may_have_run: bool,
     /// If a target answered that it does not hold the key: the epoch of the range by which it was
     /// selected, and the time of the answer.
@@ -129,6 +131,7 @@
             key,
             config,
             tried: Vec::new(),
+            carried_by: Vec::new(),
             may_have_run: false,
             misdirected: None,
         })
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -16,24 +16,34 @@
     open: u32,
 }
 
+/// A connection that takes one request at a time.
+#[derive(Debug)]
+pub(crate) struct Kept {
+    pub(crate) connection: Connection,
+    /// Number that no other connection of this host has.
+    pub(crate) number: u64,
+    /// When it was established.
+    pub(crate) opened_at: Instant,
+}
+
 #[derive(Debug)]
 struct Idle {
-    connection: Connection,
-    opened_at: Instant,
+    kept: Kept,
     until: Instant,
 }
 
 impl Pool {
-    /// Takes an idle connection that the target has not closed, with the time at which it was
-    /// established.
-    pub(crate) fn take(&mut self, now: Instant) -> Option<(Connection, Instant)> {
+    /// Takes an idle connection that the target has not closed and whose number is not in `excluded`.
+    pub(crate) fn take(&mut self, now: Instant, excluded: &[u64]) -> Option<Kept> {
         let before = self.idle.len();
         self.idle.retain(|idle| idle.until > now);
         let mut dropped = before - self.idle.len();
+        let is_usable = |idle: &Idle| !excluded.contains(&idle.kept.number);
         let mut found = None;
-        while let Some(idle) = self.idle.pop() {
-            if idle.connection.is_idle() {
-                found = Some((idle.connection, idle.opened_at));
+        while let Some(index) = self.idle.iter().rposition(is_usable) {
+            let idle = self.idle.remove(index);
+            if idle.kept.connection.is_idle() {
+                found = Some(idle.kept);
                 break;
             }
             dropped += 1;
@@ -42,30 +52,28 @@
         found
     }
 
-    /// Adds an idle connection that was established at `opened_at`, with the idle timeout that the
-    /// target sent.
-    pub(crate) fn put(
-        &mut self,
-        now: Instant,
-        connection: Connection,
-        opened_at: Instant,
-        idle_timeout: Option<Span>,
-    ) {
+    /// Closes the idle connection that was not used for the longest time.
+    pub(crate) fn close_oldest(&mut self) {
+        if !self.idle.is_empty() {
+            self.idle.remove(0);
+            self.record_close();
+        }
+    }
+
+    /// Adds an idle connection, with the idle timeout that the target sent.
+    pub(crate) fn put(&mut self, now: Instant, kept: Kept, idle_timeout: Option<Span>) {
         let timeout = idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |idle_timeout| {
             idle_timeout - IDLE_MARGIN
         });
         let until = now + timeout;
-        self.idle.push(Idle {
-            connection,
-            opened_at,
-            until,
-        });
+        self.idle.push(Idle { kept, until });
     }
 
     /// Returns whether an idle connection that was established before a time is still open.
     pub(crate) fn is_open_since(&self, at: Instant) -> bool {
-        let mut older = self.idle.iter().filter(|idle| idle.opened_at < at);
-        older.any(|idle| idle.connection.is_idle())
+        let kept = self.idle.iter().map(|idle| &idle.kept);
+        let mut older = kept.filter(|kept| kept.opened_at < at);
+        older.any(|kept| kept.connection.is_idle())
     }
 
     /// Closes all idle connections.
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -90,6 +90,7 @@
             job.misdirected = Some((epoch, shared.now()));
         }
         job.tried.push(target.registration.incarnation.clone());
+        job.carried_by.extend(attempt.connection);
         let time = job.deadline.since(shared.now());
         let left = Allowance {
             attempts: job.rule.attempts.saturating_sub(attempts),
