Keep no connection on which a target refused a request

On the product's own interface, orders ran twice at a target that wrote an earlier refusal once more on a kept connection.

Responses of targets name no request there. After a refusal without a body, ntex keeps the connection, and the copy that is written before the next response is taken for that response: a request that runs counts as refused and is sent again. After a refusal with a body, which is not read, ntex closes the connection.

The idle connections of the thread to that target are closed after a refusal without a body, as after an interim response, so nobody reads the copy. Refusals with a body cost nothing more than before.

--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -220,6 +220,11 @@
     }
     match sent {
         Ok(response) if response.headers().contains_key(target::REFUSED_HEADER) => {
+            // The target may write the refusal once more, and responses name no request. A
+            // response whose body is not read closes its connection.
+            if is_empty(&response, request) {
+                running.pool.close_connections().await;
+            }
             running.finish();
             Err(Finish::Shed)
         }
@@ -286,13 +291,23 @@
 /// response ends with its connection, which ntex 3.12 takes for an empty body.
 fn has_end(response: &ClientResponse, request: &Request) -> bool {
     let headers = response.headers();
-    let has_no_body = request.method == "HEAD" || matches!(response.status().as_u16(), 204 | 304);
-    has_no_body
+    has_no_body(response, request)
         || response.version() != Version::HTTP_11
         || headers.contains_key(CONTENT_LENGTH)
         || headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Returns whether the status or the method rules out a body.
+fn has_no_body(response: &ClientResponse, request: &Request) -> bool {
+    request.method == "HEAD" || matches!(response.status().as_u16(), 204 | 304)
+}
+
+/// Returns whether ntex has read the whole response, so that it keeps the connection.
+fn is_empty(response: &ClientResponse, request: &Request) -> bool {
+    let length = response.headers().get(CONTENT_LENGTH);
+    has_no_body(response, request) || length.is_some_and(|length| length.as_bytes() == b"0")
+}
+
 /// Converts a response whose body must end within a time.
 fn into_response(response: ClientResponse, running: RunningRequest, left: Span) -> Response {
     let headers: Vec<Header> = response
--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod flood;
 mod operator;
+pub mod scripted;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
