Answer every request before a graceful shutdown reaches its limit

At the end of drain_limit the process ended with the requests that still ran, and their callers' connections closed without a reply, also for orders, which must not be repeated. Requests were taken until the very end, also in the 100 ms between the end of the last request and the end of the process.

The limit was known to the main thread alone. The threads that serve callers now know the course of a shutdown: from half of the limit on, a request whose deadline lies beyond the end is refused as not run; 300 ms before the end, a request without a response gets a 504, which says that it may have run; and once no request is left, new ones are refused.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -61,6 +61,11 @@
     let arrived = shared.clock.now();
     let io = request.io().cloned();
     let response = match parse(&shared, &request, payload).await {
+        Ok((request, deadline)) if shared.shutdown.refuses(deadline) => {
+            let problem = Problem::shutting_down(request.head.request);
+            shared.metrics.request_refused(problem.reason());
+            problem.response()
+        }
         Ok((request, deadline)) => {
             let context = Context {
                 deadline,
@@ -101,6 +106,7 @@
         tokio::select! {
             outcome = dispatch::run(shared, &mut request, context, async || ()) => Some(outcome),
             () = limit => None,
+            () = shared.shutdown.ended() => None,
         }
     } else {
         let task_shared = shared.clone();
@@ -112,11 +118,16 @@
                 Err(_) => return HttpResponse::InternalServerError().finish(),
             },
             () = limit => None,
+            () = shared.shutdown.ended() => None,
         }
     };
     let Some(outcome) = outcome else {
-        shared.metrics.request_refused("late-answer");
-        return Problem::late(id).response();
+        let problem = match shared.clock.now() < deadline {
+            true => Problem::unanswered(id),
+            false => Problem::late(id),
+        };
+        shared.metrics.request_refused(problem.reason());
+        return problem.response();
     };
     match outcome {
         Outcome::Answered(mut response) => {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -35,6 +35,7 @@
     recent::Recent,
     settings::Settings,
     shared::{INBOX_CAPACITY, Inbound, Shared},
+    shutdown::Shutdown,
 };
 
 /// Capacity of each channel from the node thread.
@@ -46,6 +47,7 @@
     addresses: Addresses,
     process: Process,
     inbox: Sender<Inbound>,
+    shutdown: Arc<Shutdown>,
     exit: Receiver<()>,
     servers: Vec<web_server::Handle>,
     threads: Vec<JoinHandle<()>>,
@@ -97,8 +99,11 @@
         };
         let (inbox, events) = crossbeam_channel::bounded(INBOX_CAPACITY);
         let (control_sender, control_receiver) = mpsc::channel(CHANNEL_CAPACITY);
+        let clock = Clock::start();
+        let shutdown = Arc::new(Shutdown::new(clock, settings.drain_limit));
         let shared = Shared {
-            clock: Clock::start(),
+            clock,
+            shutdown: shutdown.clone(),
             inbox: inbox.clone(),
             registry: Arc::default(),
             links: Arc::default(),
@@ -123,12 +128,14 @@
         let (log_sender, log_receiver) = mpsc::channel(CHANNEL_CAPACITY);
         let (peer_sender, peer_receiver) = mpsc::channel(CHANNEL_CAPACITY);
         let unready_flag = ready.clone();
+        let ending = shutdown.clone();
         let outputs = Outputs {
             log: BufferedSender::new(log_sender),
             peers: BufferedSender::new(peer_sender),
             control: BufferedSender::new(control_sender),
             unready: Box::new(move || unready_flag.store(false, Ordering::Relaxed)),
             exit: Box::new(move || {
+                ending.finish();
                 let _ = exit_sender.try_send(());
             }),
         };
@@ -174,6 +181,7 @@
             addresses,
             process,
             inbox,
+            shutdown,
             exit,
             servers,
             threads,
@@ -192,6 +200,7 @@
 
     /// Starts a graceful shutdown.
     pub fn stop(&self) {
+        self.shutdown.start();
         let _ = self.inbox.send(Inbound::Event(Event::Stop));
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,6 +27,7 @@
 mod serve;
 mod settings;
 mod shared;
+mod shutdown;
 mod target;
 
 pub use daemon::{Addresses, Daemon};
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -103,6 +103,33 @@
         }
     }
 
+    /// Describes a request that may still run when a graceful shutdown ends, and was not sent.
+    pub(crate) fn shutting_down(request: request::Id) -> Self {
+        Self {
+            kind: format!("{TYPE}shutting-down"),
+            title: "The daemon shuts down",
+            status: StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+            detail: "the shutdown may end before the request; send it on another connection"
+                .to_owned(),
+            run: Run::NotRun,
+            request: Some(request),
+            retry_after: None,
+        }
+    }
+
+    /// Describes a request whose response had not come at the end of a graceful shutdown.
+    pub(crate) fn unanswered(request: request::Id) -> Self {
+        Self {
+            kind: format!("{TYPE}shutdown-ended"),
+            title: "The daemon shut down before the answer came",
+            status: StatusCode::GATEWAY_TIMEOUT.as_u16(),
+            detail: "the request may have run; repeat it with the same Idempotency-Key".to_owned(),
+            run: Run::Unknown,
+            request: Some(request),
+            retry_after: None,
+        }
+    }
+
     /// Returns the last part of the type.
     pub(crate) fn reason(&self) -> String {
         self.kind.trim_start_matches(TYPE).to_owned()
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     Clock, link::Link, metrics::Metrics, node_loop::ControlCall, registry::Registry,
-    response_cache::Cache,
+    response_cache::Cache, shutdown::Shutdown,
 };
 
 /// Capacity of the channel to the node thread.
@@ -46,6 +46,7 @@
     pub(crate) control_calls: mpsc::WeakSender<ControlCall>,
     /// Secret that the daemons of a system share.
     pub(crate) secret: Arc<str>,
+    pub(crate) shutdown: Arc<Shutdown>,
     /// Number of threads that send requests to targets.
     pub(crate) sending_threads: usize,
 }
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -16,6 +16,7 @@
 };
 use ragwortrill_core::time::Span;
 use ragwortrill_standin::target::Settings;
+use test_case::test_case;
 
 const KEY: &str = "k1";
 
@@ -130,6 +131,166 @@
     assert_eq!(target.counts().received, received + 1);
 }
 
+struct Late {
+    name: &'static str,
+    method: Method,
+    /// When the request is sent, in milliseconds since the start of the shutdown.
+    sent_ms: i32,
+    deadline_ms: u32,
+    /// Time that the target works on the request.
+    work: Span,
+    status: u16,
+    /// Whether the request is sent to the target.
+    is_sent: bool,
+}
+
+/// Guards against a graceful shutdown that cuts a request without a reply at its limit.
+#[test_case(Late {
+    name: "before the shutdown, beyond its limit",
+    method: Method::POST,
+    sent_ms: -300,
+    deadline_ms: 20_000,
+    work: Span::from_secs(20),
+    status: 504,
+    is_sent: true,
+}; "order before the shutdown")]
+#[test_case(Late {
+    name: "early in the shutdown, beyond its limit",
+    method: Method::POST,
+    sent_ms: 1_000,
+    deadline_ms: 20_000,
+    work: Span::from_secs(20),
+    status: 504,
+    is_sent: true,
+}; "order early in the shutdown")]
+#[test_case(Late {
+    name: "late in the shutdown, beyond its limit",
+    method: Method::POST,
+    sent_ms: 2_500,
+    deadline_ms: 20_000,
+    work: Span::from_secs(20),
+    status: 503,
+    is_sent: false,
+}; "order late in the shutdown")]
+#[test_case(Late {
+    name: "late in the shutdown, beyond its limit, to be repeated",
+    method: Method::GET,
+    sent_ms: 2_500,
+    deadline_ms: 20_000,
+    work: Span::from_secs(20),
+    status: 503,
+    is_sent: false,
+}; "read late in the shutdown")]
+#[test_case(Late {
+    name: "early in the shutdown, within its limit",
+    method: Method::POST,
+    sent_ms: 1_000,
+    deadline_ms: 1_500,
+    work: Span::from_millis(300),
+    status: 200,
+    is_sent: true,
+}; "short order early in the shutdown")]
+fn graceful_shutdown_cuts_no_request_at_its_limit(case: Late) {
+    ntex::rt::System::new("test", ntex::rt::DefaultRuntime).block_on(check_late(case));
+}
+
+/// Guards against a request that is taken when the last one has ended, and cut when the process ends.
+#[ntex::test]
+async fn request_at_the_end_of_a_graceful_shutdown_is_refused() {
+    let mut system = system().await;
+    let target = &system.targets[&name("orders-0")];
+    let received = target.counts().received;
+    let address = system.address(0);
+    let daemon = system.daemons[0].take().expect("the daemon runs");
+    daemon.stop();
+    let ended = thread::spawn(move || (daemon.wait(Duration::from_secs(12)), daemon));
+    while !ended.is_finished() {
+        sleep(Millis(20)).await;
+    }
+    let (has_ended, daemon) = ended.join().expect("the daemon stops");
+    assert!(has_ended);
+    let reply = thread::spawn(move || {
+        let mut stream = connect(address);
+        send(&mut stream, &[Call::post("orders", "/late", KEY, "")]);
+        receive(&mut stream)
+    });
+    while !reply.is_finished() {
+        sleep(Millis(5)).await;
+    }
+    let reply = reply.join().expect("the reply can be read");
+    let refused = Head {
+        status: 503,
+        closes: true,
+    };
+    assert_eq!(reply, Some(refused));
+    assert_eq!(target.counts().received, received);
+    daemon.close();
+}
+
+async fn check_late(case: Late) {
+    const LIMIT: Duration = Duration::from_secs(4);
+    let builder = Builder::new().service("orders", row(true), 1);
+    let builder = builder.settings(|settings| settings.drain_limit = Span::from_secs(4));
+    let mut system = builder.start();
+    let ready = Call::get("orders", "/ready", KEY);
+    system.call_until_served(0, &ready).await;
+    let target = &system.targets[&name("orders-0")];
+    target.change(|settings| settings.service_time = case.work);
+    let address = system.address(0);
+    let received = target.counts().received;
+    // The shutdown goes on while this request runs.
+    let running = thread::spawn(move || {
+        let mut stream = connect(address);
+        let call = Call::post("orders", "/running", KEY, "");
+        send(
+            &mut stream,
+            &[call.header("ragwortrill-deadline-ms", "20000")],
+        );
+        receive(&mut stream).map(|head| head.status)
+    });
+    while target.counts().received == received {
+        sleep(Millis(10)).await;
+    }
+    let received = target.counts().received;
+    let daemon = system.daemons[0].take().expect("the daemon runs");
+    let before = Duration::from_millis(u64::from(case.sent_ms.min(0).unsigned_abs()));
+    let after = Duration::from_millis(u64::from(case.sent_ms.max(0).unsigned_abs()));
+    let caller = thread::spawn(move || {
+        thread::sleep(after);
+        let mut stream = connect(address);
+        let call = Call::direct(case.method, "/s/orders/late");
+        let call = call.header("ragwortrill-key", KEY);
+        let deadline = case.deadline_ms.to_string();
+        send(
+            &mut stream,
+            &[call.header("ragwortrill-deadline-ms", &deadline)],
+        );
+        receive(&mut stream).map(|head| head.status)
+    });
+    let stopping = thread::spawn(move || {
+        thread::sleep(before);
+        daemon.stop();
+        daemon.wait(LIMIT);
+        // The process ends this long after the shutdown.
+        thread::sleep(Duration::from_millis(100));
+        daemon.close();
+    });
+    while !caller.is_finished() || !stopping.is_finished() || !running.is_finished() {
+        sleep(Millis(20)).await;
+    }
+    stopping.join().expect("the daemon stops");
+    let status = caller.join().expect("the reply can be read");
+    assert_eq!(status, Some(case.status), "{}", case.name);
+    let status = running.join().expect("the reply can be read");
+    assert!(
+        status.is_some(),
+        "{}: the running request is cut",
+        case.name
+    );
+    let is_sent = target.counts().received > received;
+    assert_eq!(is_sent, case.is_sent, "{}", case.name);
+}
+
 /// Sends a request on a connection of its own. Returns the reply's status, and whether it closes the
 /// connection.
 async fn exchange(system: &System, call: &Call) -> (u16, bool) {
