Send no request later than 3 s after the start of a planned stop

Where the grace period is longer than 6 s, callers whose request was sent between 3 s after the start of a planned stop and half of the grace period could get a 504 in place of the answer of a target that was still at work. Only a request that was sent no later than 3 s after the start may be given up.

The phase in which requests are refused began at half of the grace period. It now begins at 3 s if that is earlier, as it is with a grace period of 6 s.

--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ragwortrill_core::time::Instant;
+use ragwortrill_core::time::{Instant, Span};
 use tokio::{
     sync::watch,
     task::JoinHandle,
@@ -12,11 +12,14 @@
 use crate::{admission, shared::Shared};
 
 /// Time within which the load balancer notices that the host is not ready and sends it no new
-/// connections. It asks once a second and needs two answers. A request that is sent in the second
-/// half of the grace period must not be given up, so a busy host has 500 ms to close.
+/// connections. It asks once a second and needs two answers. A request that is sent later than
+/// [`MAX_REFUSAL_DELAY`] must not be given up, so a busy host has 500 ms to close.
 const UNREADY_NOTICE: Duration = Duration::from_millis(2_500);
 /// Part of the grace period, in percent, after which no request is sent to a target any more.
 const REFUSAL_PERCENT: u64 = 50;
+/// Time after the start of the stop from which no request is sent to a target any more, however long
+/// the grace period is: one that was sent later must not be given up.
+const MAX_REFUSAL_DELAY: Span = Span::from_secs(3);
 /// Part of the grace period, in percent, after which requests that still run at targets get a reply
 /// of this host. Before the last sixth of the grace period, no running request may be given up.
 const REPLY_PERCENT: u64 = 86;
@@ -86,12 +89,15 @@
     }
     let end = |percent| began + grace.scale(percent, 100);
     let steps = [
-        (REFUSAL_PERCENT, Phase::Refusing),
-        (REPLY_PERCENT, Phase::GivingUp),
+        (
+            end(REFUSAL_PERCENT).min(began + MAX_REFUSAL_DELAY),
+            Phase::Refusing,
+        ),
+        (end(REPLY_PERCENT), Phase::GivingUp),
     ];
     let mut is_drained = false;
-    for (percent, phase) in steps {
-        is_drained = is_drained || drain(shared, end(percent)).await;
+    for (until, phase) in steps {
+        is_drained = is_drained || drain(shared, until).await;
         shared.stop.enter(phase);
     }
     let is_drained = is_drained || drain(shared, end(EXIT_PERCENT)).await;
