Send nothing new to targets that state that they leave

A target on the users' platform may state in any answer that it leaves, while its entry in the store still says that it is ready. Callers' requests went on to it and were cut off when it ended, since no host read the statement.

The fleet now keeps the incarnations that have stated it, and they count as draining for the search, the leader's plan and the crash observer. Hosts tell each other through the leader, and a host that forwards a request learns it from the other host's answer. A request that was admitted before the statement is checked again before it is sent. Requests that wait when no target is left are refused at once; before, they waited until their deadlines.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -62,10 +62,7 @@
     let resource = match search::search(shared, &criteria, now) {
         Search::Found(target) => return Ok(admit(shared, target, false)),
         Search::Busy(resource) => resource,
-        Search::Absent => {
-            let reason = "the service has no target";
-            return Err(Problem::refusal(reason, RETRY_AFTER_ABSENT_MS));
-        }
+        Search::Absent => return Err(NO_TARGET),
     };
     if shared.stop.has_reached(Phase::Closing) {
         return Err(HOST_STOPPING);
@@ -147,6 +144,9 @@
     }
 }
 
+/// Refusal of a request whose service has no target that takes requests.
+const NO_TARGET: Problem = Problem::refusal("the service has no target", RETRY_AFTER_ABSENT_MS);
+
 /// Refusal of a request that would have to wait although the host is stopping.
 const HOST_STOPPING: Problem = Problem::refusal("the host stops", RETRY_AFTER_BUSY_MS);
 
@@ -281,12 +281,21 @@
                     .set_resource(ticket, resource.clone());
                 full.insert(resource);
             }
-            Search::Absent => {}
+            Search::Absent => reject(shared, ticket, NO_TARGET),
         }
     }
     shared.is_dispatching.set(false);
 }
 
+/// Refuses a waiting request.
+fn reject(shared: &Shared, ticket: Ticket, problem: Problem) {
+    shared.queue.borrow_mut().remove(ticket);
+    let waiter = shared.waiters.borrow_mut().remove(&ticket);
+    if let Some(waiter) = waiter {
+        let _ = waiter.found.send(Err(problem));
+    }
+}
+
 fn admit_waiter(shared: &Rc<Shared>, ticket: Ticket, target: Target) {
     shared.queue.borrow_mut().remove(ticket);
     let waiter = shared.waiters.borrow_mut().remove(&ticket);
--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -136,7 +136,8 @@
         let absent = shared.fleet.borrow_mut().retain(now, &listed);
         for id in absent {
             let is_gone = shared.fleet.borrow().get(&id).is_none();
-            let target = known.get(&id).filter(|t| !t.registration.is_draining);
+            let target = known.get(&id);
+            let target = target.filter(|t| !shared.fleet.borrow().is_draining(t));
             if let Some(target) = target.filter(|_| is_gone) {
                 crash::record_end(shared, &target.registration.incarnation);
             }
@@ -149,7 +150,7 @@
 /// Returns the incarnation of a target that is registered and does not drain.
 fn serving(shared: &Shared, id: &name::Target) -> Option<Incarnation> {
     let fleet = shared.fleet.borrow();
-    let known = fleet.get(id).filter(|t| !t.registration.is_draining);
+    let known = fleet.get(id).filter(|target| !fleet.is_draining(target));
     known.map(|t| t.registration.incarnation.clone())
 }
 
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -16,6 +16,7 @@
     crash,
     exchange::{self, Error, ExtraHeader, Received},
     job::Job,
+    leaving,
     message::{self, Framing},
     metrics::Way,
     rate_limit, reach,
@@ -36,7 +37,7 @@
 /// Cause of an attempt that was not made, since the caller is not there any more.
 pub(crate) const CALLER_LEFT: &str = "the caller has left";
 /// Status with which a target answers if it is not the expected one or does not hold the key.
-const MISDIRECTED: u16 = 421;
+pub(crate) const MISDIRECTED: u16 = 421;
 
 /// Outcome of one attempt.
 pub(crate) struct Attempt {
@@ -91,6 +92,10 @@
         checkout.give_back(None);
         return Attempt::failed(Outcome::NotSent, CALLER_LEFT.to_owned());
     }
+    if leaving::is_leaving(shared, incarnation) {
+        checkout.give_back(None);
+        return Attempt::failed(Outcome::NotSent, "the target leaves".to_owned());
+    }
     let left = job.deadline.since(sent);
     if left.as_millis() == 0 {
         checkout.give_back(None);
@@ -287,6 +292,7 @@
     // An answer that is not from the expected target says nothing about it.
     if status != MISDIRECTED {
         rate_limit::record(shared, incarnation, response, &exchange);
+        leaving::record(shared, incarnation, &response.headers);
     }
     shared.with_endpoint(incarnation, |endpoint| {
         endpoint.restart_detector.record_answer(exchange)
@@ -337,10 +343,15 @@
     let reply = matches!(outcome, Outcome::Success | Outcome::Failure);
     let idle_timeout = idle_timeout(&received);
     let is_reusable = received.is_reusable;
-    let (reply, checkout) = match reply {
+    let (mut reply, checkout) = match reply {
         true => into_reply(received, checkout, job.deadline, source),
         false => (None, Some(checkout)),
     };
+    if let Some(reply) = reply.as_mut().filter(|_| job.incoming.is_forwarded) {
+        reply
+            .headers
+            .extend(leaving::relayed_header(shared, incarnation));
+    }
     if let Some(checkout) = checkout.filter(|_| is_reusable) {
         checkout.give_back(idle_timeout);
     }
--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -45,9 +45,8 @@
 pub(crate) fn is_serving(shared: &Shared, target: &Incarnation) -> bool {
     let fleet = shared.fleet.borrow();
     let known = fleet.get(&target.id);
-    known.is_some_and(|known| {
-        &known.registration.incarnation == target && !known.registration.is_draining
-    })
+    known
+        .is_some_and(|known| &known.registration.incarnation == target && !fleet.is_draining(known))
 }
 
 /// Returns why requests with a fingerprint are refused, if they are.
--- a/crates/entry/src/hop.rs
+++ b/crates/entry/src/hop.rs
@@ -15,6 +15,7 @@
     connection::Connection,
     exchange::{self, ExtraHeader},
     job::Job,
+    leaving,
     message::{self, Framing},
     reach,
     reply::{Remainder, Reply},
@@ -213,7 +214,8 @@
     }
     let lines = received.response.headers.0.iter();
     let headers = lines.filter(|(name, _)| message::is_end_to_end(name));
-    let headers = headers.cloned().collect();
+    let mut headers = headers.cloned().collect();
+    leaving::take_relayed(shared, &mut headers);
     let length = match received.response.framing {
         Framing::Length(length) => Some(length),
         _ => None,
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -31,10 +31,12 @@
 
 use crate::{
     apply::{self, QUARANTINE_PREFIX, SERVICE_PREFIX},
+    attempt::MISDIRECTED,
     call::{Client, Error, Reply},
     candidacy::Candidacy,
     follow::{self, Topic},
     lease::{Lease, TERM_KEY, Term},
+    leaving,
     protocol::{Append, Draft, Record},
     rate_limit, reach, recovery,
     shared::Shared,
@@ -575,11 +577,16 @@
     }
 
     fn interpret(&self, order: &Order, outcome: Result<Reply, Error>) -> Response {
+        if let Ok(reply) = outcome.as_ref()
+            && reply.status != MISDIRECTED
+        {
+            leaving::record(&self.shared, &order.target, &reply.headers);
+        }
         match outcome {
             Ok(reply) => match reply.status {
                 200 => Response::Done((self.shared.protocol.handover_token)(&reply)),
                 409 => Response::Refused,
-                421 => Response::Misdirected,
+                MISDIRECTED => Response::Misdirected,
                 status => {
                     log::warn!(target = order.target.id.as_str(), status = status; "target answered a grant or release with an unexpected status");
                     Response::Silent
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod journal;
 mod leadership;
 mod lease;
+mod leaving;
 pub mod message;
 mod metrics;
 mod pool;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -47,6 +47,7 @@
     targets: Gauge<u64>,
     unowned: Gauge<u64>,
     limited: Gauge<u64>,
+    leaving: Gauge<u64>,
     version: Gauge<u64>,
     timeline: Gauge<u64>,
     age: Gauge<f64>,
@@ -202,6 +203,10 @@
                 "ragwortrill.targets.limited",
                 "Targets that state a rate limit",
             ),
+            leaving: gauge(
+                "ragwortrill.targets.leaving",
+                "Targets that state that they leave",
+            ),
             timeline: gauge(
                 "ragwortrill.store.timeline",
                 "Number of times that the store was restored from a copy",
@@ -238,6 +243,8 @@
             .filter(|endpoint| endpoint.rate_limit.rate(now).is_some());
         self.limited.record(limited.count() as u64, &[]);
         drop(endpoints);
+        let leaving = shared.fleet.borrow().leaving().count();
+        self.leaving.record(leaving as u64, &[]);
         let config = shared.config.borrow();
         let version = config.as_ref().map_or(0, |config| config.version.0);
         self.version.record(version, &[]);
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -59,6 +59,8 @@
     pub load: &'static str,
     /// Requests per second that a target takes from all hosts together.
     pub rate_limit: &'static str,
+    /// Present with the value 1 if the target leaves.
+    pub leaving: &'static str,
 }
 
 /// Names of the store's topics.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -32,6 +32,7 @@
     call::{Call, Client},
     crash,
     follow::{self, Topic},
+    leaving,
     protocol::Record,
     rate_limit,
     shared::Shared,
@@ -87,6 +88,9 @@
     /// Rate limits that targets state to the host.
     #[serde(default)]
     rate_limits: Vec<rate_limit::Relayed>,
+    /// Targets that stated to the host that they leave.
+    #[serde(default)]
+    leaving: Vec<Incarnation>,
 }
 
 /// The leader's response to a report.
@@ -113,6 +117,9 @@
     /// Rate limits that targets state to any host.
     #[serde(default)]
     rate_limits: Vec<rate_limit::Relayed>,
+    /// Targets that stated to any host that they leave.
+    #[serde(default)]
+    leaving: Vec<Incarnation>,
 }
 
 /// New records of one topic.
@@ -233,6 +240,7 @@
         quarantined: quarantined.into_iter().collect(),
         verdicts,
         rate_limits,
+        leaving: leaving::own(shared),
         traffic: traffic
             .iter_mut()
             .map(|(service, traffic)| (service.clone(), traffic.take_unsent()))
@@ -276,6 +284,7 @@
     };
     let told_at = timing.confirmed_at(sent).min(shared.now());
     rate_limit::merge(shared, told_at, update.rate_limits);
+    leaving::merge(shared, update.leaving);
     if shared
         .timeline
         .get()
@@ -331,6 +340,7 @@
     let received_at = shared.now();
     let report: Report = ciborium::from_reader(body).context("the report can't be read")?;
     rate_limit::merge(shared, received_at, report.rate_limits);
+    leaving::merge(shared, report.leaving);
     let is_new = |topic| {
         let from = report.offsets.get(&topic).copied();
         follow::next_offset(shared, topic).map(|next| next.0) > from
@@ -411,6 +421,7 @@
             .collect(),
         verdicts: version,
         rate_limits: rate_limit::known(shared),
+        leaving: leaving::known(shared),
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&update, &mut encoded)?;
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -7,7 +7,10 @@
     time::{Instant, Span},
 };
 
-use crate::registration::Registration;
+use crate::{
+    leaving::{Leaving, Source},
+    registration::{Incarnation, Registration},
+};
 
 /// Time after the end of a store outage in which entries that expired during it may reappear.
 const RETURN_GRACE: Span = Span::from_millis(2_000);
@@ -52,6 +55,8 @@
 pub struct Fleet {
     targets: BTreeMap<name::Target, Target>,
     evacuated: BTreeSet<name::DataCentre>,
+    /// Targets that have stated that they leave, whatever their entries say.
+    leaving: Leaving,
     failing_since: Option<Instant>,
     grace_until: Instant,
     /// Time until which entries may be older than what is known, after a restore of the store.
@@ -82,8 +87,31 @@
 
     /// Tells whether a target accepts requests: it neither drains nor is evacuated.
     pub fn is_serving(&self, target: &Target) -> bool {
+        let data_centre = &target.registration.data_centre;
+        !self.is_draining(target) && !self.evacuated.contains(data_centre)
+    }
+
+    /// Tells whether a target is about to end, by its entry or its own answers.
+    pub fn is_draining(&self, target: &Target) -> bool {
         let registration = &target.registration;
-        !registration.is_draining && !self.evacuated.contains(&registration.data_centre)
+        registration.is_draining || self.is_leaving(&registration.incarnation)
+    }
+
+    /// Tells whether a target has stated that it leaves.
+    pub fn is_leaving(&self, target: &Incarnation) -> bool {
+        self.leaving.contains(target)
+    }
+
+    /// Returns the listed targets that have stated that they leave, and where that is known from.
+    pub fn leaving(&self) -> impl Iterator<Item = (&Incarnation, Source)> {
+        let all = self.leaving.iter();
+        all.filter(|(target, _)| is_listed(&self.targets, target))
+    }
+
+    /// Records that a target leaves. Returns whether that is new.
+    pub fn record_leaving(&mut self, now: Instant, target: &Incarnation, source: Source) -> bool {
+        self.leaving.expire(now, |t| is_listed(&self.targets, t));
+        self.leaving.record(now, target, source)
     }
 
     /// Tells whether a data centre is evacuated.
@@ -242,7 +270,9 @@
         let Some(target) = self.targets.get_mut(id) else {
             return Change::None;
         };
-        if may_return && !target.registration.is_draining {
+        let incarnation = &target.registration.incarnation;
+        let is_draining = target.registration.is_draining || self.leaving.contains(incarnation);
+        if may_return && !is_draining {
             target.is_missing = true;
             return Change::Missing;
         }
@@ -260,6 +290,11 @@
     }
 }
 
+fn is_listed(targets: &BTreeMap<name::Target, Target>, incarnation: &Incarnation) -> bool {
+    let known = targets.get(&incarnation.id);
+    known.is_some_and(|target| &target.registration.incarnation == incarnation)
+}
+
 fn difference(old: &Registration, new: &Registration) -> Change {
     if old.incarnation != new.incarnation || old.service != new.service {
         return Change::Started;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod crash;
 pub mod fleet;
 pub mod leader;
+pub mod leaving;
 pub mod links;
 pub mod load;
 pub mod pace;
