--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod lag;
 mod leadership;
 pub mod lease;
+mod leaving;
 pub mod message;
 mod metrics;
 pub mod notice;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -33,6 +33,7 @@
     call::{Call, Client},
     compression, crash,
     follow::{self, Topic},
+    leaving,
     notice::{Digests, Notices},
     protocol::Record,
     rate_limit,
@@ -99,6 +100,9 @@
     /// Rate limits that targets state to the host.
     #[serde(default)]
     rate_limits: Vec<rate_limit::Relayed>,
+    /// Targets that stated to the host that they leave.
+    #[serde(default)]
+    leaving: Vec<Incarnation>,
 }
 
 /// The leader's response to a report.
@@ -128,6 +132,9 @@
     /// Rate limits that targets state to any host.
     #[serde(default)]
     rate_limits: Vec<rate_limit::Relayed>,
+    /// Targets that stated to any host that they leave.
+    #[serde(default)]
+    leaving: Vec<Incarnation>,
 }
 
 /// New records of one topic.
@@ -346,6 +353,7 @@
         quarantined: quarantined.into_iter().collect(),
         verdicts: known.version,
         rate_limits,
+        leaving: leaving::own(shared),
         traffic: traffic
             .iter_mut()
             .map(|(service, traffic)| (service.clone(), traffic.take_unsent()))
@@ -393,6 +401,7 @@
     };
     let told_at = timing.confirmed_at(sent).min(shared.now());
     rate_limit::merge(shared, told_at, update.rate_limits);
+    leaving::merge(shared, update.leaving);
     if shared
         .timeline
         .get()
@@ -457,6 +466,7 @@
     let received_at = shared.now();
     let report: Report = ciborium::from_reader(body).context("the report can't be read")?;
     rate_limit::merge(shared, received_at, report.rate_limits.clone());
+    leaving::merge(shared, report.leaving);
     let is_new = |topic| {
         let from = report.offsets.get(&topic).copied();
         follow::next_offset(shared, topic).map(|next| next.0) > from
@@ -527,6 +537,7 @@
         quarantined: notices.quarantined.into_iter().collect(),
         verdicts: shared.crash_aggregator.borrow().version(),
         rate_limits: notices.rate_limits,
+        leaving: leaving::known(shared),
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&update, &mut encoded)?;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fallback;
 pub mod fleet;
 pub mod leader;
+pub mod leaving;
 pub mod links;
 pub mod load;
 pub mod pace;
