Refuse an order that waits when its caller has left

What callers saw: an order whose caller had left waited on in the queue of its holder, on this daemon or the one that it was forwarded to, and was sent to its target when a slot became free.

Cause: an order is dispatched in a task of its own, so that it runs on when its caller leaves; that task never learnt that the caller had left. A holder ignored the peer's abort for an order for the same reason.

The task now holds the receiving end of a channel that closes when the caller leaves. It tells the node, which refuses requests that wait to be routed or for a slot, withdraws their intents, and leaves those that run. A forwarded order's abort goes to the holder, which does the same, and its answer is still awaited. An order that gets its slot after the notice is not sent. The node refused nothing in caller_left before, because the task of an idempotent request has ended by then.

--- a/crates/core/src/completion.rs
+++ b/crates/core/src/completion.rs
@@ -207,8 +207,9 @@
         self.apply_decisions(now, target, decisions, actions);
     }
 
-    /// Handles a caller that disconnected. A request that waits to be routed or for a slot is
-    /// dropped. A later one is cancelled if it is idempotent, and otherwise runs to its end.
+    /// Handles a caller that disconnected. A request that waits to be routed or for a slot is refused,
+    /// so that its intent is withdrawn and a daemon that forwarded it does not route it again. A later
+    /// one is cancelled if it is idempotent, and otherwise runs to its end.
     pub(crate) fn caller_left(&mut self, now: Instant, ticket: Ticket, actions: &mut Vec<Action>) {
         let Some(held) = self.tickets.get(&ticket) else {
             return;
@@ -228,11 +229,9 @@
                 if let Some(state) = self.target_states.get_mut(&target) {
                     state.queue.cancel(queue_id(ticket));
                 }
-                self.close(ticket);
-            }
-            Phase::Waiting => {
-                self.close(ticket);
+                self.refuse(ticket, Refusal::Late, None, actions);
             }
+            Phase::Waiting => self.refuse(ticket, Refusal::Late, None, actions),
             _ => {}
         }
     }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -21,10 +21,11 @@
 };
 use ragwortrill_platform::headers;
 use ragwortrill_wire::Header;
+use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    dispatch::{self, Context, Outcome},
+    dispatch::{self, Context, Departure, Outcome},
     exchange::{self, Error, Request, Response, read_prefix},
     problem::{self, Problem},
     resume::ResumableRequest,
@@ -83,8 +84,9 @@
 
 /// Dispatches a request, and responds with a problem document once its deadline has passed.
 ///
-/// A non-idempotent request runs on for some time if its caller disconnects or the deadline passes,
-/// and its response is cached. An idempotent one is cancelled.
+/// A non-idempotent request that runs at a target runs on for some time if its caller disconnects or
+/// the deadline passes, and its response is cached; one that still waits is not sent. An idempotent one
+/// is cancelled.
 async fn dispatch_until_deadline(
     shared: &Shared,
     mut request: Request,
@@ -99,13 +101,19 @@
     let limit = ntex::time::sleep(Millis(left.as_millis().min(u64::from(u32::MAX)) as u32));
     let outcome = if request.head.idempotent {
         tokio::select! {
-            outcome = dispatch::run(shared, &mut request, context, async || ()) => Some(outcome),
+            outcome = dispatch::run(shared, &mut request, context, Departure::never(), async || ()) => {
+                Some(outcome)
+            }
             () = limit => None,
         }
     } else {
         let task_shared = shared.clone();
-        let run =
-            async move { dispatch::run(&task_shared, &mut request, context, async || ()).await };
+        // It is closed when this future is dropped, because the caller has left, or returns.
+        let (_caller, departure) = watch::channel(());
+        let departure = Departure::of(departure);
+        let run = async move {
+            dispatch::run(&task_shared, &mut request, context, departure, async || ()).await
+        };
         tokio::select! {
             outcome = ntex::rt::spawn(run) => match outcome {
                 Ok(outcome) => Some(outcome),
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -6,7 +6,7 @@
     request::Refusal,
     time::{Instant, Span},
 };
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::{
     exchange::{Request, Response, Tracker, read_to_end},
@@ -52,6 +52,44 @@
     }
 }
 
+/// Notice that the caller of a non-idempotent request has left, by the close of a channel. The request
+/// is not sent to a target any more; one that runs is awaited.
+pub(crate) struct Departure {
+    channel: Option<watch::Receiver<()>>,
+    has_come: bool,
+}
+
+impl Departure {
+    /// Creates a notice of the close of a channel.
+    pub(crate) fn of(channel: watch::Receiver<()>) -> Self {
+        Self {
+            channel: Some(channel),
+            has_come: false,
+        }
+    }
+
+    /// Creates a notice that never comes, for a request that is cancelled when its caller leaves.
+    pub(crate) fn never() -> Self {
+        Self {
+            channel: None,
+            has_come: false,
+        }
+    }
+
+    fn has_come(&self) -> bool {
+        self.has_come
+    }
+
+    /// Completes once, when the caller has left.
+    async fn notice(&mut self) {
+        match &mut self.channel {
+            Some(channel) if !self.has_come => while channel.changed().await.is_ok() {},
+            _ => std::future::pending().await,
+        }
+        self.has_come = true;
+    }
+}
+
 /// Conditions under which a request is routed.
 pub(crate) struct Context {
     pub(crate) deadline: Instant,
@@ -64,6 +102,7 @@
     shared: &Shared,
     request: &mut Request,
     context: Context,
+    mut departure: Departure,
     mut on_dispatch: impl AsyncFnMut(),
 ) -> Outcome {
     let (ticket, commands) = shared.registry.open();
@@ -88,10 +127,18 @@
     let mut offset = context.min_offset;
     let mut retry_after = None;
     loop {
-        let Some(command) = guard.commands.recv().await else {
+        let command = tokio::select! {
+            command = guard.commands.recv() => command,
+            () = departure.notice() => {
+                shared.send_event(Event::Disconnected(ticket));
+                continue;
+            }
+        };
+        let Some(command) = command else {
             return refused(Refusal::NoHolder, None);
         };
         let failure = match command {
+            Command::Dispatch(_) if departure.has_come() => Finish::Unsent { lapsed: true },
             Command::Dispatch(dispatch) => {
                 on_dispatch().await;
                 match target::send(shared, &dispatch, request).await {
@@ -103,7 +150,8 @@
                 None => Finish::LinkBroken,
                 Some(link) => {
                     let now = shared.clock.now();
-                    match forward::send(link, request, offset, now, deadline).await {
+                    let left = departure.notice();
+                    match forward::send(link, request, offset, now, deadline, left).await {
                         Ok(response) => return guard.respond(request, response, false),
                         Err(failure) => {
                             retry_after = failure.retry_after;
@@ -148,6 +196,9 @@
             ticket,
             result: failure,
         });
+        if departure.has_come() {
+            shared.send_event(Event::Disconnected(ticket));
+        }
         if !request.is_resendable() {
             return refused(Refusal::Broken, None);
         }
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -53,13 +53,15 @@
     }
 }
 
-/// Forwards a request and returns its response, whose body is still to be read.
+/// Forwards a request and returns its response, whose body is still to be read. Tells the other daemon
+/// when the caller has left.
 pub(crate) async fn send(
     link: Link,
     request: &mut Request,
     offset: Offset,
     now: Instant,
     deadline: Instant,
+    caller_left: impl Future<Output = ()>,
 ) -> Result<Response, Failure> {
     let (stream, frames) = link.open_stream();
     let mut exchange = Exchange {
@@ -83,7 +85,17 @@
         exchange.ended = true;
         return Err(Finish::LinkBroken.into());
     }
-    exchange.receive_response(request).await
+    let link = exchange.link.clone();
+    let response = exchange.receive_response(request);
+    tokio::pin!(response);
+    tokio::select! {
+        outcome = &mut response => return outcome,
+        () = caller_left => {
+            let cause = Cause::Gone;
+            link.try_send(Frame::Abort { stream, cause });
+        }
+    }
+    response.await
 }
 
 impl Exchange {
--- a/crates/daemon/src/resume.rs
+++ b/crates/daemon/src/resume.rs
@@ -7,7 +7,7 @@
 use ragwortrill_wire::Header;
 
 use crate::{
-    dispatch::{self, Context, Outcome},
+    dispatch::{self, Context, Departure, Outcome},
     exchange::{Body, Error, Request, Response},
     shared::Shared,
 };
@@ -128,7 +128,7 @@
         };
         let limit = tokio::time::sleep(time_limit.as_duration());
         let outcome = tokio::select! {
-            outcome = dispatch::run(shared, &mut continuation, context, async || ()) => outcome,
+            outcome = dispatch::run(shared, &mut continuation, context, Departure::never(), async || ()) => outcome,
             () = limit => return None,
         };
         match outcome {
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -7,10 +7,10 @@
     Cause, Frame, Header, INITIAL_CREDIT_BYTES, Refusal as Refused, Request as Forwarded,
     Response as ResponseHead, Stream, credit_cost,
 };
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::{
-    dispatch::{self, Context, Outcome},
+    dispatch::{self, Context, Departure, Outcome},
     exchange::{Body, Error, Request, Response},
     forward::send_chunks,
     link::{Link, STREAM_QUEUE_CAPACITY},
@@ -35,21 +35,23 @@
     };
     let idempotent = forwarded.head.idempotent;
     let mut request = into_request(forwarded, receiver, link.clone());
-    let dispatched = dispatch(&shared, &link, stream, &mut request, context);
+    let (caller, departure) = watch::channel(());
+    let mut caller = Some(caller);
+    let departure = Departure::of(departure);
+    let dispatched = dispatch(&shared, &link, stream, &mut request, context, departure);
     tokio::pin!(dispatched);
     let mut credit = i64::from(INITIAL_CREDIT_BYTES);
-    let mut caller_left = false;
     let outcome = loop {
         tokio::select! {
             outcome = &mut dispatched => break outcome,
-            frame = frames.recv(), if !caller_left => match frame {
+            frame = frames.recv(), if caller.is_some() => match frame {
                 Some(Frame::Credit { bytes, .. }) => credit += i64::from(bytes),
                 // A dropped part would leave a gap in the body, so a full queue ends the body.
                 Some(frame @ Frame::Chunk { .. }) => {
                     parts.take_if(|parts| parts.try_send(frame).is_err());
                 }
                 Some(Frame::Abort { .. }) | None if idempotent => return,
-                Some(Frame::Abort { .. }) | None => caller_left = true,
+                Some(Frame::Abort { .. }) | None => caller = None,
                 Some(_) => {}
             },
         }
@@ -64,6 +66,7 @@
     stream: Stream,
     request: &mut Request,
     context: Context,
+    departure: Departure,
 ) -> Outcome {
     let more = request.more;
     let on_dispatch = async || {
@@ -71,7 +74,7 @@
             link.send(Frame::Accept(stream)).await;
         }
     };
-    dispatch::run(shared, request, context, on_dispatch).await
+    dispatch::run(shared, request, context, departure, on_dispatch).await
 }
 
 fn into_request(forwarded: Forwarded, frames: mpsc::Receiver<Frame>, link: Link) -> Request {
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -8,6 +8,8 @@
 use test_case::test_case;
 
 const KEY: &str = "k1";
+/// Time in which a request reaches its queue, and the end of its connection the daemon.
+const PAUSE: std::time::Duration = std::time::Duration::from_millis(300);
 
 /// Starts a system with one target, so that two of three daemons forward to the third.
 async fn system(settings: Settings) -> System {
@@ -121,6 +123,36 @@
     assert_eq!(target.counts().repeated(), Vec::<&str>::new());
 }
 
+/// Guards against an order that waits on in the queue of its holder after its caller has left, and is
+/// sent later.
+#[ntex::test]
+async fn a_queued_order_is_not_sent_after_its_caller_has_left() {
+    let mut limits = row(true);
+    limits.slots = 1;
+    let builder = Builder::new().service("plans", limits, 1);
+    let system = builder.target(Settings::default()).start();
+    let target = target(&system);
+    for daemon in 0..3 {
+        let ready = Call::get("plans", "/ready", KEY);
+        system.call_until_served(daemon, &ready).await;
+        target.change(|settings| settings.hold = true);
+        let before = target.counts();
+        let order = |name: &str| {
+            let id = format!("{name}-{daemon}");
+            Call::post("plans", "/new", KEY, "").header("idempotency-key", &id)
+        };
+        let address = system.address(daemon);
+        let has_started = until(target, "starts", |now| now.started > before.started);
+        send_and_disconnect(address, &order("first"), has_started).await;
+        send_and_disconnect(address, &order("abandoned"), tokio::time::sleep(PAUSE)).await;
+        tokio::time::sleep(PAUSE).await;
+        target.change(|settings| settings.hold = false);
+        system.call_until_served(daemon, &order("last")).await;
+        let started = target.counts().started - before.started;
+        assert_eq!(started, 2, "daemon {daemon}: the first and the last order");
+    }
+}
+
 /// Guards against a non-idempotent request whose caller waits beyond the deadline, or gets a
 /// response that states that the request did not run although it still runs.
 #[ntex::test]
