Send nothing to a target within the time of its Retry-After

A target on the users' platform that refuses a request with 503 may state in Retry-After for how long it wants nothing from this host. Hosts went on sending: requests were refused again and again, and those for its keys waited until their deadlines. No code read the header.

Each host now keeps the end of the time for each incarnation, on the clock that counts suspension, and looks at it in the search and once more before each send. Requests without a key go to other targets. Others wait if the time ends within half of their objective, or are refused at once, also from the queue, with the time that is left as Retry-After. Other hosts are not told, since the statement is made to one host: docs/decisions/target-statements.md.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -17,7 +17,7 @@
     activity::Stage,
     hop,
     job::Job,
-    rate_limit,
+    pause, rate_limit,
     reply::{Problem, RETRY_AFTER_ABSENT_MS, RETRY_AFTER_BUSY_MS},
     search::{self, Criteria, Search},
     shared::Shared,
@@ -40,6 +40,8 @@
 pub(crate) struct Waiter {
     criteria: Criteria,
     is_forwarded: bool,
+    /// Until when it may wait for targets that want nothing from this host.
+    patience: Instant,
     found: oneshot::Sender<Result<Admitted, Problem>>,
 }
 
@@ -64,6 +66,10 @@
         Search::Busy(resource) => resource,
         Search::Absent => return Err(NO_TARGET),
     };
+    let patience = pause::patience(job, now);
+    if let Some(problem) = pause::refusal(shared, &resource, now, patience) {
+        return Err(problem);
+    }
     if shared.stop.has_reached(Phase::Closing) {
         return Err(HOST_STOPPING);
     }
@@ -82,6 +88,7 @@
     let waiter = Waiter {
         criteria,
         is_forwarded: job.incoming.is_forwarded,
+        patience,
         found,
     };
     let entry = Entry::new(
@@ -287,6 +294,31 @@
     shared.is_dispatching.set(false);
 }
 
+/// Returns the refusal of a request whose targets want nothing from this host now, if they do.
+pub(crate) fn paused(shared: &Shared, job: &Job) -> Option<Problem> {
+    let now = shared.now();
+    let resource = search::resource(shared, &Criteria::new(job), now);
+    pause::refusal(shared, &resource, now, now)
+}
+
+/// Refuses the waiting requests whose targets want nothing from this host for so long that they can't
+/// be served in time.
+pub(crate) fn reject_paused(shared: &Shared) {
+    let now = shared.now();
+    let refused: Vec<(Ticket, Problem)> = {
+        let waiters = shared.waiters.borrow();
+        let refusal = |(ticket, waiter): (&Ticket, &Waiter)| {
+            let resource = search::resource(shared, &waiter.criteria, now);
+            let problem = pause::refusal(shared, &resource, now, waiter.patience);
+            problem.map(|problem| (*ticket, problem))
+        };
+        waiters.iter().filter_map(refusal).collect()
+    };
+    for (ticket, problem) in refused {
+        reject(shared, ticket, problem);
+    }
+}
+
 /// Refuses a waiting request.
 fn reject(shared: &Shared, ticket: Ticket, problem: Problem) {
     shared.queue.borrow_mut().remove(ticket);
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -19,7 +19,7 @@
     leaving,
     message::{self, Framing},
     metrics::Way,
-    rate_limit, reach,
+    pause, rate_limit, reach,
     reply::{Remainder, Reply, Source},
     search,
     shared::Shared,
@@ -97,6 +97,11 @@
         checkout.give_back(None);
         return Attempt::failed(Outcome::NotSent, cause.to_owned());
     }
+    if pause::is_paused(shared, incarnation, sent) {
+        checkout.give_back(None);
+        let cause = "the target wants no requests for a time";
+        return Attempt::failed(Outcome::NotSent, cause.to_owned());
+    }
     let left = job.deadline.since(sent);
     activity.set(Stage::Sent(incarnation.id.clone()));
     count_limited(shared, job, incarnation, &permit);
@@ -305,6 +310,7 @@
     if status != MISDIRECTED {
         rate_limit::record(shared, incarnation, response, &exchange);
         leaving::record(shared, incarnation, &response.headers);
+        pause::record(shared, incarnation, response, &exchange);
     }
     shared.with_endpoint(incarnation, |endpoint| {
         endpoint.restart_detector.record_answer(exchange)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod message;
 mod metrics;
 pub mod notice;
+mod pause;
 mod pool;
 mod presence;
 pub mod protocol;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -48,6 +48,7 @@
     unowned: Gauge<u64>,
     limited: Gauge<u64>,
     leaving: Gauge<u64>,
+    paused: Gauge<u64>,
     version: Gauge<u64>,
     timeline: Gauge<u64>,
     age: Gauge<f64>,
@@ -208,6 +209,10 @@
                 "ragwortrill.targets.leaving",
                 "Targets that state that they leave",
             ),
+            paused: gauge(
+                "ragwortrill.targets.paused",
+                "Targets that want nothing from this host for a time",
+            ),
             timeline: gauge(
                 "ragwortrill.store.timeline",
                 "Number of times that the store was restored from a copy",
@@ -250,6 +255,8 @@
             .values()
             .filter(|endpoint| endpoint.rate_limit.rate(now).is_some());
         self.limited.record(limited.count() as u64, &[]);
+        let paused = endpoints.values().filter_map(|e| e.pause.left(now));
+        self.paused.record(paused.count() as u64, &[]);
         drop(endpoints);
         let leaving = shared.fleet.borrow().leaving().count();
         self.leaving.record(leaving as u64, &[]);
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -61,6 +61,8 @@
     pub rate_limit: &'static str,
     /// Present with the value 1 if the target leaves.
     pub leaving: &'static str,
+    /// Seconds for which a target that refuses a request wants nothing from this host.
+    pub retry_after: &'static str,
 }
 
 /// Names of the store's topics.
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -121,8 +121,7 @@
             (Decision::Deliver, Some(reply)) => return reply,
             (Decision::Retry, _) => {}
             (Decision::Refuse, _) => {
-                let problem =
-                    Problem::refusal("the target did not run the request", RETRY_AFTER_BUSY_MS);
+                let problem = admission::paused(shared, &job).unwrap_or(NOT_RUN);
                 return fail(shared, &job, problem);
             }
             _ => {
@@ -140,6 +139,10 @@
     }
 }
 
+/// Refusal of a request that no target ran.
+const NOT_RUN: Problem =
+    Problem::refusal("the target did not run the request", RETRY_AFTER_BUSY_MS);
+
 /// Counts a request in the retry budget of its service and in the traffic of its key.
 fn count(shared: &Shared, job: &Job) {
     shared.record_request(&job.service);
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -218,7 +218,9 @@
     shared.with_endpoint(&registration.incarnation, |endpoint| {
         let in_flight = endpoint.load.in_flight();
         let has_room = endpoint.load.has_room(now, f64::from(slots) * MAX_DEPTH);
-        if !endpoint.breaker.is_closed(now) || in_flight >= max_in_flight || !has_room {
+        let is_paused = endpoint.pause.left(now).is_some();
+        if is_paused || !endpoint.breaker.is_closed(now) || in_flight >= max_in_flight || !has_room
+        {
             return false;
         }
         let is_suspected = endpoint.may_have_restarted(now, &bounds);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -25,6 +25,7 @@
     links::Links,
     load::Load,
     pace::Pace,
+    pause::Pause,
     queue::{Queue, Ticket},
     registration::Incarnation,
     restart::{Bounds, Detector},
@@ -153,6 +154,7 @@
     pub(crate) restart_detector: Detector,
     pub(crate) cold_limiter: Bucket,
     pub(crate) rate_limit: Limit,
+    pub(crate) pause: Pause,
     pub(crate) pool: Pool,
 }
 
@@ -164,6 +166,7 @@
             restart_detector: Detector::default(),
             cold_limiter: Bucket::new(now, 1.0),
             rate_limit: Limit::default(),
+            pause: Pause::default(),
             pool: Pool::default(),
         }
     }
