Draw targets that leave or refuse for a time in the soak

The soak had no target that states in its answers that it leaves, or that refuses with a time for which it wants nothing, so no run showed whether hosts under faults keep to it. It draws both from a generator of their own and checks two guarantees: no requests 2 s after a host knows that the target leaves, and at most two of a host from half a second after a refusal until its time ends. Faults, and starts of hosts, end what a host can know.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -90,6 +90,8 @@
 #[test_case("budget", "1")]
 #[test_case("cold", "1")]
 #[test_case("limit", "1")]
+#[test_case("leaving", "3")]
+#[test_case("refused", "11")]
 #[test_case("recovery", "1")]
 #[test_case("process", "1")]
 fn violations_are_found(check: &str, seed: &str) {
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -89,8 +89,7 @@
     };
     let sent = shared.now();
     let obstacle = obstacle(shared, job, sent).or_else(|| {
-        let is_serving =
-            search::is_serving(shared, incarnation) && !leaving::is_leaving(shared, incarnation);
+        let is_serving = search::is_serving(shared, incarnation);
         (!is_serving).then_some("the target does not serve any more")
     });
     if let Some(cause) = obstacle {
