--- a/crates/entry/src/notice.rs
+++ b/crates/entry/src/notice.rs
@@ -10,7 +10,7 @@
     request::Fingerprint,
     time::{Instant, Span},
 };
-use ragwortrill_router::crash::Verdicts;
+use ragwortrill_router::{crash::Verdicts, registration::Incarnation};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -28,6 +28,8 @@
     pub quarantined: Vec<Fingerprint>,
     /// Rate limits that targets state to any host.
     pub rate_limits: Vec<Relayed>,
+    /// Targets that have stated that they leave.
+    pub leaving: Vec<Incarnation>,
 }
 
 /// Hashes of the parts, by which a host and the leader compare what the host has.
@@ -39,6 +41,8 @@
     quarantined: u64,
     #[serde(default)]
     rate_limits: u64,
+    #[serde(default)]
+    leaving: u64,
 }
 
 impl Digests {
@@ -70,6 +74,7 @@
             verdicts: digest((&self.verdicts.suspects, &self.verdicts.held)),
             quarantined: digest(&self.quarantined),
             rate_limits: digest(limits),
+            leaving: digest(&self.leaving),
         }
     }
 
@@ -80,6 +85,9 @@
         if current.has_verdicts_of(known) {
             self.verdicts = Verdicts::default();
         }
+        if current.leaving == known.leaving {
+            self.leaving.clear();
+        }
         if current.quarantined == known.quarantined {
             self.quarantined.clear();
         }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -446,6 +446,7 @@
         verdicts: shared.crash_aggregator.borrow().verdicts(),
         quarantined: shared.crash_observer.borrow().news(now),
         rate_limits: rate_limit::known(shared),
+        leaving: leaving::known(shared),
     }
 }
 
@@ -537,7 +538,7 @@
         quarantined: notices.quarantined.into_iter().collect(),
         verdicts: shared.crash_aggregator.borrow().version(),
         rate_limits: notices.rate_limits,
-        leaving: leaving::known(shared),
+        leaving: notices.leaving,
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&update, &mut encoded)?;
--- a/crates/entry/tests/notice.rs
+++ b/crates/entry/tests/notice.rs
@@ -36,11 +36,13 @@
         },
         quarantined: (0..QUARANTINED).map(Fingerprint).collect(),
         rate_limits: (0..LIMITED).map(limit).collect(),
+        leaving: (0..LIMITED).map(|number| limit(number).target).collect(),
     }
 }
 
-/// Number of entries by part: suspects, held suspects, quarantined requests and rate limits.
-type Sizes = [u64; 4];
+/// Number of entries by part: suspects, held suspects, quarantined requests, rate limits and targets
+/// that leave.
+type Sizes = [u64; 5];
 
 fn sizes(notices: &Notices) -> Sizes {
     let verdicts = &notices.verdicts;
@@ -49,6 +51,7 @@
         verdicts.held.len() as u64,
         notices.quarantined.len() as u64,
         notices.rate_limits.len() as u64,
+        notices.leaving.len() as u64,
     ]
 }
 
@@ -72,7 +75,7 @@
             passed_ms: 550,
             change: |_| {},
             contradicted: None,
-            sent: [0, 0, 0, 0],
+            sent: [0, 0, 0, 0, 0],
         },
         Case {
             name: "a new suspect",
@@ -81,7 +84,7 @@
                 notices.verdicts.suspects.insert(Fingerprint(9_999));
             },
             contradicted: None,
-            sent: [SUSPECTS + 1, SUSPECTS / 2, 0, 0],
+            sent: [SUSPECTS + 1, SUSPECTS / 2, 0, 0, 0],
         },
         Case {
             name: "a suspect is held no more",
@@ -90,42 +93,53 @@
                 notices.verdicts.held.pop_first();
             },
             contradicted: None,
-            sent: [SUSPECTS, SUSPECTS / 2 - 1, 0, 0],
+            sent: [SUSPECTS, SUSPECTS / 2 - 1, 0, 0, 0],
         },
         Case {
             name: "a new quarantined request",
             passed_ms: 550,
             change: |notices| notices.quarantined.push(Fingerprint(9_999)),
             contradicted: None,
-            sent: [0, 0, QUARANTINED + 1, 0],
+            sent: [0, 0, QUARANTINED + 1, 0, 0],
         },
         Case {
             name: "a rate limit changes",
             passed_ms: 550,
             change: |notices| notices.rate_limits[7].per_second = Some("2".parse().unwrap()),
             contradicted: None,
-            sent: [0, 0, 0, LIMITED],
+            sent: [0, 0, 0, LIMITED, 0],
         },
         Case {
             name: "a rate limit ends",
             passed_ms: 550,
             change: |notices| notices.rate_limits[7].per_second = None,
             contradicted: None,
-            sent: [0, 0, 0, LIMITED],
+            sent: [0, 0, 0, LIMITED, 0],
         },
         Case {
             name: "a target states its limit again, which has to be renewed",
             passed_ms: 3_000,
             change: |notices| notices.rate_limits[7].age_us = 0,
             contradicted: None,
-            sent: [0, 0, 0, LIMITED],
+            sent: [0, 0, 0, LIMITED, 0],
+        },
+        Case {
+            name: "another target leaves",
+            passed_ms: 550,
+            change: |notices| {
+                let mut target = notices.leaving[0].clone();
+                target.start_ms = 9_999;
+                notices.leaving.push(target);
+            },
+            contradicted: None,
+            sent: [0, 0, 0, 0, LIMITED + 1],
         },
         Case {
             name: "the host has seen an end of a limit that other hosts have seen to go on",
             passed_ms: 550,
             change: |_| {},
             contradicted: Some(7),
-            sent: [0, 0, 0, LIMITED],
+            sent: [0, 0, 0, LIMITED, 0],
         },
     ];
     for case in cases {
