Count records of the store from the time at which they can have been newest

What the leader relays looked fresh just when it was late. A read that does not wait counts from when it was sent, one that waits from its response less the lag. No test of its own.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -313,7 +313,10 @@
     }
     match read {
         Read::Records(records, next) => {
-            let read_at = shared.now() - RESPONSE_AGE;
+            // A late event loop finds the response long after it was made.
+            let now = shared.now();
+            let waited = now - RESPONSE_AGE - shared.lag.current(now);
+            let read_at = if wait == Span::ZERO { sent } else { waited };
             apply(shared, topic, records, false);
             shared.advance_replica(topic, next, read_at.max(sent));
         }
