--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -89,16 +89,17 @@
     let version = aggregator.version();
     let found = aggregator.decide(now);
     log_evaluated(&aggregator.take_evaluated());
-    if found.is_empty() && aggregator.version() == version {
-        return;
-    }
+    let is_changed = !found.is_empty() || aggregator.version() != version;
     let mut observer = shared.crash_observer.borrow_mut();
+    // A host that has just begun to lead has the verdicts of the earlier leader.
     observer.set_verdicts(now, aggregator.verdicts());
     for fingerprint in found {
         log::warn!(fingerprint = fingerprint.to_string(); "requests with this fingerprint are quarantined: they crash their targets");
         observer.quarantine(now, fingerprint, false);
     }
-    shared.update_ready.notify_waiters();
+    if is_changed {
+        shared.update_ready.notify_waiters();
+    }
 }
 
 fn log_evaluated(crashes: &[Evaluated]) {
