Limit the pause of the leader's planning, and how soon it resigns when it is late

Found by the review: a planning step that a paused process interrupts was followed by a pause of four times its length, in which no grant was renewed; and when all hosts are late, each would lead for one step only.

--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -62,6 +62,8 @@
 /// Shortest pause after a planning step, as a multiple of the time that the step took, so that
 /// planning leaves the event loop to callers for most of the time.
 const TICK_PAUSE_FACTOR: u32 = 4;
+/// Longest pause after a planning step. A step that a paused process interrupts looks long.
+const MAX_TICK_PAUSE: Duration = Duration::from_millis(200);
 /// Timeout of a grant request to a target.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of a release request. The target answers only once its running work on the keys has
@@ -70,6 +72,9 @@
 /// Lag of the event loop from which another host should lead: the leader's callers wait as long, and
 /// its orders are as late.
 const MAX_LAG: Span = Span::from_millis(1_000);
+/// Time for which a host leads before it may resign because it is late, so that leadership does not
+/// change all the time while all hosts are.
+const MIN_LATE_TERM: Span = Span::from_millis(3_000);
 /// Age from which a planned grant is not sent any more. The plan counts on the end of a grant that
 /// arrives 850 ms after it was planned at the latest.
 const MAX_GRANT_AGE: Span = Span::from_millis(700);
@@ -94,6 +99,8 @@
     is_uncertain: Cell<bool>,
     clients: RefCell<BTreeMap<Incarnation, Vec<Client>>>,
     is_writing_quarantine: Cell<bool>,
+    /// When this host began to lead.
+    began_at: Instant,
     /// Wakes the planning loop when a target has answered or ranges are written.
     progress: Notify,
 }
@@ -145,6 +152,7 @@
         is_uncertain: Cell::new(is_uncertain),
         clients: RefCell::default(),
         is_writing_quarantine: Cell::new(false),
+        began_at: shared.now(),
         progress: Notify::new(),
     });
     let renewal = tokio::task::spawn_local(lease.clone().renew_until_over());
@@ -288,7 +296,8 @@
                 bail!("this host has lost its links to most targets; resigning as leader");
             }
             let lag = self.shared.recent_lag();
-            if lag >= MAX_LAG {
+            let has_led = self.shared.now().since(self.began_at) >= MIN_LATE_TERM;
+            if lag >= MAX_LAG && has_led {
                 candidate.withdraw(self.shared.now());
                 bail!("the event loop of this host is {lag} late; resigning as leader");
             }
@@ -636,7 +645,7 @@
 
 /// Returns the pause after a planning step that took a time.
 fn pause(elapsed: Duration) -> Duration {
-    MIN_TICK_PAUSE.max(elapsed * TICK_PAUSE_FACTOR)
+    (elapsed * TICK_PAUSE_FACTOR).clamp(MIN_TICK_PAUSE, MAX_TICK_PAUSE)
 }
 
 /// Returns whether an order only renews a grant, so that its answer makes no further step due.
