Send no request that was admitted before a planned stop refuses and leaves after

Found by the review: the check before the first byte let a request go until the host gives up its requests, although it can't end in time then. No test of its own; platform/tests/stop.rs guards the admission.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -162,7 +162,7 @@
 /// Returns why a request is not to be sent any more. Asked right before its bytes leave: the host may
 /// have waited for a connection, and its event loop may be late.
 pub(crate) fn obstacle(shared: &Shared, job: &Job, now: Instant) -> Option<&'static str> {
-    if shared.stop.has_reached(Phase::GivingUp) {
+    if shared.stop.has_reached(Phase::Refusing) {
         return Some("the host stops");
     }
     if job.is_abandoned(now) {
