Don't pass on the refusal of a helping host that this host would not make

Callers got 404 for a route that is there: a host that has lost its links forwards a request to one with an older configuration (cut off from the store and the leader), and passed that host's 404 on.

That the 404 came that way is inferred.

A helping host's own refusal says that nothing ran, so the request is offered to another host, and refused with 503 if none can help.

--- a/crates/entry/src/hop.rs
+++ b/crates/entry/src/hop.rs
@@ -203,7 +203,7 @@
         200..300 if is_signed => Outcome::Success,
         _ if is_signed => Outcome::Failure,
         // The other host's own refusals state that the request has not run.
-        408 | 421 | 429 | 503 => Outcome::NotRun,
+        400..500 | 503 => Outcome::NotRun,
         _ => Outcome::Unknown,
     };
     let now = shared.now();
@@ -227,15 +227,19 @@
         deadline: job.deadline,
         source: None,
     });
+    let reply = Reply {
+        status,
+        headers,
+        body: received.body,
+        remainder,
+        closes: false,
+    };
+    // A refusal that this host would not make, such as one for a missing route, comes of an older
+    // configuration.
+    let is_relayed = outcome != Outcome::NotRun || matches!(status, 408 | 421 | 429 | 503);
     Attempt {
         outcome,
-        reply: Some(Reply {
-            status,
-            headers,
-            body: received.body,
-            remainder,
-            closes: false,
-        }),
+        reply: is_relayed.then_some(reply),
         status,
         cause: String::new(),
         is_retry_charged: false,
