--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -243,7 +243,7 @@
     let mut client = Client::new(address, MAX_ANSWER_BYTES);
     let reply = client.call(&call, QUESTION_TIMEOUT).await?;
     if reply.status != 200 {
-        // Hosts of version 3898a17 and earlier don't know the path.
+        // Hosts of an earlier release may not know the path.
         bail!("the host answered with status {}", reply.status);
     }
     ciborium::from_reader(reply.body.as_ref()).context("the host's answer can't be decoded")
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -74,11 +74,11 @@
     /// Topics that the host has not read and can't read from the store.
     #[serde(default)]
     unread: BTreeSet<Topic>,
-    /// Whether the host reads compressed records. Hosts of version 7d27191 and earlier don't.
+    /// Whether the host reads compressed records. Hosts of earlier releases don't.
     #[serde(default)]
     reads_compressed: bool,
     /// Hashes of the notices that the host has from this leader; none if it needs all of them, as
-    /// hosts of version 7d27191 and earlier do in each answer.
+    /// hosts of earlier releases do in each answer.
     #[serde(default)]
     known: Option<Digests>,
     /// Number of requests since the last report, by service and bucket of keys.
@@ -216,8 +216,8 @@
 /// What a host has of the leader's notices.
 #[derive(Clone, Debug, Default)]
 pub struct Known {
-    /// Hashes of the notices; none if the leader is of version 7d27191 or earlier and sends all of
-    /// them in each answer.
+    /// Hashes of the notices; none if the leader is of an earlier release and sends all of them in each
+    /// answer.
     pub digests: Option<Digests>,
     /// Verdicts on suspected requests.
     pub verdicts: Verdicts,
