Daemons that shut down are no longer chosen as holders or standbys

What callers saw: during a graceful shutdown of the daemon that ranks first for a target, the daemon that held the target released it to the one that shut down, which claims nothing. The target had no holder until another daemon claimed it 0.4 s later, and was released again, until the process had ended. A claim of any target of that daemon waited 0.4 s for nothing.

Cause: peers learned that a daemon shuts down only from the record at its end.

Heartbeats now say so (`stopping`, absent unless true; earlier releases pass over it), and such a peer is neither a candidate nor a standby.

Before: both tests of crates/core/tests/yielding.rs that are added here failed (released to the stopping peer; no claim within 0.1 s). After: they pass.

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -27,11 +27,12 @@
 const YIELD_TIMEOUT: Span = Span::from_secs(1);
 
 impl Node {
-    /// Returns the processes that may hold contracts: responsive, in service, not declared lost.
+    /// Returns the processes that may hold contracts: responsive, in service, not shutting down, not
+    /// declared lost.
     pub(crate) fn candidates(&self, now: Instant) -> Vec<&Peer> {
         let live = |p: &&Peer| match p.process == self.config.process {
             true => self.stopping.is_none(),
-            false => self.is_responsive(&p.process, now),
+            false => self.may_claim(&p.process, now),
         };
         let in_service = |p: &&Peer| {
             self.ledger.host(&p.process.host) == State::In
@@ -42,6 +43,11 @@
         peers.filter(live).filter(in_service).collect()
     }
 
+    /// Returns whether another process is responsive and does not shut down.
+    fn may_claim(&self, process: &Process, now: Instant) -> bool {
+        self.is_responsive(process, now) && !self.stopping_peers.contains(process)
+    }
+
     /// Ranks candidates for a target: those in its data centre first.
     fn ranked(&self, target: &name::Target, candidates: &[&Peer]) -> Vec<Process> {
         let row = self.ledger.table().target(target);
@@ -196,14 +202,14 @@
         }
     }
 
-    /// Confirms contracts after their wait, and replaces standbys that are not responsive.
+    /// Confirms contracts after their wait, and replaces standbys that would claim nothing.
     pub(crate) fn confirm_contracts(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if !self.is_log_available(now) || self.stopping.is_some() {
             return;
         }
         let chosen = self.choose_standbys(now);
         let wants = |standbys: &[Process]| {
-            standbys.len() < chosen.len() || standbys.iter().any(|s| !self.is_responsive(s, now))
+            standbys.len() < chosen.len() || standbys.iter().any(|s| !self.may_claim(s, now))
         };
         let held = self.ownership.held().iter();
         let targets: Vec<_> = held
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -75,6 +75,7 @@
                 hash: self.ledger.hash(),
                 epochs: self.epochs_with_standby(&peer),
                 reports: reports.clone(),
+                stopping: self.stopping.is_some(),
             };
             self.send(&peer, message, actions);
         }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -205,6 +205,10 @@
         epochs: Vec<Epoch>,
         /// Reports of the targets that the sender holds.
         reports: Vec<TargetReport>,
+        /// True if the sender shuts down, so that it claims no contract. Earlier releases neither
+        /// send nor read it.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        stopping: bool,
     },
     /// Answers a heartbeat.
     Promise {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -67,6 +67,8 @@
     pub(crate) last_entry: u64,
     pub(crate) started: bool,
     pub(crate) stopping: Option<Instant>,
+    /// Other processes that shut down, until their host starts another one.
+    pub(crate) stopping_peers: BTreeSet<Process>,
     /// True once the record of this process's graceful end is submitted.
     pub(crate) end_announced: bool,
     pub(crate) next_heartbeat: Instant,
@@ -138,6 +140,7 @@
             last_entry: 0,
             started: false,
             stopping: None,
+            stopping_peers: BTreeSet::new(),
             end_announced: false,
             next_heartbeat: Instant::default(),
             last_plan: Instant::default(),
@@ -225,6 +228,8 @@
                 let latest = self.ledger.processes().values().map(|peer| &peer.process);
                 let latest: BTreeSet<&Process> = latest.collect();
                 self.agreement.retain(|process| latest.contains(process));
+                self.stopping_peers
+                    .retain(|process| latest.contains(process));
             }
             Record::Intent {
                 requests, epoch, ..
@@ -315,7 +320,11 @@
                 hash,
                 epochs,
                 reports,
+                stopping,
             } => {
+                if stopping {
+                    self.stopping_peers.insert(from.clone());
+                }
                 self.agreement.set_peer(&from, offset, hash);
                 for report in reports {
                     self.reports.insert(report.target.clone(), report);
--- a/crates/core/tests/operators.rs
+++ b/crates/core/tests/operators.rs
@@ -72,6 +72,7 @@
         hash,
         epochs: Vec::new(),
         reports: Vec::new(),
+        stopping: false,
     };
     let from = process(from);
     node.handle(now, Event::Received { from, message }, &mut Vec::new());
--- a/crates/core/tests/yielding.rs
+++ b/crates/core/tests/yielding.rs
@@ -1,11 +1,12 @@
-//! Release of contracts while a request is being registered.
+//! Release of contracts: while a request is being registered, and to a peer that shuts down.
 
 use ragwortrill_core::{
     action::Action,
-    event::{Arrival, Event, Head, Probe, Read, Ticket},
+    event::{Arrival, Event, Head, Message, Probe, Read, Ticket},
     key::Digest,
     node::{Config, Node},
     number::{Offset, Version},
+    process::Process,
     record::{Entry, Id, Record},
     request, table_file,
     time::{Instant, Span},
@@ -13,21 +14,37 @@
 };
 
 const TABLE: &str = r#"{
-    "data_centres": [{"name": "north", "region": "plain"}],
+    "data_centres": [{"name": "north", "region": "plain"}, {"name": "south", "region": "plain"}],
     "services": [{
         "name": "orders", "slots": 6, "connections": 110, "deadline": "10s", "id_window": "5m",
         "divided_by_key": true,
-        "targets": [{"name": "orders-1", "address": "127.0.0.1:1", "data_centre": "north"}]
+        "targets": [{"name": "orders-1", "address": "127.0.0.1:1", "data_centre": "south"}]
     }]
 }"#;
 
-/// A single node with a log that answers at once, except that intents are held back.
+fn entry(id: u128, record: Record) -> Entry {
+    Entry {
+        id: Id(id),
+        actor: "robin".to_owned(),
+        reason: "test".to_owned(),
+        written_ms: 1,
+        record,
+    }
+}
+
+fn peer() -> Process {
+    "entry-2/2".parse().expect("the process is valid")
+}
+
+/// A node with a log that answers at once, except that intents are held back.
 struct Harness {
     node: Node,
     now: Instant,
     end: Offset,
     held_back: Vec<Entry>,
     actions: Vec<Action>,
+    /// Whether the peer shuts down, if there is one.
+    peer: Option<bool>,
 }
 
 impl Harness {
@@ -44,19 +61,39 @@
             end: Offset(0),
             held_back: Vec::new(),
             actions: Vec::new(),
+            peer: None,
         };
         let table = table_file::parse(TABLE).expect("the table is valid");
         let base = Version(0);
-        harness.read(vec![Entry {
-            id: Id(1),
-            actor: "robin".to_owned(),
-            reason: "test".to_owned(),
-            written_ms: 1,
-            record: Record::Table { base, table },
-        }]);
+        harness.read(vec![entry(1, Record::Table { base, table })]);
         harness
     }
 
+    /// Starts a peer in the target's data centre.
+    fn start_peer(&mut self) {
+        let record = Record::Started {
+            process: peer(),
+            address: ([127, 0, 0, 1], 2).into(),
+            data_centre: "south".parse().expect("the name is valid"),
+            after: self.end,
+        };
+        self.read(vec![entry(2, record)]);
+        self.peer = Some(false);
+    }
+
+    fn deliver_heartbeat(&mut self, stopping: bool) {
+        let message = Message::Heartbeat {
+            sent: self.now,
+            offset: self.end,
+            hash: self.node.ledger().hash(),
+            epochs: Vec::new(),
+            reports: Vec::new(),
+            stopping,
+        };
+        let from = peer();
+        self.handle(Event::Received { from, message });
+    }
+
     fn read(&mut self, entries: Vec<Entry>) {
         let from = self.end;
         let offsets = (from.0 + 1..).map(Offset);
@@ -80,6 +117,9 @@
         while self.now < end {
             self.now = self.now + Span::from_millis(20);
             self.handle(Event::Tick);
+            if let Some(stopping) = self.peer {
+                self.deliver_heartbeat(stopping);
+            }
             let appended = std::mem::take(&mut self.actions);
             let mut entries = Vec::new();
             for action in appended {
@@ -140,3 +180,44 @@
     let sent = actions.any(|action| matches!(action, Action::Dispatch(s) if s.ticket == ticket));
     assert!(sent, "{:?}", harness.actions);
 }
+
+/// Guards against a contract that is released to a peer which shuts down and claims nothing: its
+/// requests have no holder until another daemon claims it, again and again until the peer has ended.
+#[test]
+fn a_contract_is_not_released_to_a_peer_that_shuts_down() {
+    struct Case {
+        stopping: bool,
+        released: bool,
+    }
+    let cases = [(false, true), (true, false)];
+    let cases = cases.map(|(stopping, released)| Case { stopping, released });
+    for case in cases {
+        let mut harness = Harness::new();
+        harness.pass(Span::from_secs(2));
+        harness.start_peer();
+        harness.pass(Span::from_secs(2));
+        harness.peer = Some(case.stopping);
+        let target = "orders-1".parse().expect("the name is valid");
+        let epoch = harness.node.ownership().held()[&target].epoch;
+        harness.pass(Span::from_secs(5));
+        let held = harness.node.ownership().held().get(&target);
+        let kept = held.is_some_and(|held| held.epoch == epoch && !held.stopped);
+        assert_eq!(kept, !case.released, "stopping: {}", case.stopping);
+        let standbys = held.map(|held| held.standbys().contains(&peer()));
+        assert_eq!(
+            standbys.filter(|_| case.stopping),
+            case.stopping.then_some(false)
+        );
+    }
+}
+
+/// Guards against a target that waits for a claim of a peer which shuts down.
+#[test]
+fn a_peer_that_shuts_down_does_not_delay_a_claim() {
+    let mut harness = Harness::new();
+    harness.start_peer();
+    harness.peer = Some(true);
+    harness.pass(Span::from_millis(100));
+    let target = "orders-1".parse().expect("the name is valid");
+    assert!(harness.node.ownership().held().contains_key(&target));
+}
--- a/crates/daemon/examples/slopes/messages.rs
+++ b/crates/daemon/examples/slopes/messages.rs
@@ -98,5 +98,6 @@
                 rate_limit: None,
             })
             .collect(),
+        stopping: false,
     }
 }
--- a/crates/daemon/examples/slopes/time.rs
+++ b/crates/daemon/examples/slopes/time.rs
@@ -141,6 +141,7 @@
             hash,
             epochs: vec![Epoch(1)],
             reports: Vec::new(),
+            stopping: false,
         };
         let from = process(peer);
         node.handle(now, Event::Received { from, message }, actions);
