A contract that is not confirmed when its holder stops is released

What callers saw: a daemon that was asked to stop within a heartbeat (250 ms) of its claim kept the contract until its process ended, at most 8 s later. Requests behind a running one waited there to the end of the shutdown and got a 504, and no other daemon served the target.

Cause: only confirmed contracts can be released, and a stopping daemon confirmed none.

A stopping daemon now confirms contracts whose wait has ended, and releases them as the others. It changes no standbys otherwise.

Before: the added test of yielding.rs failed (not released 3 s after the stop). After: it passes.

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -202,11 +202,13 @@
         }
     }
 
-    /// Confirms contracts after their wait, and replaces standbys that would claim nothing.
+    /// Confirms contracts after their wait, and replaces standbys that would claim nothing. During a
+    /// graceful shutdown it only confirms, since contracts can be released only then.
     pub(crate) fn confirm_contracts(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if !self.is_log_available(now) || self.stopping.is_some() {
+        if !self.is_log_available(now) {
             return;
         }
+        let stopping = self.stopping.is_some();
         let chosen = self.choose_standbys(now);
         let wants = |standbys: &[Process]| {
             standbys.len() < chosen.len() || standbys.iter().any(|s| !self.may_claim(s, now))
@@ -216,7 +218,7 @@
             .filter(|(_, held)| {
                 held.active_from <= now && !self.ownership.is_changing_standbys(held.epoch)
             })
-            .filter(|(_, held)| !held.is_confirmed() || wants(held.standbys()))
+            .filter(|(_, held)| !held.is_confirmed() || !stopping && wants(held.standbys()))
             .map(|(target, held)| (target.clone(), held.epoch))
             .collect();
         if targets.is_empty() {
--- a/crates/core/tests/yielding.rs
+++ b/crates/core/tests/yielding.rs
@@ -221,3 +221,21 @@
     let target = "orders-1".parse().expect("the name is valid");
     assert!(harness.node.ownership().held().contains_key(&target));
 }
+
+/// Guards against a contract that is held until its process ends, since the process was asked to stop
+/// between its claim and the confirmation: no other daemon serves the target meanwhile, and the next
+/// holder waits as after a crash.
+#[test]
+fn a_contract_that_is_not_confirmed_yet_is_released_when_its_holder_stops() {
+    let mut harness = Harness::new();
+    let target = "orders-1".parse().expect("the name is valid");
+    while harness.node.ownership().held().is_empty() {
+        harness.pass(Span::from_millis(20));
+    }
+    let held = &harness.node.ownership().held()[&target];
+    assert!(!held.is_confirmed());
+    harness.handle(Event::Stop);
+    harness.pass(Span::from_secs(3));
+    let contract = &harness.node.ledger().contracts()[&target];
+    assert!(contract.released.is_some(), "{contract:?}");
+}
