A request that no target got is refused as not run when a shutdown ends

What callers saw: a request that still waited for a target or a slot when a graceful shutdown ended got a 504 that says that it may have run.

Cause: the reply at the end did not ask whether the request had been sent.

The daemon now withdraws the request at the end, as if its caller had left, and waits at most 100 ms for the outcome: one that did not run gets the 503 with the type shutting-down, others the 504 as before. The withdrawal also frees the id of an order, so that its caller can send it again elsewhere.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -1,6 +1,8 @@
 //! Serves callers' requests over HTTP.
 
-use futures_util::StreamExt;
+use std::pin::Pin;
+
+use futures_util::{FutureExt, StreamExt};
 use ntex::{
     http::{
         Payload, StatusCode,
@@ -16,7 +18,7 @@
     key::Digest,
     name,
     number::Offset,
-    request::{Fingerprint, Id},
+    request::{Fingerprint, Id, Run},
     time::Span,
 };
 use ragwortrill_platform::headers;
@@ -39,7 +41,8 @@
 /// Maximum deadline that a caller may request.
 const MAX_DEADLINE: Span = Span::from_secs(3_600);
 
-/// Time after the deadline in which a refusal can still state that the request did not run.
+/// Time after the deadline, or the end of a graceful shutdown, in which a refusal can still state
+/// that the request did not run.
 const REFUSAL_GRACE: Span = Span::from_millis(100);
 
 /// Maximum size of a request's path and headers, in bytes. With the first part of the body they fit
@@ -104,39 +107,39 @@
     let resumable = ResumableRequest::new(shared, &request, time_limit);
     let left = time_limit + REFUSAL_GRACE;
     let limit = ntex::time::sleep(Millis(left.as_millis().min(u64::from(u32::MAX)) as u32));
-    let outcome = if request.head.idempotent {
-        tokio::select! {
-            outcome = dispatch::run(shared, &mut request, context, Departure::never(), async || ()) => {
-                Some(outcome)
+    // Closed when this future is dropped, because the caller has left, or returns.
+    let (caller, departure) = watch::channel(());
+    let departure = Departure::of(departure);
+    let idempotent = request.head.idempotent;
+    let task_shared = shared.clone();
+    let run = async move {
+        dispatch::run(&task_shared, &mut request, context, departure, async || ()).await
+    };
+    let mut run: Pin<Box<dyn Future<Output = Option<Outcome>>>> = match idempotent {
+        true => Box::pin(run.map(Some)),
+        false => Box::pin(ntex::rt::spawn(run).map(Result::ok)),
+    };
+    let outcome = tokio::select! {
+        outcome = &mut run => match outcome {
+            Some(outcome) => outcome,
+            None => return HttpResponse::InternalServerError().finish(),
+        },
+        () = limit => return unanswered(shared, Problem::late(id)),
+        () = shared.shutdown.ended() => {
+            drop(caller);
+            // A request that still waits is refused now, and its caller may send it elsewhere.
+            match tokio::time::timeout(REFUSAL_GRACE.as_duration(), run).await {
+                Ok(Some(Outcome::Refused { refusal, .. })) if refusal.run() == Run::NotRun => {
+                    return unanswered(shared, Problem::shutting_down(id));
+                }
+                Ok(Some(outcome)) => outcome,
+                Ok(None) | Err(_) if shared.clock.now() < deadline => {
+                    return unanswered(shared, Problem::unanswered(id));
+                }
+                Ok(None) | Err(_) => return unanswered(shared, Problem::late(id)),
             }
-            () = limit => None,
-            () = shared.shutdown.ended() => None,
-        }
-    } else {
-        let task_shared = shared.clone();
-        // It is closed when this future is dropped, because the caller has left, or returns.
-        let (_caller, departure) = watch::channel(());
-        let departure = Departure::of(departure);
-        let run = async move {
-            dispatch::run(&task_shared, &mut request, context, departure, async || ()).await
-        };
-        tokio::select! {
-            outcome = ntex::rt::spawn(run) => match outcome {
-                Ok(outcome) => Some(outcome),
-                Err(_) => return HttpResponse::InternalServerError().finish(),
-            },
-            () = limit => None,
-            () = shared.shutdown.ended() => None,
         }
     };
-    let Some(outcome) = outcome else {
-        let problem = match shared.clock.now() < deadline {
-            true => Problem::unanswered(id),
-            false => Problem::late(id),
-        };
-        shared.metrics.request_refused(problem.reason());
-        return problem.response();
-    };
     match outcome {
         Outcome::Answered(mut response) => {
             resumable
@@ -163,6 +166,12 @@
     }
 }
 
+/// Replies to a request whose target does not answer it in time.
+fn unanswered(shared: &Shared, problem: Problem) -> HttpResponse {
+    shared.metrics.request_refused(problem.reason());
+    problem.response()
+}
+
 fn respond(id: Id, response: Response, io: Option<IoRef>) -> HttpResponse {
     let mut reply = response_builder(id, response.status, &response.headers);
     // ntex checks the connection only when the body yields a part, which may take long.
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -227,18 +227,54 @@
     daemon.close();
 }
 
-async fn check_late(case: Late) {
-    const LIMIT: Duration = Duration::from_secs(4);
-    let builder = Builder::new().service("orders", row(true), 1);
-    let builder = builder.settings(|settings| settings.drain_limit = Span::from_secs(4));
+/// Guards against a reply at the end of a graceful shutdown that says of a request which no target
+/// got that it may have run.
+#[test_case(Method::POST; "order")]
+#[test_case(Method::GET; "read")]
+fn request_without_a_target_is_refused_at_the_end_of_a_graceful_shutdown(method: Method) {
+    ntex::rt::System::new("test", ntex::rt::DefaultRuntime).block_on(check_unsent(method));
+}
+
+async fn check_unsent(method: Method) {
+    const LIMIT: Duration = Duration::from_secs(6);
+    let builder = Builder::new().daemons(1).service("orders", row(true), 1);
+    let builder = builder.settings(|settings| settings.drain_limit = Span::from_secs(6));
     let mut system = builder.start();
+    let running = run_order(&system, Span::from_secs(20)).await;
+    let target = &system.targets[&name("orders-0")];
+    let received = target.counts().received;
+    let address = system.address(0);
+    let daemon = system.daemons[0].take().expect("the daemon runs");
+    daemon.stop();
+    let stopping = thread::spawn(move || {
+        daemon.wait(LIMIT);
+        // The process ends this long after the shutdown.
+        thread::sleep(Duration::from_millis(100));
+        daemon.close();
+    });
+    let caller = thread::spawn(move || {
+        // The daemon has given its target up by then, and no other one takes it over.
+        thread::sleep(Duration::from_millis(2_500));
+        request_late(address, method, 20_000)
+    });
+    while !caller.is_finished() || !stopping.is_finished() || !running.is_finished() {
+        sleep(Millis(20)).await;
+    }
+    stopping.join().expect("the daemon stops");
+    assert_eq!(caller.join().expect("the reply can be read"), Some(503));
+    assert_eq!(running.join().expect("the reply can be read"), Some(504));
+    assert_eq!(target.counts().received, received);
+}
+
+/// Sends an order that the target works on for a time, and waits until the target has it. The
+/// returned thread ends with the status of the reply.
+async fn run_order(system: &System, work: Span) -> thread::JoinHandle<Option<u16>> {
     let ready = Call::get("orders", "/ready", KEY);
     system.call_until_served(0, &ready).await;
     let target = &system.targets[&name("orders-0")];
-    target.change(|settings| settings.service_time = case.work);
+    target.change(|settings| settings.service_time = work);
     let address = system.address(0);
     let received = target.counts().received;
-    // The shutdown goes on while this request runs.
     let running = thread::spawn(move || {
         let mut stream = connect(address);
         let call = Call::post("orders", "/running", KEY, "");
@@ -251,21 +287,38 @@
     while target.counts().received == received {
         sleep(Millis(10)).await;
     }
+    running
+}
+
+/// Sends a request and returns the status of the reply.
+fn request_late(address: SocketAddr, method: Method, deadline_ms: u32) -> Option<u16> {
+    let mut stream = connect(address);
+    let call = Call::direct(method, "/s/orders/late");
+    let call = call.header("ragwortrill-key", KEY);
+    let deadline = deadline_ms.to_string();
+    send(
+        &mut stream,
+        &[call.header("ragwortrill-deadline-ms", &deadline)],
+    );
+    receive(&mut stream).map(|head| head.status)
+}
+
+async fn check_late(case: Late) {
+    const LIMIT: Duration = Duration::from_secs(4);
+    let builder = Builder::new().service("orders", row(true), 1);
+    let builder = builder.settings(|settings| settings.drain_limit = Span::from_secs(4));
+    let mut system = builder.start();
+    // The shutdown goes on while this request runs.
+    let running = run_order(&system, case.work).await;
+    let target = &system.targets[&name("orders-0")];
+    let address = system.address(0);
     let received = target.counts().received;
     let daemon = system.daemons[0].take().expect("the daemon runs");
     let before = Duration::from_millis(u64::from(case.sent_ms.min(0).unsigned_abs()));
     let after = Duration::from_millis(u64::from(case.sent_ms.max(0).unsigned_abs()));
     let caller = thread::spawn(move || {
         thread::sleep(after);
-        let mut stream = connect(address);
-        let call = Call::direct(case.method, "/s/orders/late");
-        let call = call.header("ragwortrill-key", KEY);
-        let deadline = case.deadline_ms.to_string();
-        send(
-            &mut stream,
-            &[call.header("ragwortrill-deadline-ms", &deadline)],
-        );
-        receive(&mut stream).map(|head| head.status)
+        request_late(address, case.method, case.deadline_ms)
     });
     let stopping = thread::spawn(move || {
         thread::sleep(before);
