Test of late requests: say what the target takes, and test the takeover alone

Case 2 (an order early in a shutdown is sent) used a cold target that takes one request at a time, behind an order that runs for 20 s.

The cases now state whether the target is warm. The first two need a warm one, where the stopping daemon itself must send the order: nothing else may send it in time, so they are as strict as before. The takeover has a case of its own with a limit of 8 s.

--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -6,7 +6,7 @@
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
     slice, thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use harness::{Builder, Call, System, name, row};
@@ -137,6 +137,9 @@
     /// When the request is sent, in milliseconds since the start of the shutdown.
     sent_ms: i32,
     deadline_ms: u32,
+    limit: Span,
+    /// Whether the target takes a second request while one runs.
+    is_warm: bool,
     /// Time that the target works on the request.
     work: Span,
     status: u16,
@@ -150,6 +153,8 @@
     method: Method::POST,
     sent_ms: -300,
     deadline_ms: 20_000,
+    limit: Span::from_secs(4),
+    is_warm: true,
     work: Span::from_secs(20),
     status: 504,
     is_sent: true,
@@ -159,15 +164,30 @@
     method: Method::POST,
     sent_ms: 1_000,
     deadline_ms: 20_000,
+    limit: Span::from_secs(4),
+    is_warm: true,
     work: Span::from_secs(20),
     status: 504,
     is_sent: true,
 }; "order early in the shutdown")]
+#[test_case(Late {
+    name: "early in the shutdown, waits until another daemon holds the target",
+    method: Method::POST,
+    sent_ms: 1_000,
+    deadline_ms: 20_000,
+    limit: Span::from_secs(8),
+    is_warm: false,
+    work: Span::from_secs(20),
+    status: 504,
+    is_sent: true,
+}; "order behind another one early in the shutdown")]
 #[test_case(Late {
     name: "late in the shutdown, beyond its limit",
     method: Method::POST,
     sent_ms: 2_500,
     deadline_ms: 20_000,
+    limit: Span::from_secs(4),
+    is_warm: true,
     work: Span::from_secs(20),
     status: 503,
     is_sent: false,
@@ -177,6 +197,8 @@
     method: Method::GET,
     sent_ms: 2_500,
     deadline_ms: 20_000,
+    limit: Span::from_secs(4),
+    is_warm: true,
     work: Span::from_secs(20),
     status: 503,
     is_sent: false,
@@ -186,6 +208,8 @@
     method: Method::POST,
     sent_ms: 1_000,
     deadline_ms: 1_500,
+    limit: Span::from_secs(4),
+    is_warm: false,
     work: Span::from_millis(300),
     status: 200,
     is_sent: true,
@@ -266,6 +290,15 @@
     assert_eq!(target.counts().received, received);
 }
 
+/// Serves requests until the target, which starts cold, takes all that its slots allow.
+async fn warm_up(system: &System) {
+    let ready = Call::get("orders", "/ready", KEY);
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(1_500) {
+        system.call_until_served(0, &ready).await;
+    }
+}
+
 /// Sends an order that the target works on for a time, and waits until the target has it. The
 /// returned thread ends with the status of the reply.
 async fn run_order(system: &System, work: Span) -> thread::JoinHandle<Option<u16>> {
@@ -304,10 +337,14 @@
 }
 
 async fn check_late(case: Late) {
-    const LIMIT: Duration = Duration::from_secs(4);
     let builder = Builder::new().service("orders", row(true), 1);
-    let builder = builder.settings(|settings| settings.drain_limit = Span::from_secs(4));
-    let mut system = builder.start();
+    let mut system = builder.daemons(0).start();
+    for number in 0..3 {
+        system.add_daemon_with(number, |settings| settings.drain_limit = case.limit);
+    }
+    if case.is_warm {
+        warm_up(&system).await;
+    }
     // The shutdown goes on while this request runs.
     let running = run_order(&system, case.work).await;
     let target = &system.targets[&name("orders-0")];
@@ -323,7 +360,7 @@
     let stopping = thread::spawn(move || {
         thread::sleep(before);
         daemon.stop();
-        daemon.wait(LIMIT);
+        daemon.wait(case.limit.as_duration());
         // The process ends this long after the shutdown.
         thread::sleep(Duration::from_millis(100));
         daemon.close();
