--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -1,5 +1,7 @@
 //! The state that all daemons share: a deterministic fold of the log's records.
 
+mod assignment;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
@@ -18,6 +20,8 @@
     table::{Service, Table},
 };
 
+pub use assignment::Assignment;
+
 /// The shared state after all records up to an offset.
 #[serde_as]
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -62,17 +66,6 @@
     pub offset: Offset,
 }
 
-/// Owners of a service's keys.
-#[serde_as]
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Assignment {
-    /// Owner of each slice.
-    pub slices: Vec<name::Target>,
-    /// Owners of keys that are placed apart from their slice.
-    #[serde_as(as = "Vec<(_, _)>")]
-    pub keys: BTreeMap<key::Digest, name::Target>,
-}
-
 /// Permission for a non-idempotent request to run once.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Intent {
@@ -548,52 +541,6 @@
     }
 }
 
-impl Assignment {
-    /// Returns the owner of a key.
-    pub fn owner(&self, key: key::Digest) -> Option<&name::Target> {
-        if let Some(owner) = self.keys.get(&key) {
-            return Some(owner);
-        }
-        let slice = key.slice(self.slices.len() as u32);
-        self.slices.get(slice.0 as usize)
-    }
-
-    /// Returns whether a target owns a share.
-    pub(crate) fn owns(&self, target: &name::Target, share: Share) -> bool {
-        match share {
-            Share::Key(key) => self.owner(key) == Some(target),
-            Share::Merge(key) => self.keys.get(&key) == Some(target),
-            Share::Slice(slice) => self.slices.get(slice.0 as usize) == Some(target),
-        }
-    }
-
-    fn move_share(&mut self, share: Share, from: &name::Target, to: &name::Target) -> bool {
-        match share {
-            Share::Key(key) => {
-                let owned = self.owner(key) == Some(from);
-                if owned {
-                    self.keys.insert(key, to.clone());
-                }
-                owned
-            }
-            Share::Merge(key) => {
-                let slice = key.slice(self.slices.len() as u32);
-                let home = self.slices.get(slice.0 as usize) == Some(to);
-                let owned = home && self.keys.get(&key) == Some(from);
-                if owned {
-                    self.keys.remove(&key);
-                }
-                owned
-            }
-            Share::Slice(slice) => {
-                let owner = self.slices.get_mut(slice.0 as usize);
-                let owned = owner.filter(|owner| *owner == from);
-                owned.map(|owner| *owner = to.clone()).is_some()
-            }
-        }
-    }
-}
-
 fn state<T: Ord>(overrides: &BTreeMap<T, Override>, name: &T) -> State {
     overrides.get(name).map(|set| set.state).unwrap_or_default()
 }
--- /dev/null
+++ b/crates/router/tests/simulation/mod.rs
@@ -0,0 +1,241 @@
+//! Simulation of targets that carry out orders or don't respond, and of the leader of their keys.
+
+use std::collections::BTreeMap;
+
+use ragwortrill_core::{
+    name,
+    time::{Instant, Span},
+};
+use ragwortrill_router::{
+    assignment::{Assignment, Range},
+    fleet::Fleet,
+    leader::{Action, Leader, Operation, Order, Response, Tick},
+    registration::{Incarnation, Registration},
+};
+
+pub const HOLD: Span = Span::from_millis(4_000);
+pub const MAX_HOLD: Span = Span::from_millis(10_000);
+
+/// Simulation of the targets of one service and of the leader that manages their keys.
+pub struct Simulation {
+    pub now: Instant,
+    pub fleet: Fleet,
+    pub leader: Leader,
+    pub durable: Assignment,
+    /// Epoch and end of the valid grants, by target, first key and last key.
+    pub grants: BTreeMap<(String, u16, u16), (u64, Instant)>,
+    /// Orders that targets carried out: target, first key, last key and epoch.
+    pub seen: Vec<(String, u16, u16, u64)>,
+    /// Lowest epoch that the leader may allocate.
+    pub min_epoch: u64,
+    pub unresponsive: Vec<String>,
+    /// Whether unresponsive targets accept grants, as late as a connection allows.
+    pub accepts_late_grants: bool,
+    pub is_current: bool,
+    pub drops_writes: bool,
+    /// Time that a write to the log takes.
+    pub write_time: Span,
+    /// Writes in progress, with the times at which they complete.
+    pub writes: Vec<(Instant, Vec<Range>)>,
+    pub orders: Vec<Order>,
+}
+
+pub fn service() -> name::Service {
+    "lookup".parse().unwrap()
+}
+
+pub fn registration(id: &str, start_ms: u64) -> Registration {
+    let port = 1_000 + id.bytes().map(u16::from).sum::<u16>();
+    Registration {
+        incarnation: Incarnation {
+            id: id.parse().unwrap(),
+            start_ms,
+            address: ([127, 0, 0, 1], port).into(),
+        },
+        service: service(),
+        data_centre: "north".parse().unwrap(),
+        slots: 6,
+        is_draining: false,
+        cold: Span::ZERO,
+        sequence: 0,
+    }
+}
+
+impl Simulation {
+    pub fn new(targets: &[&str]) -> Self {
+        let mut sim = Self {
+            now: Instant(Span::from_secs(100).0),
+            fleet: Fleet::default(),
+            leader: Leader::new(&BTreeMap::new(), Instant::default()),
+            durable: Assignment::default(),
+            grants: BTreeMap::new(),
+            seen: Vec::new(),
+            min_epoch: 0,
+            unresponsive: Vec::new(),
+            accepts_late_grants: false,
+            is_current: true,
+            drops_writes: false,
+            write_time: Span::ZERO,
+            writes: Vec::new(),
+            orders: Vec::new(),
+        };
+        for id in targets {
+            sim.register(registration(id, 1));
+        }
+        sim
+    }
+
+    pub fn register(&mut self, registration: Registration) {
+        let id = registration.incarnation.id.clone();
+        self.fleet.apply(self.now, &id, Some(registration));
+    }
+
+    pub fn drain(&mut self, id: &str) {
+        let mut registration = registration(id, 1);
+        registration.is_draining = true;
+        self.register(registration);
+    }
+
+    /// Starts a new leader that knows only the log, while the old one's lease may last for `lease`.
+    pub fn replace_leader(&mut self, lease: Span) {
+        let assignments = BTreeMap::from([(service(), self.durable.clone())]);
+        let until = ragwortrill_router::leader::expiry(self.now + lease, MAX_HOLD);
+        self.leader = Leader::new(&assignments, until);
+    }
+
+    pub fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+            self.now = self.now + Span::from_millis(50);
+        }
+    }
+
+    /// Carries out the actions of one tick. Returns whether the leader resigns.
+    pub fn step(&mut self) -> bool {
+        self.complete_writes();
+        for action in self.tick() {
+            match action {
+                Action::Write(..) if self.drops_writes => {}
+                Action::Write(_, ranges) => {
+                    self.writes.push((self.now + self.write_time, ranges));
+                    self.complete_writes();
+                }
+                Action::Send(order) => {
+                    let response = self.carry_out(&order);
+                    self.leader.record_response(self.now, &order, response);
+                    self.orders.push(order);
+                }
+                Action::Resign => return true,
+            }
+        }
+        false
+    }
+
+    pub fn complete_writes(&mut self) {
+        let writes = std::mem::take(&mut self.writes);
+        for (at, ranges) in writes {
+            if at > self.now {
+                self.writes.push((at, ranges));
+                continue;
+            }
+            ranges
+                .into_iter()
+                .for_each(|range| self.durable.upsert(range));
+            self.leader.confirm_write(&service());
+        }
+    }
+
+    pub fn tick(&mut self) -> Vec<Action> {
+        self.leader.tick(&Tick {
+            now: self.now,
+            fleet: &self.fleet,
+            traffic: &BTreeMap::new(),
+            work_time: &|_| 1.0,
+            rate_limit: &|_| None,
+            min_epoch: self.min_epoch,
+            services: &[service()],
+            hold: HOLD,
+            is_current: self.is_current,
+        })
+    }
+
+    pub fn carry_out(&mut self, order: &Order) -> Response {
+        let id = order.target.id.to_string();
+        if self.unresponsive.contains(&id) {
+            self.accept_late(id, order);
+            return Response::Silent;
+        }
+        if order.operation != Operation::Release && self.has_seen_higher(&id, order) {
+            return Response::Refused;
+        }
+        self.seen
+            .push((id.clone(), order.first, order.last, order.fence));
+        let key = (id, order.first, order.last);
+        match &order.operation {
+            Operation::Grant { hold, .. } => {
+                self.check_sole_owner(order);
+                self.grants.insert(key, (order.fence, self.now + *hold));
+                Response::Done(None)
+            }
+            Operation::Release => {
+                let id = order.target.id.as_str();
+                let overlaps =
+                    |k: &(String, u16, u16)| k.0 == id && k.1 <= order.last && k.2 >= order.first;
+                self.grants.retain(|k, _| !overlaps(k));
+                Response::Done(Some("token".to_owned()))
+            }
+        }
+    }
+
+    /// Returns whether a target has seen a higher epoch on keys of an order.
+    pub fn has_seen_higher(&self, id: &str, order: &Order) -> bool {
+        let mut seen = self.seen.iter();
+        seen.any(|(target, first, last, epoch)| {
+            let overlaps = *first <= order.last && *last >= order.first;
+            target == id && overlaps && *epoch > order.fence
+        })
+    }
+
+    /// Lets a grant that got no response arrive 800 ms late at a target whose clock is 2% slow.
+    pub fn accept_late(&mut self, id: String, order: &Order) {
+        if let (true, Operation::Grant { hold, .. }) = (self.accepts_late_grants, &order.operation)
+        {
+            let end = self.now + Span::from_millis(800) + hold.scale(102, 100);
+            self.grants
+                .insert((id, order.first, order.last), (order.fence, end));
+        }
+    }
+
+    /// Fails if another target may still hold a key of the granted range, or had a higher epoch for
+    /// it.
+    pub fn check_sole_owner(&self, order: &Order) {
+        for ((id, first, last), (epoch, end)) in &self.grants {
+            let overlaps = *first <= order.last && *last >= order.first;
+            if id != order.target.id.as_str() && overlaps {
+                assert!(
+                    *end < self.now,
+                    "{id} still holds {first}-{last}: {order:?}"
+                );
+                assert!(*epoch < order.fence, "{id} had epoch {epoch}: {order:?}");
+            }
+        }
+    }
+
+    pub fn owners(&self) -> Vec<&str> {
+        let mut owners: Vec<&str> = self
+            .durable
+            .ranges
+            .iter()
+            .map(|r| r.owner.id.as_str())
+            .collect();
+        owners.sort_unstable();
+        owners.dedup();
+        owners
+    }
+
+    pub fn is_settled(&self) -> bool {
+        let width: u32 = self.durable.ranges.iter().map(|range| range.width()).sum();
+        width == 65_536 && self.durable.ranges.iter().all(|range| range.is_held())
+    }
+}
