Judge waiting requests again only when a target's pause grows by 100 ms

A busy target that refuses a thousand requests a second made the event loop walk the queue a thousand times; the work grew with refusals times waiting requests.

A pause now says whether it grew by 100 ms since the waiting requests were judged. A request whose patience lies in between is refused when its patience ends, as any other that waits.

Test: 1,000 refusals in a second judge them 10 times; before, each did (the call stood behind no condition). Not measured with a real host.

--- a/crates/entry/src/pause.rs
+++ b/crates/entry/src/pause.rs
@@ -41,13 +41,15 @@
             return;
         }
     };
-    let has_begun = shared.with_endpoint(target, |endpoint| {
+    let change = shared.with_endpoint(target, |endpoint| {
         endpoint.pause.record(exchange.answered_at, time)
     });
-    if has_begun {
+    if change.begins {
         log::info!(target = target.id.as_str(), seconds = time.to_string(); "target wants no requests of this host for a time");
     }
-    admission::reject_paused(shared);
+    if change.is_longer {
+        admission::reject_paused(shared);
+    }
 }
 
 /// Returns whether a target wants nothing from this host now.
--- a/crates/router/src/pause.rs
+++ b/crates/router/src/pause.rs
@@ -30,19 +30,38 @@
     }
 }
 
+/// Time by which a pause must grow until the requests that wait for its end are judged again. Each
+/// refusal of a busy target moves the end a little.
+const JUDGE_STEP: Span = Span::from_millis(100);
+
 /// The time until which one target wants nothing from this host.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pause {
     until: Instant,
+    /// End for which the requests that wait were judged.
+    judged: Instant,
+}
+
+/// What a stated time changes about a pause.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Change {
+    /// Whether the pause began.
+    pub begins: bool,
+    /// Whether requests that wait for its end have to be judged again.
+    pub is_longer: bool,
 }
 
 impl Pause {
-    /// Records a time from an answer on. A longer one replaces a shorter one. Returns whether the
-    /// pause began with it.
-    pub fn record(&mut self, answered_at: Instant, time: Time) -> bool {
+    /// Records a time from an answer on. A longer one replaces a shorter one.
+    pub fn record(&mut self, answered_at: Instant, time: Time) -> Change {
         let was_paused = self.left(answered_at).is_some();
         self.until = self.until.max(answered_at + time.0);
-        !was_paused && self.left(answered_at).is_some()
+        let begins = !was_paused && self.left(answered_at).is_some();
+        let is_longer = begins || self.until >= self.judged + JUDGE_STEP && was_paused;
+        if is_longer {
+            self.judged = self.until;
+        }
+        Change { begins, is_longer }
     }
 
     /// Returns the time until the pause ends, or none if there is none.
--- a/crates/router/tests/pause.rs
+++ b/crates/router/tests/pause.rs
@@ -1,7 +1,7 @@
 //! Times for which a target wants nothing from this host.
 
 use ragwortrill_core::time::{Instant, Span};
-use ragwortrill_router::pause::{Pause, Time};
+use ragwortrill_router::pause::{Change, Pause, Time};
 
 fn at(millis: u64) -> Instant {
     Instant(Span::from_secs(100).0) + Span::from_millis(millis)
@@ -63,6 +63,23 @@
     }
 }
 
+/// Guards against a walk through all requests that wait at each refusal of a busy target: a thousand
+/// refusals in a second judge them at most once in 100 ms, and one that adds less does not.
+#[test]
+fn storm_of_refusals_does_not_judge_waiting_requests_each_time() {
+    let mut pause = Pause::default();
+    let time: Time = "3".parse().unwrap();
+    let changes: Vec<Change> = (0..1_000).map(|ms| pause.record(at(ms), time)).collect();
+    assert_eq!(changes.iter().filter(|change| change.begins).count(), 1);
+    assert!(changes[0].is_longer, "the first judges them");
+    let judged = changes.iter().filter(|change| change.is_longer).count();
+    assert_eq!(judged, 10);
+    let shorter = pause.record(at(1_000), "1".parse().unwrap());
+    assert_eq!(shorter, Change::default());
+    let longer = pause.record(at(1_000), "9".parse().unwrap());
+    assert!(longer.is_longer && !longer.begins);
+}
+
 /// Guards against texts that stop requests to a target for a time that it did not state.
 #[test]
 fn text_that_is_no_number_of_seconds_is_refused() {
