Give up bytes that a target has not accepted when their caller leaves

The least TCP_USER_TIMEOUT is set when the caller leaves: the kernel gives the connection up when it would next send or probe for bytes that are not acknowledged; without such bytes it goes on and the answer is read.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -12,7 +12,7 @@
     activity::Stage,
     admission::Permit,
     checkout::Checkout,
-    connection::Connection,
+    connection::{Connection, Handle},
     crash,
     exchange::{self, Error, ExtraHeader, Received},
     job::Job,
@@ -106,14 +106,24 @@
     count_limited(shared, job, incarnation, &permit);
     let wire = encode(shared, job, target, left);
     let attempt_timeout = attempt_timeout(shared, job, target, left);
+    let is_idempotent = job.rule.kind.is_idempotent();
+    let handle = (!is_idempotent).then(|| connection.handle());
+    let mut is_given_up = false;
+    let giving_up = async {
+        job.incoming.caller.departed().await;
+        is_given_up = true;
+        give_up(handle);
+        std::future::pending().await
+    };
     let exchanging = exchange(shared, job, connection, &wire, attempt_timeout);
     let outcome = tokio::select! {
         biased;
         outcome = exchanging => outcome,
         // A request that may run only once has to be waited for: its bytes may have arrived.
-        () = reach::lost(shared, &job.service, incarnation, sent), if job.rule.kind.is_idempotent() => {
+        () = reach::lost(shared, &job.service, incarnation, sent), if is_idempotent => {
             Err(Unanswered::Unreachable)
         }
+        never = giving_up, if !is_idempotent => never,
     };
     let outcome = match outcome {
         Ok(outcome) => outcome,
@@ -136,7 +146,8 @@
         }
     };
     match outcome {
-        Ok(received) => {
+        Ok(mut received) => {
+            received.is_reusable &= !is_given_up;
             let exchange = Exchange {
                 opened_at: checkout.opened_at(),
                 sent_at: sent,
@@ -159,6 +170,14 @@
     }
 }
 
+/// Gives up what the target has not accepted yet of a request whose caller has left.
+fn give_up(handle: Option<io::Result<Handle>>) {
+    let outcome = handle.map(|handle| handle?.give_up_unacknowledged());
+    if let Some(Err(error)) = outcome {
+        log::debug!(error = error.to_string(); "connection can't be given up; a request whose caller has left may still be delivered");
+    }
+}
+
 /// Returns why a request is not to be sent any more. Asked right before its bytes leave: the host may
 /// have waited for a connection, and its event loop may be late.
 pub(crate) fn obstacle(shared: &Shared, job: &Job, now: Instant) -> Option<&'static str> {
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -9,13 +9,15 @@
 
 use bytes::BytesMut;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use socket2::{SockRef, TcpKeepalive};
+use socket2::{SockRef, Socket, TcpKeepalive};
 use tokio::{io::AsyncReadExt, net::TcpStream, time::timeout};
 
 use crate::message::{self, Response};
 
 /// Time after which a connection with unacknowledged data counts as dead.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time after which a connection with unacknowledged data counts as dead once nobody needs the data.
+const UNNEEDED_TIMEOUT: Duration = Duration::from_millis(1);
 /// Idle time after which keepalive probes start, and the interval between two probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Size by which the read buffer grows.
@@ -39,6 +41,18 @@
     pub(crate) buffer: BytesMut,
 }
 
+/// Handle of a connection that is in use. The connection closes once its handle is dropped, too.
+#[derive(Debug)]
+pub(crate) struct Handle(Socket);
+
+impl Handle {
+    /// Makes the kernel give the connection up instead of sending bytes once more that the peer has
+    /// not acknowledged by now. Without such bytes the connection goes on.
+    pub(crate) fn give_up_unacknowledged(&self) -> io::Result<()> {
+        self.0.set_tcp_user_timeout(Some(UNNEEDED_TIMEOUT))
+    }
+}
+
 impl Connection {
     /// Connects to an address within a time.
     pub(crate) async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
@@ -117,6 +131,11 @@
         self.buffer.is_empty() && is_blocked
     }
 
+    /// Returns a handle that can give the connection up while it is in use.
+    pub(crate) fn handle(&self) -> io::Result<Handle> {
+        SockRef::from(&self.stream).try_clone().map(Handle)
+    }
+
     /// Closes the connection with a reset, so that unsent bytes are discarded.
     pub(crate) fn reset(self) {
         let socket = SockRef::from(&self.stream);
