A leader that stops is asked for its ranges after a restore, without its record

What callers saw: when the store came back from a copy while its leader was stopped as planned, keys that were moving had no owner for up to 14 s.

Cause: a stopping host leaves the group and removes its record at once, and then still runs for 2.5 s at least. The next leader took the earlier one's address from that record, so mostly it asked all hosts but the one that knows every range, and let ranges that moved wait for all earlier grants to end.

Hosts now keep the address of a leader that removes its record, and ask there.

--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -226,7 +226,11 @@
             hosts.insert(host.to_owned(), known);
         }
         None => {
-            hosts.remove(host);
+            let removed = hosts.remove(host).and_then(|known| known.address);
+            let is_leader = shared.leader.borrow().as_deref() == Some(host);
+            if let Some(address) = removed.filter(|_| is_leader) {
+                *shared.stopped_leader.borrow_mut() = Some((host.to_owned(), address));
+            }
         }
     }
     if hosts.len() != before {
--- a/crates/entry/src/recovery.rs
+++ b/crates/entry/src/recovery.rs
@@ -126,12 +126,28 @@
     let mut addresses: Vec<SocketAddr> = others.filter_map(|(_, host)| host.address).collect();
     addresses.shuffle(&mut *shared.random.borrow_mut());
     let leader = shared.leader.borrow();
-    let leader = leader.as_ref().and_then(|leader| hosts.get(leader));
-    let first = leader.and_then(|leader| leader.address);
-    addresses.sort_by_key(|address| Some(*address) != first);
+    let leader = leader.as_ref().filter(|leader| **leader != own);
+    if let Some(first) = leader.and_then(|leader| leader_address(shared, leader)) {
+        addresses.retain(|address| *address != first);
+        addresses.insert(0, first);
+    }
     addresses
 }
 
+/// Returns the address of the earlier leader. One that stops has removed its record, but answers
+/// until its process ends.
+fn leader_address(shared: &Shared, leader: &str) -> Option<SocketAddr> {
+    let hosts = shared.hosts.borrow();
+    match hosts.get(leader) {
+        Some(known) => known.address,
+        None => {
+            let stopped = shared.stopped_leader.borrow();
+            let stopped = stopped.as_ref().filter(|(host, _)| host == leader);
+            stopped.map(|(_, address)| *address)
+        }
+    }
+}
+
 async fn fetch(address: SocketAddr) -> Result<Memory> {
     let call = Call {
         method: "GET",
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -66,6 +66,9 @@
     pub(crate) hosts: RefCell<BTreeMap<String, Host>>,
     /// Host that the store names as leader.
     pub(crate) leader: RefCell<Option<String>>,
+    /// Last leader that removed its record, and its address, at which it answers until its process
+    /// ends.
+    pub(crate) stopped_leader: RefCell<Option<(String, SocketAddr)>>,
     /// Rank of the latest term that the store named.
     pub(crate) latest_term: Cell<Rank>,
     /// Rank of the last term in which this process led, so that it knows all ranges of that time.
@@ -195,6 +198,7 @@
             assignments: RefCell::default(),
             hosts: RefCell::default(),
             leader: RefCell::default(),
+            stopped_leader: RefCell::default(),
             latest_term: Cell::default(),
             led_term: Cell::default(),
             is_leading: Cell::new(false),
