A forwarded request runs only as the configurations of both hosts allow

Cause: the helping host routed a forwarded request anew by its own version. With a weighted route it also drew the service a second time.

The forwarding host now states its version and the service that it has chosen, in headers that Connection names, so that hosts of both releases send them on to no target. An older host rejects the request with 412, a newer one that does not route it to that service with 409, before anything is sent; the next host is offered it, and in the end the caller's host answers 503 itself. The record of a host says that it compares routes. One of the earlier release, which does not, is offered requests only once the own configuration has been in force for ConfigApply. What does not hold with it: one with a newer version routes by it. A forwarded head may be 512 bytes longer than MaxHeaderBytes.

--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -86,6 +86,7 @@
     }
     log::info!(version = config.version.0, routes = config.routes.len(); "configuration activated");
     *shared.config.borrow_mut() = Some(Rc::new(config));
+    shared.configured_at.set(shared.now());
 }
 
 fn evacuate(shared: &Shared, data_centre: &name::DataCentre) {
--- a/crates/entry/src/candidacy.rs
+++ b/crates/entry/src/candidacy.rs
@@ -175,6 +175,7 @@
     let host = Host {
         address: settings.listen.hosts,
         forwards: settings.listen.forwards,
+        compares_routes: true,
         data_centre: Some(settings.data_centre.clone()),
         processor_percent: settings.limits.processor_percent,
     };
--- a/crates/entry/src/hop.rs
+++ b/crates/entry/src/hop.rs
@@ -1,7 +1,8 @@
 //! Forwarding of requests through another host that reaches targets to which this host has lost its
 //! links.
 //!
-//! The other host handles a forwarded request like one of a caller, and never forwards it again.
+//! The other host handles a forwarded request like one of a caller, and never forwards it again. It
+//! sends it only to the service to which this host routed it.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -19,6 +20,7 @@
     message::{self, Framing},
     reach,
     reply::{Remainder, Reply},
+    route::{self, ROUTED_OTHERWISE},
     search::Criteria,
     shared::Shared,
 };
@@ -75,12 +77,16 @@
     let helpers = shared.helpers.borrow();
     let hosts = shared.hosts.borrow();
     let own = shared.settings.borrow().data_centre.clone();
+    let is_settled = is_settled(shared, now);
     let usable = helpers.iter().filter(|(_, helper)| {
         now.since(helper.reached_at) < HELPER_TTL && now >= helper.paused_until
     });
     let mut usable: Vec<_> = usable
         .filter_map(|(name, helper)| {
             let host = hosts.get(name)?;
+            if !host.compares_routes && !is_settled {
+                return None;
+            }
             let is_remote = host.data_centre.as_ref() != Some(&own);
             let rank = (is_remote, helper.in_flight);
             Some((rank, name.clone(), host.forwards?))
@@ -92,6 +98,13 @@
     hosts.collect()
 }
 
+/// Returns whether the configuration of this host must be in force at all others. Before, a host that
+/// compares no routes, since it is of the earlier release, may run a request by an older one.
+fn is_settled(shared: &Shared, now: Instant) -> bool {
+    let bound = shared.settings.borrow().bounds.config_apply;
+    now.since(shared.configured_at.get()) >= bound
+}
+
 /// Counts a request as handled by a helper until it is dropped.
 struct InFlight<'a> {
     shared: &'a Shared,
@@ -171,7 +184,10 @@
         name: shared.protocol.headers.deadline,
         value: &left_ms,
     };
-    let wire = exchange::encode(&job.incoming.head, &job.incoming.body, &[deadline]);
+    let version = job.config.version.to_string();
+    let mut headers = vec![deadline];
+    headers.extend(route::headers(job, &version));
+    let wire = exchange::encode(&job.incoming.head, &job.incoming.body, &headers);
     let received = tokio::select! {
         biased;
         received = attempt::exchange(shared, job, &mut connection, &wire, left) => received,
@@ -208,6 +224,8 @@
     };
     let now = shared.now();
     match outcome {
+        // It takes requests of other routes.
+        Outcome::NotRun if status == ROUTED_OTHERWISE => {}
         Outcome::NotRun => in_flight.update(|helper| helper.paused_until = now + BACKOFF),
         Outcome::Unknown => {}
         _ => in_flight.update(|helper| helper.reached_at = now),
@@ -234,7 +252,7 @@
         remainder,
         closes: false,
     };
-    // A refusal that this host would not make, such as one for a missing route, comes of an older
+    // A refusal that this host would not make, such as one for a missing route, comes of another
     // configuration.
     let is_relayed = outcome != Outcome::NotRun || matches!(status, 408 | 421 | 429 | 503);
     Attempt {
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -21,6 +21,7 @@
     message::Request,
     presence::Presence,
     reply::{Problem, RETRY_AFTER_ABSENT_MS, RETRY_AFTER_BUSY_MS},
+    route::Route,
     shared::Shared,
 };
 
@@ -78,8 +79,14 @@
         let headers = &shared.protocol.headers;
         let (authority, path) =
             locate(head).ok_or(Problem::new(400, "the request names no host"))?;
-        let Lookup::Found(rule) = config.lookup(&authority, &path) else {
-            return Err(Problem::new(404, "no route matches"));
+        let rule = match config.lookup(&authority, &path) {
+            Lookup::Found(rule) => Some(rule),
+            Lookup::Missing => None,
+        };
+        let stated = Route::read(&head.headers).filter(|_| incoming.is_forwarded);
+        let rule = match &stated {
+            Some(route) => route.check(&config, rule)?,
+            None => rule.ok_or(Problem::new(404, "no route matches"))?,
         };
         let rule = rule.clone();
         let id = head
@@ -95,15 +102,10 @@
             .and_then(|text| text.trim().parse().ok())
             .map(Span::from_millis);
         let timeout = requested.map_or(rule.timeout, |requested| requested.min(rule.timeout));
-        let number = shared
-            .random
-            .borrow_mut()
-            .random_range(0..rule.total_weight().max(1));
-        let service = rule.destination(number).cloned();
-        let service = service.ok_or(Problem::refusal(
-            "the route has no service",
-            RETRY_AFTER_ABSENT_MS,
-        ))?;
+        let service = match stated {
+            Some(route) => route.service,
+            None => choose_service(shared, &rule)?,
+        };
         let is_partitioned = config
             .services
             .get(&service)
@@ -150,6 +152,17 @@
     }
 }
 
+/// Chooses one of the services of a rule by their weights.
+fn choose_service(shared: &Shared, rule: &Rule) -> Result<name::Service, Problem> {
+    let total = rule.total_weight().max(1);
+    let number = shared.random.borrow_mut().random_range(0..total);
+    let service = rule.destination(number).cloned();
+    service.ok_or(Problem::refusal(
+        "the route has no service",
+        RETRY_AFTER_ABSENT_MS,
+    ))
+}
+
 fn fingerprint(incoming: &Incoming, authority: &str) -> Fingerprint {
     let head = &incoming.head;
     let mut hash = Xxh3::new();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod relay;
 pub mod replica;
 mod reply;
+mod route;
 mod run;
 mod search;
 mod service;
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -18,6 +18,7 @@
     presence::Presence,
     proxy,
     reply::{Problem, Reply},
+    route,
     shared::Shared,
     stop::Phase,
 };
@@ -120,7 +121,12 @@
         let limits = self.limits();
         let now = self.shared.now();
         let received = self.arrivals.oldest().unwrap_or(now);
-        let head = message::take_request(&mut self.buffer, limits.header_bytes);
+        let added_bytes = match self.is_forwarded {
+            true => route::MAX_HEADER_BYTES,
+            false => 0,
+        };
+        let max_bytes = limits.header_bytes + added_bytes;
+        let head = message::take_request(&mut self.buffer, max_bytes);
         match head {
             Ok(Some(head)) => {
                 self.head_since = None;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -60,6 +60,8 @@
     /// How late the event loop is.
     pub(crate) lag: Lag,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
+    /// When this host activated its configuration.
+    pub(crate) configured_at: Cell<Instant>,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) assignments: RefCell<BTreeMap<name::Service, Assignment>>,
     /// Hosts of the system, as they registered in the log, with their addresses for each other.
@@ -140,6 +142,9 @@
     /// Address for requests that other hosts forward.
     #[serde(default)]
     pub(crate) forwards: Option<SocketAddr>,
+    /// Whether it compares its configuration with the one by which a forwarded request was routed.
+    #[serde(default)]
+    pub(crate) compares_routes: bool,
     #[serde(default)]
     pub(crate) data_centre: Option<name::DataCentre>,
     /// Processor time, in percent of a core.
@@ -191,6 +196,7 @@
             clock,
             lag: Lag::new(clock.now()),
             config: RefCell::default(),
+            configured_at: Cell::default(),
             fleet: RefCell::default(),
             assignments: RefCell::default(),
             hosts: RefCell::default(),
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -138,6 +138,12 @@
         None
     }
 
+    /// Tells whether requests may go to a service.
+    pub fn allows(&self, service: &name::Service) -> bool {
+        let mut used = self.destinations.iter().filter(|d| d.weight > 0);
+        used.any(|destination| &destination.service == service)
+    }
+
     /// Returns the sum of the weights of all destinations.
     pub fn total_weight(&self) -> u32 {
         self.destinations.iter().map(|d| d.weight).sum()
