--- /dev/null
+++ b/crates/router/src/leader/partition.rs
@@ -0,0 +1,494 @@
+//! Ownership of the keys of one service: the orders that its ranges need, and their next plan.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ragwortrill_core::{
+    bucket::Bucket,
+    name,
+    time::{Instant, Span},
+};
+
+use super::{Action, Operation, Order, Response, Tick, expiry};
+use crate::{
+    assignment::{Assignment, Key, PreviousOwner, Range, State},
+    fleet::Fleet,
+    plan,
+    registration::Incarnation,
+    traffic::Traffic,
+};
+
+/// Time from the response to a grant until it is renewed.
+const RENEWAL_INTERVAL: Span = Span::from_millis(1_000);
+/// Maximum number of orders that are sent at once for one service. A host with a small share of a
+/// core can't process the responses of hundreds of targets in time.
+const ORDER_BURST: f64 = 24.0;
+/// Orders per second for each range of a service. A renewal a second is due for each; the others are
+/// for moves.
+const ORDERS_PER_RANGE: f64 = 2.0;
+/// Orders per second that a service may have in addition, however few ranges it has.
+const BASE_ORDERS_PER_S: f64 = 100.0;
+/// Upper bound of the delay added to a renewal, so that renewals are not all due at once.
+const RENEWAL_JITTER: Span = Span::from_millis(300);
+/// Time after an order that failed or got no response until the next order for its range.
+const RETRY_BACKOFF: Span = Span::from_millis(300);
+/// Consecutive orders without a response after which a target loses its keys.
+const MAX_UNANSWERED: u32 = 3;
+/// Time without a new target after which the first assignment is made.
+const DISCOVERY_IDLE: Span = Span::from_millis(1_500);
+/// Maximum time from the first target to the first assignment.
+const MAX_DISCOVERY: Span = Span::from_millis(4_000);
+/// Minimum time between two checks of the balance.
+const BALANCE_INTERVAL: Span = Span::from_millis(400);
+/// Microseconds in a second.
+const US_PER_SECOND: f64 = 1e6;
+
+/// Progress of the move of one range.
+#[derive(Clone, Debug, Default)]
+struct Progress {
+    /// Previous owners that can't hold the keys any more.
+    cleared: BTreeSet<Incarnation>,
+    /// Token from the last release; with it, the keys are not cold.
+    handover: Option<String>,
+    /// Whether a grant may have been sent to the new owner.
+    is_granted: bool,
+    /// Whether the new owner has confirmed its grant.
+    is_confirmed: bool,
+}
+
+/// Progress of the wait for targets to register before the first assignment.
+#[derive(Clone, Copy, Debug)]
+struct Discovery {
+    since: Instant,
+    grown_at: Instant,
+    count: usize,
+}
+
+/// Ownership of the keys of one service. Ranges are identified by their epochs.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Partition {
+    /// Ranges as written to the log.
+    pub(super) durable: Assignment,
+    /// Ranges with the change that is being written.
+    pub(super) draft: Option<Assignment>,
+    moves: BTreeMap<u64, Progress>,
+    /// Ranges whose owner refused the grant because it has seen a higher epoch.
+    refused: BTreeSet<u64>,
+    /// Time at which the next order for a range is due.
+    due: BTreeMap<u64, Instant>,
+    /// Ranges with an order whose response is outstanding.
+    in_flight: BTreeSet<u64>,
+    /// Time at which the last grant to a target expires.
+    grants_end: BTreeMap<Incarnation, Instant>,
+    /// Consecutive orders that got no response, by target.
+    unanswered: BTreeMap<Incarnation, u32>,
+    /// Targets that have ended: another target responded at their address.
+    ended: BTreeSet<Incarnation>,
+    discovery: Option<Discovery>,
+    /// Ranges whose owner has seen a higher epoch than the log has, so that a target that is not
+    /// known may hold the keys by a grant of an earlier leader.
+    contested: Vec<(Key, Key)>,
+    /// Ranges of a recovered assignment that their owners have not confirmed.
+    unconfirmed: BTreeSet<u64>,
+    /// Time of the last check of the balance.
+    balanced_at: Instant,
+    /// Orders that may be sent now.
+    budget: Bucket,
+}
+
+impl Partition {
+    pub(super) fn new(durable: Assignment) -> Self {
+        // The earlier leader may already have granted a moving range to its new owner.
+        let moving = durable.ranges.iter().filter(|range| !range.is_held());
+        let granted = |range: &Range| {
+            let progress = Progress {
+                is_granted: true,
+                ..Progress::default()
+            };
+            (range.epoch, progress)
+        };
+        Self {
+            moves: moving.map(granted).collect(),
+            durable,
+            ..Self::default()
+        }
+    }
+
+    /// Makes each range wait for its owner's confirmation before its keys move.
+    pub(super) fn distrust(&mut self) {
+        let ranges = self.durable.ranges.iter();
+        self.unconfirmed = ranges.map(|range| range.epoch).collect();
+    }
+
+    /// Tells whether an unknown target may hold keys of a range by a grant of an earlier leader.
+    fn is_uncertain(&self, range: &Range) -> bool {
+        self.unconfirmed.contains(&range.epoch) || self.is_contested(range)
+    }
+
+    /// Tells whether more than half of at least three owners do not respond, which suggests that
+    /// this host's own network is cut off.
+    pub(super) fn is_isolated(&self) -> bool {
+        let mut owners: BTreeSet<&Incarnation> =
+            self.durable.ranges.iter().map(|r| &r.owner).collect();
+        let moving = self
+            .durable
+            .ranges
+            .iter()
+            .filter_map(|range| match &range.state {
+                State::Held => None,
+                State::Moving(previous) => Some(previous),
+            });
+        owners.extend(moving.flatten().map(|previous| &previous.target));
+        let unresponsive = |target: &&&Incarnation| {
+            self.unanswered
+                .get(**target)
+                .is_some_and(|n| *n >= MAX_UNANSWERED)
+        };
+        owners.len() >= 3 && owners.iter().filter(unresponsive).count() * 2 > owners.len()
+    }
+
+    pub(super) fn tick(
+        &mut self,
+        service: &name::Service,
+        tick: &Tick<'_>,
+        earlier_grants_end: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        self.issue_orders(service, tick, earlier_grants_end, actions);
+        if tick.is_current
+            && self.draft.is_none()
+            && let Some(draft) = self.plan(service, tick, earlier_grants_end)
+        {
+            let changes = draft.changes(&self.durable).cloned().collect();
+            actions.push(Action::Write(service.clone(), changes));
+            self.draft = Some(draft);
+        }
+    }
+
+    /// Sends the orders that the written assignment requires.
+    fn issue_orders(
+        &mut self,
+        service: &name::Service,
+        tick: &Tick<'_>,
+        earlier_grants_end: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let draft = self.draft.as_ref();
+        let kept = draft.map(|draft| draft.ranges.iter().map(|range| range.epoch).collect());
+        let kept: Option<BTreeSet<u64>> = kept;
+        let is_due = |range: &&Range| {
+            let due = self.due.get(&range.epoch);
+            // A range that the draft replaces gets no order. The draft does not list an owner that
+            // is granted the range only now as a previous one, so the next owner would be granted
+            // the keys without its release.
+            let is_kept = kept.as_ref().is_none_or(|kept| kept.contains(&range.epoch));
+            let is_in_flight = self.in_flight.contains(&range.epoch);
+            is_kept && !is_in_flight && due.is_none_or(|due| *due <= tick.now)
+        };
+        let mut due: Vec<Range> = self.durable.ranges.iter().filter(is_due).cloned().collect();
+        due.sort_by_key(|range| self.due.get(&range.epoch).copied());
+        let rate = BASE_ORDERS_PER_S + ORDERS_PER_RANGE * self.durable.ranges.len() as f64;
+        for range in due {
+            // Only sent orders count: ranges that can't have one yet must not delay the renewals of
+            // others.
+            if !self.budget.has_token(tick.now, rate, ORDER_BURST) {
+                break;
+            }
+            let step = match &range.state {
+                State::Held => self.renew(&range, tick),
+                State::Moving(previous) => self.advance(&range, previous, tick, earlier_grants_end),
+            };
+            let Some((target, fence, operation)) = step else {
+                continue;
+            };
+            if let Operation::Grant { hold, .. } = &operation {
+                let end = self.grants_end.entry(target.clone()).or_default();
+                *end = (*end).max(expiry(tick.now, *hold));
+            }
+            self.budget.take(tick.now, rate, ORDER_BURST);
+            self.in_flight.insert(range.epoch);
+            actions.push(Action::Send(Order {
+                service: service.clone(),
+                range_epoch: range.epoch,
+                target,
+                first: range.first,
+                last: range.last,
+                fence,
+                operation,
+            }));
+        }
+    }
+
+    fn renew(&self, range: &Range, tick: &Tick<'_>) -> Option<(Incarnation, u64, Operation)> {
+        // An owner that has restarted since it refused the epoch would accept it.
+        let is_refused = self.refused.contains(&range.epoch);
+        if is_refused || tick.is_current && self.must_leave(range, tick.fleet) {
+            return None;
+        }
+        Some((range.owner.clone(), range.epoch, grant(tick.hold, None)))
+    }
+
+    /// Returns the next order of a move: the release of a previous owner, or the first grant.
+    fn advance(
+        &mut self,
+        range: &Range,
+        previous: &[PreviousOwner],
+        tick: &Tick<'_>,
+        earlier_grants_end: Instant,
+    ) -> Option<(Incarnation, u64, Operation)> {
+        for earlier in previous {
+            let target = &earlier.target;
+            let cleared = |progress: &Progress| progress.cleared.contains(target);
+            if self.moves.get(&range.epoch).is_some_and(cleared) {
+                continue;
+            }
+            if !self.can_hold(target, tick, earlier_grants_end) {
+                let progress = self.moves.entry(range.epoch).or_default();
+                progress.cleared.insert(target.clone());
+                continue;
+            }
+            return Some((target.clone(), earlier.fence, Operation::Release));
+        }
+        if self.must_leave(range, tick.fleet) {
+            return None;
+        }
+        if tick.now < earlier_grants_end && self.is_uncertain(range) {
+            return None;
+        }
+        let progress = self.moves.entry(range.epoch).or_default();
+        progress.is_granted = true;
+        let handover = progress.handover.clone();
+        Some((range.owner.clone(), range.epoch, grant(tick.hold, handover)))
+    }
+
+    /// Tells whether a previous owner that has not released its keys may still hold them.
+    fn can_hold(&self, target: &Incarnation, tick: &Tick<'_>, earlier_grants_end: Instant) -> bool {
+        if self.ended.contains(target) || tick.is_current && is_replaced(target, tick.fleet) {
+            return false;
+        }
+        let end = self.grants_end.get(target).copied().unwrap_or_default();
+        // A responsive target is always sent a release: that is faster than waiting for its grant
+        // to expire, and returns a handover token.
+        !self.is_unresponsive(target) || tick.now < end.max(earlier_grants_end)
+    }
+
+    fn plan(
+        &mut self,
+        service: &name::Service,
+        tick: &Tick<'_>,
+        earlier_grants_end: Instant,
+    ) -> Option<Assignment> {
+        if tick.now >= earlier_grants_end {
+            self.unconfirmed.clear();
+        }
+        if let Some(confirmed) = self.confirmed() {
+            return Some(confirmed);
+        }
+        let owners: Vec<plan::Owner> = tick
+            .fleet
+            .serving(service)
+            .filter(|target| !self.is_unresponsive(&target.registration.incarnation))
+            .map(|target| plan::Owner {
+                target: target.registration.incarnation.clone(),
+                is_cold: target.cold_until > tick.now,
+                is_limited: (tick.rate_limit)(&target.registration.incarnation).is_some(),
+            })
+            .collect();
+        if owners.is_empty() {
+            return None;
+        }
+        if self.durable.ranges.is_empty() && self.awaits_targets(tick.now, owners.len()) {
+            return None;
+        }
+        let none = Traffic::default();
+        let traffic = tick.traffic.get(service).unwrap_or(&none);
+        let may_balance = tick.now.since(self.balanced_at) >= BALANCE_INTERVAL;
+        if may_balance {
+            self.balanced_at = tick.now;
+        }
+        self.durable.raise_epochs(tick.min_epoch);
+        let input = plan::Input {
+            owners: &owners,
+            traffic,
+            work_time: &|target| work_time(target, tick),
+            must_leave: &|range| {
+                self.must_leave(range, tick.fleet)
+                    && !self.in_flight.contains(&range.epoch)
+                    && !self.unconfirmed.contains(&range.epoch)
+            },
+            may_fill: self.unconfirmed.is_empty(),
+            may_balance: may_balance && self.unconfirmed.is_empty(),
+        };
+        let mut planned = plan::next(&self.durable, &input)?;
+        self.drop_cleared_owners(&mut planned);
+        Some(planned)
+    }
+
+    /// Tells whether the first assignment waits for more targets to register.
+    fn awaits_targets(&mut self, now: Instant, count: usize) -> bool {
+        let first = Discovery {
+            since: now,
+            grown_at: now,
+            count,
+        };
+        let discovery = self.discovery.get_or_insert(first);
+        if count > discovery.count {
+            discovery.count = count;
+            discovery.grown_at = now;
+        }
+        now.since(discovery.grown_at) < DISCOVERY_IDLE && now.since(discovery.since) < MAX_DISCOVERY
+    }
+
+    /// Drops previous owners that can't hold the keys any more, and the latest one if no grant was
+    /// sent to it.
+    fn drop_cleared_owners(&self, planned: &mut Assignment) {
+        for range in &mut planned.ranges {
+            let old = self.durable.range(range.first);
+            let Some(old) = old.filter(|old| old.epoch != range.epoch && !old.is_held()) else {
+                continue;
+            };
+            let progress = self.moves.get(&old.epoch).cloned().unwrap_or_default();
+            if let State::Moving(previous) = &mut range.state {
+                previous.retain(|earlier| match earlier.target == old.owner {
+                    true => progress.is_granted,
+                    false => !progress.cleared.contains(&earlier.target),
+                });
+            }
+        }
+    }
+
+    /// Returns the assignment with the confirmed moves completed, if there are any.
+    fn confirmed(&self) -> Option<Assignment> {
+        let is_new = |range: &Range| {
+            let progress = self.moves.get(&range.epoch);
+            !range.is_held() && progress.is_some_and(|progress| progress.is_confirmed)
+        };
+        if !self.durable.ranges.iter().any(is_new) {
+            return None;
+        }
+        let mut held = self.durable.clone();
+        for range in held.ranges.iter_mut().filter(|range| is_new(range)) {
+            range.state = State::Held;
+        }
+        Some(held)
+    }
+
+    fn is_contested(&self, range: &Range) -> bool {
+        let mut contested = self.contested.iter();
+        contested.any(|(first, last)| range.first <= *last && *first <= range.last)
+    }
+
+    fn must_leave(&self, range: &Range, fleet: &Fleet) -> bool {
+        let owner = &range.owner;
+        let known = fleet
+            .get(&owner.id)
+            .filter(|target| &target.registration.incarnation == owner);
+        let serves = known.is_some_and(|target| fleet.is_serving(target));
+        !serves
+            || self.is_unresponsive(owner)
+            || self.ended.contains(owner)
+            || self.refused.contains(&range.epoch)
+    }
+
+    fn is_unresponsive(&self, target: &Incarnation) -> bool {
+        self.unanswered
+            .get(target)
+            .is_some_and(|count| *count >= MAX_UNANSWERED)
+    }
+
+    pub(super) fn confirm_write(&mut self) {
+        let Some(written) = self.draft.take() else {
+            return;
+        };
+        self.durable = written;
+        let epochs: BTreeSet<u64> = self.durable.ranges.iter().map(|r| r.epoch).collect();
+        self.moves.retain(|epoch, _| epochs.contains(epoch));
+        self.refused.retain(|epoch| epochs.contains(epoch));
+        self.due.retain(|epoch, _| epochs.contains(epoch));
+    }
+
+    pub(super) fn record_response(&mut self, now: Instant, order: &Order, response: Response) {
+        self.in_flight.remove(&order.range_epoch);
+        match &response {
+            Response::Silent => *self.unanswered.entry(order.target.clone()).or_default() += 1,
+            Response::Unreached | Response::Unsent => {}
+            _ => {
+                self.unanswered.remove(&order.target);
+            }
+        }
+        let delay = match &response {
+            Response::Done(_) if order.operation != Operation::Release => {
+                RENEWAL_INTERVAL + jitter(order.range_epoch)
+            }
+            Response::Done(_) => Span::ZERO,
+            _ => RETRY_BACKOFF,
+        };
+        self.due.insert(order.range_epoch, now + delay);
+        match (response, &order.operation) {
+            (Response::Misdirected, _) => {
+                self.ended.insert(order.target.clone());
+            }
+            (Response::Done(_), Operation::Grant { .. }) => {
+                self.unconfirmed.remove(&order.range_epoch);
+                if let Some(progress) = self.moves.get_mut(&order.range_epoch) {
+                    progress.is_confirmed = true;
+                }
+            }
+            (Response::Done(handover), Operation::Release) => {
+                let progress = self.moves.entry(order.range_epoch).or_default();
+                progress.cleared.insert(order.target.clone());
+                progress.handover = handover.or(progress.handover.take());
+            }
+            (Response::Refused, Operation::Grant { .. }) if self.is_current(order) => {
+                self.refused.insert(order.range_epoch);
+                self.contested.push((order.first, order.last));
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Partition {
+    /// Tells whether an order matches a range of the written assignment.
+    fn is_current(&self, order: &Order) -> bool {
+        let range = self.durable.range(order.first);
+        range.is_some_and(|r| r.epoch == order.fence && r.last == order.last)
+    }
+}
+
+/// Returns the extra delay of a range's renewal, which differs between ranges.
+fn jitter(epoch: u64) -> Span {
+    Span(epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15) % RENEWAL_JITTER.0)
+}
+
+/// Returns the time that a target takes to process a request, in microseconds. One that limits the
+/// rate of its requests counts as so slow that its slots serve no more.
+fn work_time(target: &Incarnation, tick: &Tick<'_>) -> f64 {
+    let usual = (tick.work_time)(target);
+    let Some(rate) = (tick.rate_limit)(target) else {
+        return usual;
+    };
+    let known = tick.fleet.get(&target.id);
+    let slots = known.map_or(1, |known| known.registration.slots);
+    usual.max(f64::from(slots) * US_PER_SECOND / rate.per_second())
+}
+
+fn grant(hold: Span, handover: Option<String>) -> Operation {
+    Operation::Grant { hold, handover }
+}
+
+/// Tells whether a later incarnation uses either the id or the address of a target, so that the
+/// target has ended and accepts no more grants.
+///
+/// An earlier incarnation proves nothing, since this host's view of the targets may be outdated.
+/// Neither does a later one with the same id at the same address: it may have accepted a grant that
+/// was meant for the earlier one, and must release the keys first.
+fn is_replaced(target: &Incarnation, fleet: &Fleet) -> bool {
+    let mut registered = fleet
+        .targets()
+        .values()
+        .map(|target| &target.registration.incarnation);
+    registered.any(|other| {
+        let shares_one = (other.id == target.id) != (other.address == target.address);
+        shares_one && other.start_ms > target.start_ms && target.start_ms > 0
+    })
+}
