--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -4,6 +4,8 @@
 //! A new leader treats every grant of the earlier leader as valid until that leader's lease and the
 //! longest possible grant have expired.
 
+mod order;
+
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -21,7 +23,7 @@
 };
 use ragwortrill_router::{
     assignment::{Assignment, Range, State},
-    leader::{Action, Leader, Operation, Order, Response, Tick},
+    leader::{Action, Leader, Tick},
     registration::Incarnation,
 };
 use tokio::{
@@ -31,12 +33,10 @@
 
 use crate::{
     apply::{self, QUARANTINE_PREFIX, SERVICE_PREFIX},
-    attempt::MISDIRECTED,
-    call::{Client, Error, Reply},
+    call::Client,
     candidacy::Candidacy,
     follow::{self, Topic},
     lease::{Lease, TERM_KEY, Term},
-    leaving,
     protocol::{Append, Draft, Record},
     rate_limit, reach, recovery,
     shared::Shared,
@@ -64,28 +64,16 @@
 const TICK_PAUSE_FACTOR: u32 = 4;
 /// Longest pause after a planning step. A step that a paused process interrupts looks long.
 const MAX_TICK_PAUSE: Duration = Duration::from_millis(200);
-/// Timeout of a grant request to a target.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Timeout of a release request. The target answers only once its running work on the keys has
-/// ended.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Lag of the event loop from which another host should lead: the leader's callers wait as long, and
 /// its orders are as late.
 const MAX_LAG: Span = Span::from_millis(1_000);
 /// Time for which a host leads before it may resign because it is late, so that leadership does not
 /// change all the time while all hosts are.
 const MIN_LATE_TERM: Span = Span::from_millis(3_000);
-/// Age from which a planned grant is not sent any more. The plan counts on the end of a grant that
-/// arrives 850 ms after it was planned at the latest.
-const MAX_GRANT_AGE: Span = Span::from_millis(700);
-/// Age from which a planned release is not sent any more.
-const MAX_RELEASE_AGE: Span = Span::from_millis(2_500);
 /// Number of low bits of an epoch that count within one timeline of the store.
 const EPOCH_BITS: u32 = 32;
 /// Largest number of records of one append. A record of a range has up to a few hundred bytes.
 const MAX_DRAFTS_PER_APPEND: usize = 1_000;
-/// Largest body of a target's answer to a grant or release.
-const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
 /// State that a host keeps while it leads.
 struct Leadership {
@@ -504,155 +492,9 @@
             }
         }
     }
-
-    async fn send(self: Rc<Self>, order: Order, planned_at: Instant) {
-        let answer = match self.may_send(&order, planned_at) {
-            true => self.call(&order, planned_at).await,
-            false => Response::Unsent,
-        };
-        self.record_order(&order, &answer);
-        let is_routine = matches!(
-            (&order.operation, &answer),
-            (Operation::Grant { .. }, Response::Done(_))
-        );
-        let level = if is_routine {
-            log::Level::Debug
-        } else {
-            log::Level::Info
-        };
-        log::log!(
-            level, service = order.service.as_str(), target = order.target.id.as_str(),
-            first = order.first, last = order.last, epoch = order.fence,
-            order = format!("{:?}", order.operation), answer = format!("{answer:?}");
-            "grant or release ended"
-        );
-        let now = self.shared.now();
-        let is_unanswered = matches!(
-            answer,
-            Response::Silent | Response::Unreached | Response::Unsent
-        );
-        let has_follow_up = !is_unanswered && !is_renewal(&self.shared, &order);
-        self.leader
-            .borrow_mut()
-            .record_response(now, &order, answer);
-        if has_follow_up {
-            self.progress.notify_one();
-        }
-    }
-
-    fn record_order(&self, order: &Order, answer: &Response) {
-        let operation = match order.operation {
-            Operation::Grant { .. } => "grant",
-            Operation::Release => "release",
-        };
-        let answer = match answer {
-            Response::Done(_) => "done",
-            Response::Refused => "refused",
-            Response::Misdirected => "misdirected",
-            Response::Silent => "silent",
-            Response::Unreached => "unreached",
-            Response::Unsent => "unsent",
-        };
-        self.shared.metrics.record_order(operation, answer);
-    }
-
-    /// Returns whether an order that was planned at a time may still leave.
-    fn may_send(&self, order: &Order, planned_at: Instant) -> bool {
-        let max_age = match order.operation {
-            Operation::Grant { .. } => MAX_GRANT_AGE,
-            Operation::Release => MAX_RELEASE_AGE,
-        };
-        let age = self.shared.now().since(planned_at);
-        age <= max_age && self.lease.is_valid() && !self.is_replaced()
-    }
-
-    async fn call(&self, order: &Order, planned_at: Instant) -> Response {
-        let idle = self
-            .clients
-            .borrow_mut()
-            .entry(order.target.clone())
-            .or_default()
-            .pop();
-        let mut client = idle.unwrap_or_else(|| {
-            let address = (self.shared.protocol.dial)(order.address());
-            Client::new(address, MAX_ANSWER_BYTES)
-        });
-        let limit = match order.operation {
-            Operation::Grant { .. } => GRANT_TIMEOUT,
-            Operation::Release => RELEASE_TIMEOUT,
-        };
-        let call = (self.shared.protocol.encode_order)(order);
-        let outcome = client
-            .call_if(&call, limit, || self.may_send(order, planned_at))
-            .await;
-        self.clients
-            .borrow_mut()
-            .entry(order.target.clone())
-            .or_default()
-            .push(client);
-        match &outcome {
-            Ok(_) | Err(Error::Expired) => {}
-            Err(error) => self.check_link(order, error).await,
-        }
-        self.interpret(order, outcome)
-    }
-
-    /// Finds out whether the target of an unanswered order or this host's link to it is lost.
-    async fn check_link(&self, order: &Order, error: &Error) {
-        let cause = match error {
-            Error::Connect(error) => reach::Cause::from(error),
-            Error::Broken(_) => reach::Cause::Break,
-            _ => reach::Cause::Silence,
-        };
-        let (shared, order) = (self.shared.clone(), order.clone());
-        let checking = async move {
-            reach::check(&shared, &order.service, &order.target, cause).await;
-        };
-        match error {
-            Error::Connect(_) | Error::Broken(_) => checking.await,
-            // The order has used up its time already.
-            _ => _ = tokio::task::spawn_local(checking),
-        }
-    }
-
-    fn interpret(&self, order: &Order, outcome: Result<Reply, Error>) -> Response {
-        if let Ok(reply) = outcome.as_ref()
-            && reply.status != MISDIRECTED
-        {
-            leaving::record(&self.shared, &order.target, &reply.headers);
-        }
-        match outcome {
-            Ok(reply) => match reply.status {
-                200 => Response::Done((self.shared.protocol.handover_token)(&reply)),
-                409 => Response::Refused,
-                MISDIRECTED => Response::Misdirected,
-                status => {
-                    log::warn!(target = order.target.id.as_str(), status = status; "target answered a grant or release with an unexpected status");
-                    Response::Silent
-                }
-            },
-            Err(Error::Expired) => Response::Unsent,
-            Err(error) => {
-                log::info!(target = order.target.id.as_str(), error = error.to_string(); "target did not answer a grant or release");
-                match reach::is_lost(&self.shared, &order.service, &order.target) {
-                    true => Response::Unreached,
-                    false => Response::Silent,
-                }
-            }
-        }
-    }
 }
 
 /// Returns the pause after a planning step that took a time.
 fn pause(elapsed: Duration) -> Duration {
     (elapsed * TICK_PAUSE_FACTOR).clamp(MIN_TICK_PAUSE, MAX_TICK_PAUSE)
 }
-
-/// Returns whether an order only renews a grant, so that its answer makes no further step due.
-fn is_renewal(shared: &Shared, order: &Order) -> bool {
-    let assignments = shared.assignments.borrow();
-    let range = assignments
-        .get(&order.service)
-        .and_then(|a| a.range(order.first));
-    range.is_some_and(|range| range.epoch == order.fence && range.is_held())
-}
