--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -42,6 +42,7 @@
     shared::Shared,
     stop::Phase,
     store::Store,
+    tally::Count,
 };
 
 /// Lease age from which grants get the longest allowed lifetime. At this age renewals are failing,
@@ -272,7 +273,9 @@
 
 impl Leadership {
     async fn run(self: Rc<Self>, candidate: &Candidacy) -> Result<()> {
+        self.shared.tally.restart(self.began_at);
         loop {
+            self.log_exchanges();
             if !candidate.is_nominated.get() || self.shared.stop.has_reached(Phase::Stopping) {
                 return Ok(());
             }
@@ -315,6 +318,20 @@
         }
     }
 
+    /// Logs the exchanges with other hosts since the last line, once a second at most.
+    fn log_exchanges(&self) {
+        let taken = self.shared.tally.take(self.shared.now());
+        let Some((count, elapsed)) = taken.filter(|(count, _)| *count != Count::default()) else {
+            return;
+        };
+        log::info!(
+            reports = count.reports, report_bytes = count.report_bytes,
+            answers = count.answers, answer_bytes = count.answer_bytes,
+            elapsed_ms = elapsed.as_millis(), hosts = self.shared.hosts.borrow().len();
+            "reports of other hosts answered"
+        );
+    }
+
     /// Returns whether the store no longer names this host as leader.
     fn is_replaced(&self) -> bool {
         let leader = self.shared.leader.borrow();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -47,5 +47,6 @@
 pub mod shared;
 mod stop;
 mod store;
+pub mod tally;
 
 pub use run::{run, run_until};
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -22,6 +22,10 @@
     orders: Counter<u64>,
     limited: Counter<u64>,
     forwarded: Counter<u64>,
+    reports: Counter<u64>,
+    report_bytes: Counter<u64>,
+    answers: Counter<u64>,
+    answer_bytes: Counter<u64>,
     gauges: Gauges,
 }
 
@@ -63,6 +67,10 @@
             let counter = meter.u64_counter(name).with_description(description);
             counter.build()
         };
+        let bytes = |name, description| {
+            let counter = meter.u64_counter(name).with_unit("By");
+            counter.with_description(description).build()
+        };
         let seconds = |name, description| {
             let histogram = meter.f64_histogram(name).with_unit("s");
             histogram.with_description(description).build()
@@ -104,6 +112,22 @@
                 "ragwortrill.forwarded.requests",
                 "Requests sent through another host, since the links to their targets are lost",
             ),
+            reports: count(
+                "ragwortrill.relay.reports",
+                "Reports of other hosts that this host has read as leader",
+            ),
+            report_bytes: bytes(
+                "ragwortrill.relay.report",
+                "Bytes of the reports of other hosts",
+            ),
+            answers: count(
+                "ragwortrill.relay.answers",
+                "Answers of this host as leader to reports of other hosts",
+            ),
+            answer_bytes: bytes(
+                "ragwortrill.relay.answer",
+                "Bytes of the answers to reports of other hosts",
+            ),
             gauges: Gauges::new(&meter),
             exporter,
         })
@@ -118,6 +142,16 @@
         self.forwarded.add(1, &[]);
     }
 
+    pub(crate) fn record_report(&self, bytes: usize) {
+        self.reports.add(1, &[]);
+        self.report_bytes.add(bytes as u64, &[]);
+    }
+
+    pub(crate) fn record_report_answer(&self, bytes: usize) {
+        self.answers.add(1, &[]);
+        self.answer_bytes.add(bytes as u64, &[]);
+    }
+
     pub(crate) fn record_wait(&self, elapsed: Span) {
         self.wait.record(elapsed.as_secs_f64(), &[]);
     }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -466,6 +466,8 @@
 pub(crate) async fn handle_report(shared: &Shared, body: &[u8]) -> Result<Vec<u8>> {
     let received_at = shared.now();
     let report: Report = ciborium::from_reader(body).context("the report can't be read")?;
+    shared.metrics.record_report(body.len());
+    shared.tally.add_report(body.len());
     rate_limit::merge(shared, received_at, report.rate_limits.clone());
     leaving::merge(shared, report.leaving);
     let is_new = |topic| {
@@ -542,5 +544,7 @@
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&update, &mut encoded)?;
+    shared.metrics.record_report_answer(encoded.len());
+    shared.tally.add_answer(encoded.len());
     Ok(encoded)
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -50,6 +50,7 @@
     replica::Replica,
     settings::Settings,
     stop::{Phase, Progress},
+    tally::Tally,
 };
 
 /// State of a host.
@@ -116,6 +117,8 @@
     pub(crate) update_ready: Notify,
     /// Pace of this host's answers to reports while it leads.
     pub(crate) pace: RefCell<Pace>,
+    /// Reports and answers of the recent past while this host leads.
+    pub(crate) tally: Tally,
     /// Whether waiting requests are being dispatched, so that dispatching does not recurse.
     pub(crate) is_dispatching: Cell<bool>,
     /// Progress of a planned stop of the host.
@@ -222,6 +225,7 @@
             queued: Notify::new(),
             update_ready: Notify::new(),
             pace: RefCell::default(),
+            tally: Tally::default(),
             is_dispatching: Cell::new(false),
             stop: Progress::default(),
             has_listed_targets: Cell::new(false),
