A report whose host has given up takes no turn and gets no answer

What callers saw: nothing yet; found by the review. A host that gives up on the leader reports again after 50 ms to 400 ms, and the leader answered each report that it had read, 5 ms apart. So the answers that nobody reads delayed those that hosts wait for, most when the leader is late already.

The leader now watches the connection while a report waits, and drops the answer when it closes. Reports that are due wait in their order for the pace, and take their turn only when it comes; turns still count from when the reports were due, so a late event loop catches up as before. The load in a report is taken when it is read.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -10,7 +10,11 @@
 use bytes::BytesMut;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{io::AsyncReadExt, net::TcpStream, time::timeout};
+use tokio::{
+    io::{AsyncReadExt, Interest},
+    net::TcpStream,
+    time::timeout,
+};
 
 use crate::message::{self, Response};
 
@@ -117,6 +121,20 @@
         self.buffer.is_empty() && is_blocked
     }
 
+    /// Waits until the peer has closed the connection or its sending side. Does not return if bytes
+    /// have arrived that are not read yet.
+    pub(crate) async fn closed(&self) {
+        let has_changed = || match is_closed(&self.stream) || has_unread_bytes(&self.stream) {
+            true => Ok(()),
+            // Makes the next event be awaited.
+            false => Err(io::ErrorKind::WouldBlock.into()),
+        };
+        let changed = self.stream.async_io(Interest::READABLE, has_changed).await;
+        if changed.is_ok() && !is_closed(&self.stream) {
+            std::future::pending().await
+        }
+    }
+
     /// Closes the connection with a reset, so that unsent bytes are discarded.
     pub(crate) fn reset(self) {
         let socket = SockRef::from(&self.stream);
--- a/crates/entry/src/ready.rs
+++ b/crates/entry/src/ready.rs
@@ -13,7 +13,7 @@
 const METRICS: &str = "/metrics";
 
 /// Handles a readiness check from the load balancer.
-pub(crate) async fn handle(shared: &Shared, request: &Request) -> Reply {
+pub(crate) async fn handle(shared: &Shared, request: &Request<'_>) -> Reply {
     let problem = match request.path == shared.protocol.readiness_path {
         true if shared.is_ready() => Problem::new(200, "ready"),
         true => Problem::new(503, "not ready"),
@@ -23,7 +23,7 @@
 }
 
 /// Handles a request for metrics or a report from another host.
-pub(crate) async fn handle_host(shared: &Shared, request: &Request) -> Reply {
+pub(crate) async fn handle_host(shared: &Shared, request: &Request<'_>) -> Reply {
     if request.path == METRICS {
         return Reply::content(
             "text/plain; version=0.0.4",
@@ -48,7 +48,13 @@
     if request.path != relay::PATH {
         return Reply::problem(Problem::new(404, "no such path"), None);
     }
-    match relay::handle_report(shared, &request.body).await {
+    let answer = tokio::select! {
+        answer = relay::handle_report(shared, &request.body) => answer,
+        () = request.abandoned() => {
+            return Reply::problem(Problem::new(408, "the host has not waited for the answer"), None);
+        }
+    };
+    match answer {
         Ok(update) => Reply::content("application/cbor", Bytes::from(update)),
         Err(error) => {
             log::warn!(error = format!("{error:#}"); "report from another host can't be decoded; replying with status 400");
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -62,6 +62,11 @@
 /// Largest response of the leader, in which it sends all records that a host lacks.
 const MAX_UPDATE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Number of requests by service and bucket of keys.
+type Traffic = BTreeMap<name::Service, BTreeMap<u16, u32>>;
+/// Sum (in microseconds) and number of the work times of a target's requests.
+type WorkTime = (name::Target, f64, u32);
+
 /// Report of a host to the leader.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct Report {
@@ -83,10 +88,10 @@
     known: Option<Digests>,
     /// Number of requests since the last report, by service and bucket of keys.
     #[serde(rename = "heat")]
-    traffic: BTreeMap<name::Service, BTreeMap<u16, u32>>,
-    /// Sum and number of the work times of requests since the last report, by target.
+    traffic: Traffic,
+    /// Work times of requests since the last report.
     #[serde(rename = "work")]
-    work_times: Vec<(name::Target, f64, u32)>,
+    work_times: Vec<WorkTime>,
     /// Crashes of targets that the host observed and no leader has acknowledged.
     crashes: Vec<(Incarnation, Vec<Fingerprint>)>,
     /// Fingerprints of suspected requests that were answered, and no leader has acknowledged.
@@ -461,6 +466,38 @@
     }
 }
 
+/// Waits until this host may answer one more report. A report that is dropped while others are before
+/// it takes no turn.
+async fn await_turn(shared: &Shared) {
+    let due = shared.now();
+    let mut pace = shared.pace.lock().await;
+    // Turns count from when the reports were due, so a late event loop does not lengthen the round.
+    let turn = pace.allot(due);
+    sleep(turn.since(shared.now()).as_duration()).await;
+}
+
+/// Adds the traffic and the work times of another host to those of this host.
+fn merge_load(shared: &Shared, now: Instant, traffic: &Traffic, work_times: &[WorkTime]) {
+    let mut known = shared.traffic.borrow_mut();
+    for (service, counts) in traffic {
+        known.entry(service.clone()).or_default().merge(now, counts);
+    }
+    drop(known);
+    for (id, sum_us, count) in work_times {
+        let fleet = shared.fleet.borrow();
+        let target = fleet.get(id);
+        let incarnation = target.map(|target| target.registration.incarnation.clone());
+        drop(fleet);
+        let samples = Samples {
+            sum_us: *sum_us,
+            count: *count,
+        };
+        if let Some(incarnation) = incarnation {
+            shared.with_endpoint(&incarnation, |endpoint| endpoint.load.add_samples(samples));
+        }
+    }
+}
+
 /// Responds to a host's report when the operators' or ownership topic has a new record, or after
 /// `hold_time`, at the pace of [`pace::Pace`]. What is new by then is gathered in one response.
 pub(crate) async fn handle_report(shared: &Shared, body: &[u8]) -> Result<Vec<u8>> {
@@ -481,32 +518,12 @@
         let mut observer = shared.crash_observer.borrow_mut();
         observer.quarantine(received_at, fingerprint, false);
     }
+    merge_load(shared, received_at, &report.traffic, &report.work_times);
     if !is_new && !shared.stop.has_reached(Phase::Stopping) {
         let _ = timeout(hold_time(shared), shared.update_ready.notified()).await;
     }
+    await_turn(shared).await;
     let now = shared.now();
-    let turn = shared.pace.borrow_mut().allot(now);
-    sleep(turn.since(now).as_duration()).await;
-    let now = shared.now();
-    let mut traffic = shared.traffic.borrow_mut();
-    for (service, counts) in &report.traffic {
-        traffic
-            .entry(service.clone())
-            .or_default()
-            .merge(now, counts);
-    }
-    drop(traffic);
-    for (id, sum, count) in report.work_times {
-        let fleet = shared.fleet.borrow();
-        let incarnation = fleet
-            .get(&id)
-            .map(|target| target.registration.incarnation.clone());
-        if let Some(incarnation) = incarnation {
-            shared.with_endpoint(&incarnation, |endpoint| {
-                endpoint.load.add_samples(Samples { sum_us: sum, count })
-            });
-        }
-    }
     let replicas = shared.replicas.borrow();
     let changes = |topic: Topic, from: Option<u64>| {
         let replica = replicas.get(&topic)?;
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -23,16 +23,24 @@
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
 /// An internal request.
-pub(crate) struct Request {
+pub(crate) struct Request<'a> {
     /// Path without query.
     pub(crate) path: String,
     pub(crate) body: Bytes,
+    connection: &'a Connection,
+}
+
+impl Request<'_> {
+    /// Waits until the sender has closed its connection, so that it does not wait for the reply.
+    pub(crate) async fn abandoned(&self) {
+        self.connection.closed().await;
+    }
 }
 
 /// Accepts connections and serves their requests with a handler, for as long as its task runs.
 pub(crate) async fn accept<A>(shared: Rc<Shared>, listener: TcpListener, handler: A)
 where
-    A: AsyncFn(&Shared, &Request) -> Reply + Copy + 'static,
+    A: AsyncFn(&Shared, &Request<'_>) -> Reply + Copy + 'static,
 {
     loop {
         match listener.accept().await {
@@ -49,13 +57,18 @@
 
 async fn serve<A>(shared: Rc<Shared>, stream: TcpStream, handler: A)
 where
-    A: AsyncFn(&Shared, &Request) -> Reply,
+    A: AsyncFn(&Shared, &Request<'_>) -> Reply,
 {
     let mut connection = Connection::new(stream);
     while let Some((head, body)) = receive(&mut connection).await {
         let path = String::from_utf8_lossy(&head.target);
         let path = path.split('?').next().unwrap_or_default().to_owned();
-        let reply = handler(&shared, &Request { path, body }).await;
+        let request = Request {
+            path,
+            body,
+            connection: &connection,
+        };
+        let reply = handler(&shared, &request).await;
         let closes = !head.keeps_alive || reply.closes;
         let wire = reply.encode(closes, head.method == "HEAD");
         if connection.write(&wire).await.is_err() || closes {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -34,7 +34,7 @@
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 
 use crate::{
     activity::Register,
@@ -115,8 +115,9 @@
     /// Notified when there are new records of the operators' or ownership topic, which are relayed
     /// to other hosts at once.
     pub(crate) update_ready: Notify,
-    /// Pace of this host's answers to reports while it leads.
-    pub(crate) pace: RefCell<Pace>,
+    /// Pace of this host's answers to reports while it leads. The reports that are due wait for it
+    /// in their order.
+    pub(crate) pace: Mutex<Pace>,
     /// Reports and answers of the recent past while this host leads.
     pub(crate) tally: Tally,
     /// Whether waiting requests are being dispatched, so that dispatching does not recurse.
@@ -224,7 +225,7 @@
             waiters: RefCell::default(),
             queued: Notify::new(),
             update_ready: Notify::new(),
-            pace: RefCell::default(),
+            pace: Mutex::default(),
             tally: Tally::default(),
             is_dispatching: Cell::new(false),
             stop: Progress::default(),
