--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -48,5 +48,6 @@
 pub mod shared;
 mod stop;
 mod store;
+pub mod tally;
 
 pub use run::{run, run_until};
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -34,7 +34,7 @@
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 
 use crate::{
     activity::Register,
@@ -50,6 +50,7 @@
     replica::Replica,
     settings::Settings,
     stop::{Phase, Progress},
+    tally::Tally,
 };
 
 /// State of a host.
@@ -119,8 +120,11 @@
     /// Notified when there are new records of the operators' or ownership topic, which are relayed
     /// to other hosts at once.
     pub(crate) update_ready: Notify,
-    /// Pace of this host's answers to reports while it leads.
-    pub(crate) pace: RefCell<Pace>,
+    /// Pace of this host's answers to reports while it leads. The reports that are due wait for it
+    /// in their order.
+    pub(crate) pace: Mutex<Pace>,
+    /// Reports and answers of the recent past while this host leads.
+    pub(crate) tally: Tally,
     /// Whether waiting requests are being dispatched, so that dispatching does not recurse.
     pub(crate) is_dispatching: Cell<bool>,
     /// Progress of a planned stop of the host.
@@ -231,7 +235,8 @@
             waiters: RefCell::default(),
             queued: Notify::new(),
             update_ready: Notify::new(),
-            pace: RefCell::default(),
+            pace: Mutex::default(),
+            tally: Tally::default(),
             is_dispatching: Cell::new(false),
             stop: Progress::default(),
             has_listed_targets: Cell::new(false),
