A target that states that it leaves counts as drained on the own interface

What callers saw: daemons went on sending to a target that had stated that it leaves, until it ended; its keys stayed with it, and requests for a service all of whose targets leave waited for their deadline (10 s) in place of a refusal.

The holder reads `Ragwortrill-Leaving: true` from any answer to a request and tells it in its reports (`leaving`, absent unless true; the release before passes over it). Each daemon keeps it by the target's run, so that the next holder knows it before its first request, and treats the target as one that operators took out. It ends when a probe or a report names another run. If all targets of a service that is not divided by key leave or are out, a request is refused at once as no-target with Retry-After, also when operators took all of them out.

--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -95,4 +95,6 @@
     pub deadline: Instant,
     /// Whether the target states a rate limit, so that an answer without one is reported too.
     pub is_limited: bool,
+    /// Start identifier of the target's current run, once a probe was answered.
+    pub start_id: Option<u64>,
 }
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -45,7 +45,8 @@
     Accepting,
     /// The target may give shares away and receives none.
     Closed,
-    /// The target is to be emptied, since operators took it out or removed it from the table.
+    /// The target is to be emptied, since it leaves, or operators took it out or removed it from the
+    /// table.
     Draining,
     /// The target does not answer, and its last grant has expired.
     Lost,
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -65,7 +65,7 @@
     fn send_heartbeats(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let states = self.target_states.iter();
         let reports: Vec<TargetReport> = states
-            .map(|(target, state)| state.report(target, now))
+            .map(|(target, state)| state.report(target, self.is_leaving(target), now))
             .collect();
         let peers: Vec<Process> = self.peers().map(|peer| peer.process.clone()).collect();
         for peer in peers {
@@ -134,6 +134,8 @@
             }
         }
         self.planners.clear();
+        let table = self.ledger.table();
+        self.leaving.retain(|target| table.target(target).is_some());
     }
 
     fn probe_and_grant(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -187,9 +189,9 @@
         }
     }
 
-    /// Requeues requests that wait for a target that is lost or out of service, if any target of
-    /// the service may run them.
-    fn requeue_undivided(
+    /// Requeues requests that wait for a target that is lost or draining, if any target of the
+    /// service may run them.
+    pub(crate) fn requeue_undivided(
         &mut self,
         now: Instant,
         target: &name::Target,
@@ -201,7 +203,7 @@
             .target_states
             .get(target)
             .is_none_or(|d| d.queue.waiting() == 0);
-        let stays = self.ledger.is_in_service(target) && !self.is_lost(target);
+        let stays = !self.is_draining(target) && !self.is_lost(target);
         if undivided && !idle && !stays {
             self.requeue(now, target, actions);
         }
@@ -254,6 +256,9 @@
         };
         let first = state.start_id().is_none();
         state.record_probe(now, answer);
+        if let Some(start_id) = state.start_id() {
+            self.leaving.forget_earlier(target, start_id);
+        }
         if let Some(report) = report.filter(|_| first) {
             state.adopt_report(&report);
             if report.start_id == state.start_id() {
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -58,6 +58,13 @@
         /// What the answer says.
         statement: rate_limit::Statement,
     },
+    /// A target's answer stated that it leaves.
+    LeavingStated {
+        /// Target that answered.
+        target: name::Target,
+        /// Run of the target when the request was sent, if it was known.
+        start_id: Option<u64>,
+    },
     /// A target answered a grant.
     Granted {
         /// Target that answered.
@@ -114,6 +121,10 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde_as(as = "Option<DisplayFromStr>")]
     pub rate_limit: Option<Rate>,
+    /// True if this run of the target has stated that it leaves. Earlier releases neither send nor
+    /// read it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
 }
 
 /// Records that a read of the log returned.
--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -58,10 +58,10 @@
     }
 
     /// Returns whether this process holds a target whose shares must all move: one that is lost or
-    /// out of service.
+    /// draining.
     fn has_urgent_moves(&self) -> bool {
         let mut states = self.target_states.iter();
-        states.any(|(target, state)| state.is_lost() || !self.ledger.is_in_service(target))
+        states.any(|(target, state)| state.is_lost() || self.is_draining(target))
     }
 
     fn plan_moves(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -163,7 +163,7 @@
         match self.target_states.get(target) {
             Some(state) if lost && self.has_ended(now, target, state) => Availability::Lost,
             _ if lost => Availability::Closed,
-            _ if !self.ledger.is_in_service(target) => Availability::Draining,
+            _ if self.is_draining(target) => Availability::Draining,
             _ if !self.has_answering_holder(now, target) => Availability::Closed,
             _ => Availability::Accepting,
         }
--- a/crates/core/src/inspection.rs
+++ b/crates/core/src/inspection.rs
@@ -147,6 +147,7 @@
             unheard_peers: self.unheard_peers(now).count() as u64,
             unheld_targets: self.unheld_targets().count() as u64,
             lost_targets: self.lost_targets().count() as u64,
+            leaving_targets: self.leaving_targets().count() as u64,
             quarantined: self.ledger().quarantine().len() as u64,
             held_targets: self.ownership().held().len() as u64,
         }
@@ -179,6 +180,12 @@
         })
     }
 
+    /// Returns the held targets that have stated that they leave.
+    pub fn leaving_targets(&self) -> impl Iterator<Item = &name::Target> {
+        let held = self.target_states.keys();
+        held.filter(|target| self.is_leaving(target))
+    }
+
     /// Returns the held targets that operators have in service and that do not answer probes.
     fn lost_targets(&self) -> impl Iterator<Item = &name::Target> {
         let states = self.target_states.iter();
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -8,6 +8,7 @@
     balance::Planner,
     choice::Choice,
     event::{Arrival, Endpoint, Event, Message, Read, TargetReport, Ticket},
+    leaving::Leaving,
     ledger::{Effect, Ledger},
     member::FailureDetector,
     name,
@@ -60,6 +61,7 @@
     pub(crate) claimable_since: BTreeMap<name::Target, Instant>,
     /// Latest report of each target by its holder.
     pub(crate) reports: BTreeMap<name::Target, TargetReport>,
+    pub(crate) leaving: Leaving,
     pub(crate) planners: BTreeMap<name::Service, Planner>,
     pub(crate) quarantine: Quarantine,
     pub(crate) choice: Choice,
@@ -133,6 +135,7 @@
             pending_outcomes: BTreeMap::new(),
             claimable_since: BTreeMap::new(),
             reports: BTreeMap::new(),
+            leaving: Leaving::default(),
             planners: BTreeMap::new(),
             quarantine: Quarantine::default(),
             choice: Choice::new(config.process.incarnation),
@@ -167,6 +170,9 @@
             Event::RateStated { target, statement } => {
                 self.record_rate_limit(now, &target, statement, Source::Answer, actions);
             }
+            Event::LeavingStated { target, start_id } => {
+                self.record_leaving(now, &target, start_id, actions);
+            }
             Event::Granted {
                 target,
                 epoch,
@@ -327,6 +333,7 @@
                 }
                 self.agreement.set_peer(&from, offset, hash);
                 for report in reports {
+                    self.merge_leaving(&report);
                     self.reports.insert(report.target.clone(), report);
                 }
                 let withheld = self.ownership.withheld(&epochs);
--- a/crates/core/src/report/status.rs
+++ b/crates/core/src/report/status.rs
@@ -84,6 +84,8 @@
     pub unheld_targets: u64,
     /// Number of held targets in service that do not answer probes.
     pub lost_targets: u64,
+    /// Held targets that have stated that they leave.
+    pub leaving_targets: u64,
     /// Number of quarantined fingerprints.
     pub quarantined: u64,
     /// Number of targets that this process holds.
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -92,7 +92,7 @@
     #[error("this daemon does not hold the target; retry")]
     NotMine,
     /// The service has no target that can take requests.
-    #[error("the service has no target in service; return a target or a data centre")]
+    #[error("no target of the service takes requests; retry later, or return a target")]
     NoTarget,
     /// The target's queue is full.
     #[error("the target's queue is full; retry later")]
--- a/crates/core/src/target_state.rs
+++ b/crates/core/src/target_state.rs
@@ -247,7 +247,12 @@
     }
 
     /// Creates the report on the target that peers receive in heartbeats.
-    pub(crate) fn report(&self, target: &name::Target, now: Instant) -> TargetReport {
+    pub(crate) fn report(
+        &self,
+        target: &name::Target,
+        leaving: bool,
+        now: Instant,
+    ) -> TargetReport {
         TargetReport {
             target: target.clone(),
             start_id: self.start_id,
@@ -258,6 +263,7 @@
             load: self.slice_busy_us.values().sum(),
             capacity_percent: self.capacity_percent(now),
             rate_limit: self.queue.rate_limit(now),
+            leaving,
         }
     }
 }
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -63,6 +63,8 @@
         let Some(target) = self.choose_target(now, &row, &arrival) else {
             if arrival.forwarded {
                 self.refuse(ticket, Refusal::Moving, None, actions);
+            } else if !row.divided_by_key && row.targets.keys().all(|t| self.is_draining(t)) {
+                self.refuse(ticket, Refusal::NoTarget, Some(MIN_RETRY_AFTER), actions);
             }
             return;
         };
@@ -112,9 +114,8 @@
         row: &table::Service,
         own_only: bool,
     ) -> Candidate {
-        let usable = self.ledger.is_in_service(target)
-            && !self.is_lost(target)
-            && self.has_live_holder(now, target);
+        let usable =
+            !self.is_draining(target) && !self.is_lost(target) && self.has_live_holder(now, target);
         let unknown = Candidate {
             in_flight: 0,
             limit: row.slots,
@@ -334,6 +335,7 @@
         let address = row.address;
         let state = self.target_states.get(target);
         let is_limited = state.is_some_and(|state| state.queue.rate_limit(now).is_some());
+        let start_id = state.and_then(|state| state.start_id());
         let Some(held) = self.tickets.get_mut(&ticket) else {
             return;
         };
@@ -346,6 +348,7 @@
             lease_end,
             deadline: held.arrival.deadline,
             is_limited,
+            start_id,
         }));
         let deadline = held.arrival.deadline;
         if let Some(state) = self.target_states.get_mut(target) {
--- a/crates/daemon/examples/slopes/messages.rs
+++ b/crates/daemon/examples/slopes/messages.rs
@@ -96,6 +96,7 @@
                 load: 1 << 30,
                 capacity_percent: 100,
                 rate_limit: None,
+                leaving: false,
             })
             .collect(),
         stopping: false,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -27,6 +27,7 @@
     unheard_peers: Gauge<u64>,
     unheld_targets: Gauge<u64>,
     lost_targets: Gauge<u64>,
+    leaving_targets: Gauge<u64>,
     quarantined: Gauge<u64>,
     held_targets: Gauge<u64>,
 }
@@ -97,6 +98,7 @@
         gauges.unheard_peers.record(values.unheard_peers, &[]);
         gauges.unheld_targets.record(values.unheld_targets, &[]);
         gauges.lost_targets.record(values.lost_targets, &[]);
+        gauges.leaving_targets.record(values.leaving_targets, &[]);
         gauges.quarantined.record(values.quarantined, &[]);
         gauges.held_targets.record(values.held_targets, &[]);
     }
@@ -135,6 +137,10 @@
                 "ragwortrill.targets.lost",
                 "Held targets in service that do not answer probes",
             ),
+            leaving_targets: count(
+                "ragwortrill.targets.leaving",
+                "Held targets that have stated that they leave",
+            ),
             quarantined: count(
                 "ragwortrill.quarantine.fingerprints",
                 "Fingerprints of requests that are barred",
--- a/crates/daemon/src/monitor.rs
+++ b/crates/daemon/src/monitor.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use ragwortrill_core::{
+    name,
     node::Node,
     process::Process,
     time::{Instant, Span},
@@ -13,11 +14,12 @@
 /// Interval between reports.
 const REPORT_INTERVAL: Span = Span::from_millis(500);
 
-/// Time of the next report, and the peers that were last reported as differing.
+/// Time of the next report, and what the last one had: peers that differ, and targets that leave.
 #[derive(Debug, Default)]
 pub(crate) struct Monitor {
     next_report: Instant,
     differing: BTreeSet<Process>,
+    leaving: BTreeSet<name::Target>,
 }
 
 impl Monitor {
@@ -36,5 +38,10 @@
             );
         }
         self.differing.clone_from(differing);
+        let leaving: BTreeSet<name::Target> = node.leaving_targets().cloned().collect();
+        for target in leaving.difference(&self.leaving) {
+            log::info!(target = target.as_str(); "target states that it leaves");
+        }
+        self.leaving = leaving;
     }
 }
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -16,7 +16,7 @@
     },
     http::{
         Method, Version,
-        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+        header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING},
     },
     io::IoConfig,
     time::Millis,
@@ -217,6 +217,7 @@
     };
     if let Ok(response) = &sent {
         report_rate_limit(shared, dispatch, response, now);
+        report_leaving(shared, dispatch, response);
     }
     match sent {
         Ok(response) if response.headers().contains_key(target::REFUSED_HEADER) => {
@@ -275,6 +276,19 @@
     });
 }
 
+/// Tells the node that a target leaves, if its answer says so.
+fn report_leaving(shared: &Shared, dispatch: &Dispatch, response: &ClientResponse) {
+    let stated = response.headers().get(target::LEAVING_HEADER);
+    let is_leaving =
+        |value: &HeaderValue| value.as_bytes().trim_ascii() == target::IS_LEAVING.as_bytes();
+    if stated.is_some_and(is_leaving) {
+        shared.send_event(Event::LeavingStated {
+            target: dispatch.target.clone(),
+            start_id: dispatch.start_id,
+        });
+    }
+}
+
 /// Returns how a request failed, which depends on whether it may have reached its target.
 ///
 /// ntex reports a connection that closes after the request was sent as a connect error without
--- a/crates/platform/src/target.rs
+++ b/crates/platform/src/target.rs
@@ -35,6 +35,12 @@
 /// number, for as long as its answers state it. Calls of the control interface don't count.
 pub const RATE_LIMIT_HEADER: &str = "Ragwortrill-Rate-Limit";
 
+/// Header of an answer in which a target states that it leaves. Its value is [`IS_LEAVING`]. The
+/// statement holds until the target's run ends.
+pub const LEAVING_HEADER: &str = "Ragwortrill-Leaving";
+/// Value of [`LEAVING_HEADER`] in the answers of a target that leaves.
+pub const IS_LEAVING: &str = "true";
+
 /// Largest response of the control interface that a client accepts, in bytes.
 pub const MAX_RESPONSE_BYTES: usize = 64 << 10;
 
--- a/crates/standin/src/target/handler.rs
+++ b/crates/standin/src/target/handler.rs
@@ -5,7 +5,7 @@
 
 use ntex::http::{Request, Response};
 use ragwortrill_core::name;
-use ragwortrill_platform::target::{CANCEL_PATH, RATE_LIMIT_HEADER};
+use ragwortrill_platform::target::{CANCEL_PATH, IS_LEAVING, LEAVING_HEADER, RATE_LIMIT_HEADER};
 
 use super::{
     call::{self, Call},
@@ -46,6 +46,18 @@
         call.deadline.filter(|_| keeps)
     }
 
+    /// Adds what the target states about itself to an answer.
+    fn add_statements(&self, response: &mut Response) {
+        let settings = self.state.read(|state| state.settings.clone());
+        let headers = response.headers_mut();
+        if let Some(rate) = settings.rate_limit {
+            headers.insert(call::name(RATE_LIMIT_HEADER), call::value(rate));
+        }
+        if settings.is_leaving {
+            headers.insert(call::name(LEAVING_HEADER), call::value(IS_LEAVING));
+        }
+    }
+
     /// Returns whether a key's recorded owner is another target.
     pub(crate) fn is_wrong_owner(&self, key: Option<&str>) -> bool {
         let owner = self.owner.lock();
@@ -85,11 +97,7 @@
             true => stream::answer(&self, request).await,
             false => work::answer(&self, request).await,
         };
-        let rate_limit = self.state.read(|state| state.settings.rate_limit.clone());
-        if let Some(rate) = rate_limit {
-            let headers = response.headers_mut();
-            headers.insert(call::name(RATE_LIMIT_HEADER), call::value(rate));
-        }
+        self.add_statements(&mut response);
         response
     }
 
--- a/crates/standin/src/target/settings.rs
+++ b/crates/standin/src/target/settings.rs
@@ -26,6 +26,8 @@
     pub enforces_deadlines: bool,
     /// Time that the control interface takes to answer.
     pub control_time: Span,
+    /// True to state in the answers to requests that the target leaves.
+    pub is_leaving: bool,
     /// True to keep the highest received epoch across a restart.
     pub persists_epoch: bool,
     /// Requests per second that the target states in its answers as its limit.
@@ -66,6 +68,7 @@
             hold: false,
             enforces_deadlines: true,
             control_time: Span::ZERO,
+            is_leaving: false,
             persists_epoch: false,
             rate_limit: None,
             report_mode: ReportMode::Exact,
