Hosts don't count on the relay of a leader that has removed its record

Cause: a host reports only to a leader whose record it knows, so nothing is relayed once that is removed; but what was relayed last counted as recent for 4.3 s, in place of own reads. A host that learned of the removal before the next leader's claim learned of the claim as late.

Hosts now read the store while the leader has no address. Each then calls it as it does without a leader, until the next claim; the calls of 82 hosts in that time are not measured.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -10,7 +10,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
-use crate::{apply::apply, crash, protocol::Read, settings::Bounds, shared::Shared, store::Store};
+use crate::{
+    apply::apply, crash, protocol::Read, relay, settings::Bounds, shared::Shared, store::Store,
+};
 
 /// Longest time for which a read of the ownership topic waits for a new record. A dead connection
 /// is noticed soon after, by the read's timeout.
@@ -241,9 +243,10 @@
     }
 }
 
-/// Returns whether the leader's relayed records of a topic are recent enough.
+/// Returns whether the leader's relayed records of a topic are recent enough. A leader that has
+/// removed its record, as it stops, relays nothing any more.
 fn is_relayed(shared: &Shared, topic: Topic) -> bool {
-    if shared.leader.borrow().is_none() || is_leader(shared) {
+    if relay::leader_address(shared).is_none() {
         return false;
     }
     let relayed_at = shared.relayed_at.borrow();
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -299,7 +299,7 @@
 }
 
 /// Returns the leader's address, unless this host leads.
-fn leader_address(shared: &Shared) -> Option<SocketAddr> {
+pub(crate) fn leader_address(shared: &Shared) -> Option<SocketAddr> {
     let leader = shared.leader.borrow().clone()?;
     let is_own = leader == shared.settings.borrow().host.as_str();
     let hosts = shared.hosts.borrow();
