Questions and probes about targets that can't be reached have a bound

What callers saw: nothing by itself. When a data centre of targets ends, each host asked 4 to 8 others about each target once a second, each of them opened a connection to it, and each request without a helping host asked anew. This work grew with targets times hosts on the event loops that serve callers.

Surveys now wait for each other (router::survey): 8 under way, 28 in a second for targets that end, 167 for lost links; targets not surveyed yet and services in turn. Probes that others ask for take turns of 10 ms (router::pace), and simultaneous questions about a target share one; a question that would wait for over 150 ms is answered Unknown, which the release before reads. All requests without a helping host share one search in 100 ms. Waiting requests are rerouted once in 30 ms, not once for each lost link. Messages are unchanged.

A target to which a connection failed gets no requests while its survey waits, for 1 s at a time. Its requests go to other targets or wait; if links of this host are known to be lost, they go through another host. Before its first survey its silence does not count at the leader.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -27,6 +27,8 @@
 /// Interval at which targets are searched for waiting requests. Requests that end at a target start
 /// a search at once, but targets warm up and breakers close without such an event.
 const DISPATCH_INTERVAL: Span = Span::from_millis(30);
+/// Minimum time between two searches for waiting requests whose targets' links are lost.
+const REROUTE_INTERVAL: Span = Span::from_millis(30);
 
 /// How an admitted request gets to a target.
 pub(crate) enum Admitted {
@@ -55,7 +57,7 @@
     if shared.stop.has_reached(Phase::Refusing) {
         return Err(HOST_STOPPING);
     }
-    if hop::is_needed(shared, &criteria) {
+    if hop::is_needed(shared, &criteria, job.incoming.is_forwarded) {
         return match job.incoming.is_forwarded {
             true => Err(LINKS_LOST),
             false => Ok(Admitted::Forwarded),
@@ -129,13 +131,23 @@
     RETRY_AFTER_BUSY_MS,
 );
 
+/// Reroutes waiting requests when links are lost, for as long as the host runs. Links that are lost
+/// within [`REROUTE_INTERVAL`] are one event.
+pub(crate) async fn run_reroutes(shared: Rc<Shared>) {
+    loop {
+        shared.reroute_due.notified().await;
+        reroute(&shared);
+        sleep(REROUTE_INTERVAL.as_duration()).await;
+    }
+}
+
 /// Lets requests that wait for targets whose links are lost go through another host.
-pub(crate) fn reroute(shared: &Shared) {
+fn reroute(shared: &Shared) {
     let tickets: Vec<Ticket> = {
         let waiters = shared.waiters.borrow();
         let needing = waiters
             .iter()
-            .filter(|(_, waiter)| hop::is_needed(shared, &waiter.criteria));
+            .filter(|(_, waiter)| hop::is_needed(shared, &waiter.criteria, waiter.is_forwarded));
         needing.map(|(ticket, _)| *ticket).collect()
     };
     for ticket in tickets {
--- a/crates/entry/src/hop.rs
+++ b/crates/entry/src/hop.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use ragwortrill_core::time::{Instant, Span};
-use ragwortrill_router::retry::Outcome;
+use ragwortrill_router::{registration::Incarnation, retry::Outcome};
 use rand::seq::SliceRandom;
 
 use crate::{
@@ -21,6 +21,7 @@
     reply::{Remainder, Reply},
     search::Criteria,
     shared::Shared,
+    survey,
 };
 
 /// Timeout of a connection to another host.
@@ -50,21 +51,28 @@
 }
 
 /// Returns whether a request can only get to a target through another host.
-pub(crate) fn is_needed(shared: &Shared, criteria: &Criteria) -> bool {
+///
+/// While some links are lost, the link to a target that waits for its first survey may be lost too. A
+/// request that was forwarded already waits for the survey, since it can't be forwarded again.
+pub(crate) fn is_needed(shared: &Shared, criteria: &Criteria, is_forwarded: bool) -> bool {
     let links = shared.links.borrow();
     if links.is_empty() {
         return false;
     }
+    let is_lost = |target: &Incarnation| {
+        let is_open = !is_forwarded && reach::is_unreached(shared, target);
+        links.is_lost(&criteria.service, target)
+            || is_open && reach::may_be_lost(shared, &criteria.service, target)
+    };
     if let Some(key) = criteria.key {
         let assignments = shared.assignments.borrow();
         let range = assignments
             .get(&criteria.service)
             .and_then(|assignment| assignment.range(key));
-        return range.is_some_and(|range| links.is_lost(&criteria.service, &range.owner));
+        return range.is_some_and(|range| is_lost(&range.owner));
     }
     let fleet = shared.fleet.borrow();
     let mut serving = fleet.serving(&criteria.service).peekable();
-    let is_lost = |incarnation| links.is_lost(&criteria.service, incarnation);
     serving.peek().is_some() && serving.all(|target| is_lost(&target.registration.incarnation))
 }
 
@@ -128,7 +136,7 @@
     let mut last = Attempt::failed(Outcome::NotSent, "no host reaches the target".to_owned());
     let mut hosts = candidates(shared);
     if hosts.is_empty() {
-        reach::refresh_helpers(shared).await;
+        survey::refresh_helpers(shared).await;
         hosts = candidates(shared);
     }
     for (host, address) in hosts.into_iter().take(MAX_OFFERS) {
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -634,7 +634,7 @@
             Err(Error::Expired) => Response::Unsent,
             Err(error) => {
                 log::info!(target = order.target.id.as_str(), error = error.to_string(); "target did not answer a grant or release");
-                match reach::is_lost(&self.shared, &order.service, &order.target) {
+                match reach::may_be_lost(&self.shared, &order.service, &order.target) {
                     true => Response::Unreached,
                     false => Response::Silent,
                 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod pause;
 mod pool;
 mod presence;
+mod probe;
 pub mod protocol;
 mod proxy;
 pub mod rate_limit;
@@ -47,5 +48,6 @@
 pub mod shared;
 mod stop;
 mod store;
+mod survey;
 
 pub use run::{run, run_until};
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -22,6 +22,10 @@
     orders: Counter<u64>,
     limited: Counter<u64>,
     forwarded: Counter<u64>,
+    surveys: Counter<u64>,
+    questions: Counter<u64>,
+    declined: Counter<u64>,
+    probes: Counter<u64>,
     gauges: Gauges,
 }
 
@@ -36,10 +40,20 @@
     Retried,
 }
 
+/// For whom a target is probed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Prober {
+    /// This host.
+    Own,
+    /// Another host, which asked.
+    Other,
+}
+
 /// Gauges, which are updated when the metrics page is requested.
 #[derive(Debug)]
 struct Gauges {
     waiting: Gauge<u64>,
+    surveys: Gauge<u64>,
     requests: Gauge<u64>,
     held: Gauge<u64>,
     callers: Gauge<u64>,
@@ -104,6 +118,22 @@
                 "ragwortrill.forwarded.requests",
                 "Requests sent through another host, since the links to their targets are lost",
             ),
+            surveys: count(
+                "ragwortrill.surveys",
+                "Surveys of targets that this host can't reach",
+            ),
+            questions: count(
+                "ragwortrill.questions",
+                "Questions to other hosts whether they reach a target",
+            ),
+            declined: count(
+                "ragwortrill.questions.declined",
+                "Questions of other hosts that were answered without a probe, since too many came",
+            ),
+            probes: count(
+                "ragwortrill.probes",
+                "Connections that show whether a target is reached, by host that asks",
+            ),
             gauges: Gauges::new(&meter),
             exporter,
         })
@@ -118,6 +148,26 @@
         self.forwarded.add(1, &[]);
     }
 
+    pub(crate) fn record_survey(&self) {
+        self.surveys.add(1, &[]);
+    }
+
+    pub(crate) fn record_questions(&self, count: usize) {
+        self.questions.add(count as u64, &[]);
+    }
+
+    pub(crate) fn record_declined_question(&self) {
+        self.declined.add(1, &[]);
+    }
+
+    pub(crate) fn record_probe(&self, prober: Prober) {
+        let prober = match prober {
+            Prober::Own => "own",
+            Prober::Other => "other",
+        };
+        self.probes.add(1, &[KeyValue::new("for", prober)]);
+    }
+
     pub(crate) fn record_wait(&self, elapsed: Span) {
         self.wait.record(elapsed.as_secs_f64(), &[]);
     }
@@ -189,6 +239,10 @@
         };
         Self {
             waiting: gauge("ragwortrill.queue.length", "Requests that wait for a place"),
+            surveys: gauge(
+                "ragwortrill.surveys.waiting",
+                "Surveys that wait for others",
+            ),
             requests: gauge("ragwortrill.requests.active", "Requests without an answer"),
             held: gauge(
                 "ragwortrill.replies.held",
@@ -235,6 +289,8 @@
 
     fn update(&self, shared: &Shared) {
         self.waiting.record(shared.queue.borrow().len() as u64, &[]);
+        let surveys = shared.surveys.borrow().waiting();
+        self.surveys.record(surveys as u64, &[]);
         let active = &shared.active_requests;
         self.requests.record(active.len() as u64, &[]);
         self.held.record(active.held() as u64, &[]);
--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -1,55 +1,38 @@
 //! Finds out whether this host has lost its link to a target or the target itself has ended, by asking
 //! other hosts.
 
-use std::{collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, io, rc::Rc, time::Duration};
 
-use anyhow::{Context, Result, bail};
-use bytes::Bytes;
 use futures_util::future;
 use ragwortrill_core::{
     name,
     time::{Instant, Span},
 };
 use ragwortrill_router::{
-    links::{Survey, Verdict},
+    links::Verdict,
     registration::Incarnation,
+    survey::{self as schedule, Admission, Doubt, REPEAT_INTERVAL},
 };
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
-use crate::{
-    admission,
-    call::{Call, Client},
-    connection::Connection,
-    crash, hop,
-    shared::Shared,
-};
+use crate::{admission, crash, probe, shared::Shared, survey};
 
 /// Path of the question on the port between hosts.
 pub(crate) const PATH: &str = "/reach";
-/// Timeout of a connection that shows whether a host reaches a target.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time after a connection that a target accepted until it is tried again. A process that ends closes
 /// its connections and its listener one after the other.
 const RECHECK_DELAY: Duration = Duration::from_millis(100);
-/// Timeout of a question to another host, which probes the target.
-const QUESTION_TIMEOUT: Duration = Duration::from_millis(450);
-/// Hosts that are asked at a time.
-const HOSTS_PER_ROUND: usize = 4;
-/// Rounds of questions about one target.
-const MAX_ROUNDS: usize = 2;
-/// Minimum time between two surveys of a target.
-const SURVEY_INTERVAL: Span = Span::from_millis(1_000);
 /// Interval between two attempts to reach targets whose links are lost.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// The same interval after one of them answered.
+const FOUND_INTERVAL: Duration = Duration::from_millis(50);
 /// Targets that are tried at a time.
 const MAX_RETRIES: usize = 4;
 /// Time without an answer to a request, and of any target of its service, after which the link to its
 /// target is doubted.
 const SILENCE: Span = Span::from_millis(500);
-/// Largest answer of another host.
-const MAX_ANSWER_BYTES: usize = 1_024;
 
 /// Whether a host reaches a target.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -77,22 +60,17 @@
 
 impl From<&io::Error> for Cause {
     fn from(error: &io::Error) -> Self {
-        Self::Connect(view(error))
-    }
-}
-
-fn view(error: &io::Error) -> View {
-    match error.kind() {
-        io::ErrorKind::ConnectionRefused => View::Refused,
-        _ => View::Silent,
+        Self::Connect(probe::view(error))
     }
 }
 
-async fn probe(shared: &Shared, target: &Incarnation) -> View {
-    let address = (shared.protocol.dial)(target.address);
-    match Connection::open(address, PROBE_TIMEOUT).await {
-        Ok(_) => View::Reached,
-        Err(error) => view(&error),
+impl From<Cause> for schedule::Cause {
+    fn from(cause: Cause) -> Self {
+        match cause {
+            Cause::Connect(_) => Self::Connect,
+            Cause::Break => Self::Break,
+            Cause::Silence => Self::Silence,
+        }
     }
 }
 
@@ -101,6 +79,19 @@
     shared.links.borrow().is_lost(service, target)
 }
 
+/// Returns whether a target waits for its survey after a connection to it failed. It gets no requests
+/// meanwhile, since it may have ended.
+pub(crate) fn is_unreached(shared: &Shared, target: &Incarnation) -> bool {
+    let now = shared.now();
+    shared.surveys.borrow().is_unreached(now, target)
+}
+
+/// Returns whether the link to a target is lost, or may be since the target waits for its first survey.
+/// Its silence says nothing about it then.
+pub(crate) fn may_be_lost(shared: &Shared, service: &name::Service, target: &Incarnation) -> bool {
+    is_lost(shared, service, target) || shared.surveys.borrow().is_undecided(target)
+}
+
 /// Returns whether this host has lost its links to most targets of a service, so that it can't lead.
 pub(crate) fn is_cut_off(shared: &Shared) -> bool {
     let links = shared.links.borrow();
@@ -119,7 +110,8 @@
 }
 
 /// Checks a target to which a connection failed: whether it has ended, or the link to it is lost.
-/// Returns once that is known, so that a request is not sent to another target before.
+/// Returns once that is known, so that a request is not sent to another target before; at once if the
+/// target has to wait for its survey, during which [`is_unreached`] keeps requests from it.
 pub(crate) async fn check(
     shared: &Rc<Shared>,
     service: &name::Service,
@@ -129,144 +121,126 @@
     if !crash::is_serving(shared, target) || is_lost(shared, service, target) {
         return;
     }
-    if !is_survey_due(shared, target) {
-        return;
-    }
-    let (shared, service, target) = (shared.clone(), service.clone(), target.clone());
-    // A task of its own, since the request may be cancelled.
-    let checking = tokio::task::spawn_local(async move {
-        let own = match cause {
-            Cause::Connect(view) => view,
-            Cause::Break | Cause::Silence => probe(&shared, &target).await,
-        };
-        if own != View::Reached {
-            return settle(&shared, &service, &target, own).await;
+    let doubt = Doubt {
+        service: service.clone(),
+        target: target.clone(),
+        cause: cause.into(),
+    };
+    let now = shared.now();
+    let admission = shared.surveys.borrow_mut().request(now, doubt.clone());
+    match admission {
+        Admission::Recent => {}
+        Admission::Waits => {
+            shared.surveys_changed.notify_one();
+            if !shared.links.borrow().is_empty() {
+                shared.reroute_due.notify_one();
+            }
         }
-        if cause == Cause::Silence {
-            return;
+        Admission::Started => {
+            let own = match cause {
+                Cause::Connect(view) => Some(view),
+                Cause::Break | Cause::Silence => None,
+            };
+            // A task of its own, since the request may be cancelled.
+            let place = Place::new(shared);
+            let _ = tokio::task::spawn_local(examine(place, doubt, own)).await;
         }
-        tokio::task::spawn_local(async move {
-            sleep(RECHECK_DELAY).await;
-            let again = probe(&shared, &target).await;
-            if again != View::Reached {
-                settle(&shared, &service, &target, again).await;
-            }
-        });
-    });
-    let _ = checking.await;
+    }
 }
 
-/// Returns whether a target was not surveyed recently, and records that it is now.
-fn is_survey_due(shared: &Shared, target: &Incarnation) -> bool {
-    let now = shared.now();
-    let mut surveyed_at = shared.surveyed_at.borrow_mut();
-    surveyed_at.retain(|_, at| now.since(*at) < SURVEY_INTERVAL);
-    let is_due = !surveyed_at.contains_key(target);
-    surveyed_at.entry(target.clone()).or_insert(now);
-    is_due
+/// Starts the surveys that wait for others, for as long as the host runs.
+pub(crate) async fn run_surveys(shared: Rc<Shared>) {
+    loop {
+        let ready_at = shared.surveys.borrow().ready_at();
+        let Some(ready_at) = ready_at else {
+            shared.surveys_changed.notified().await;
+            continue;
+        };
+        let wait = ready_at.since(shared.now()).as_duration();
+        // A survey that finds a lost link lets the next one start earlier.
+        let _ = timeout(wait, shared.surveys_changed.notified()).await;
+        let is_open = |doubt: &Doubt| {
+            let Doubt {
+                service, target, ..
+            } = doubt;
+            crash::is_serving(&shared, target) && !is_lost(&shared, service, target)
+        };
+        let now = shared.now();
+        let next = shared.surveys.borrow_mut().start(now, is_open);
+        if let Some(doubt) = next {
+            tokio::task::spawn_local(examine(Place::new(&shared), doubt, None));
+        }
+    }
 }
 
-/// Asks other hosts about a target that this host does not reach, and applies what follows.
-async fn settle(shared: &Rc<Shared>, service: &name::Service, target: &Incarnation, own: View) {
-    let survey = survey(shared, target, own).await;
-    let verdict = survey.verdict();
-    log::info!(
-        target = target.id.as_str(), own = format!("{own:?}"), reached = survey.reached,
-        refused = survey.refused, asked = survey.asked, verdict = format!("{verdict:?}");
-        "target can't be reached from this host"
-    );
-    match verdict {
-        Verdict::Lost => lose(shared, service, target),
-        Verdict::Ended => crash::record_end(shared, target),
-        Verdict::Open => {}
-    }
+/// Place of a survey among those under way, until it is dropped.
+struct Place {
+    shared: Rc<Shared>,
 }
 
-async fn survey(shared: &Rc<Shared>, target: &Incarnation, own: View) -> Survey {
-    let mut survey = Survey {
-        refused: u32::from(own == View::Refused),
-        ..Survey::default()
-    };
-    let hosts = others(shared);
-    for round in hosts.chunks(HOSTS_PER_ROUND).take(MAX_ROUNDS) {
-        let questions = round.iter().map(|(_, address)| ask(*address, target));
-        let views = future::join_all(questions).await;
-        survey.asked += round.len() as u32;
-        for ((host, _), view) in round.iter().zip(views) {
-            match view.unwrap_or(View::Unknown) {
-                View::Reached => {
-                    survey.reached += 1;
-                    hop::add_helper(shared, host);
-                }
-                View::Refused => survey.refused += 1,
-                View::Silent => {}
-                View::Unknown => continue,
-            }
-            survey.answered += 1;
-        }
-        if survey.answered > 0 {
-            break;
+impl Place {
+    fn new(shared: &Rc<Shared>) -> Self {
+        shared.metrics.record_survey();
+        Self {
+            shared: shared.clone(),
         }
     }
-    survey
 }
 
-/// Asks other hosts whether they still reach targets whose links are lost, so that requests can be
-/// forwarded to them.
-pub(crate) async fn refresh_helpers(shared: &Rc<Shared>) {
-    let lost = shared.links.borrow().lost().next().map(|(_, t)| t.clone());
-    if let Some(target) = lost {
-        survey(shared, &target, View::Silent).await;
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.shared.surveys.borrow_mut().finish();
+        self.shared.surveys_changed.notify_one();
     }
 }
 
-/// Returns the other hosts, in a random order.
-fn others(shared: &Shared) -> Vec<(String, SocketAddr)> {
-    let hosts = shared.hosts.borrow();
-    let own = shared.settings.borrow().host.to_string();
-    let others = hosts.iter().filter(|(host, _)| **host != own);
-    let others = others.filter_map(|(host, known)| Some((host.clone(), known.address?)));
-    let mut others: Vec<(String, SocketAddr)> = others.collect();
-    others.shuffle(&mut *shared.random.borrow_mut());
-    others
-}
-
-async fn ask(address: SocketAddr, target: &Incarnation) -> Result<View> {
-    let mut body = Vec::new();
-    ciborium::into_writer(target, &mut body)?;
-    let call = Call {
-        method: "POST",
-        path: PATH.to_owned(),
-        headers: vec![("Content-Type", "application/cbor".to_owned())],
-        body: Bytes::from(body),
+/// Examines a doubted target, of which this host may have its own view already.
+async fn examine(place: Place, doubt: Doubt, own: Option<View>) {
+    let own = match own {
+        Some(view) => view,
+        None => probe::run(&place.shared, &doubt.target).await,
     };
-    let mut client = Client::new(address, MAX_ANSWER_BYTES);
-    let reply = client.call(&call, QUESTION_TIMEOUT).await?;
-    if reply.status != 200 {
-        // Hosts of an earlier release may not know the path.
-        bail!("the host answered with status {}", reply.status);
+    if own != View::Reached {
+        return settle(&place.shared, &doubt, own).await;
     }
-    ciborium::from_reader(reply.body.as_ref()).context("the host's answer can't be decoded")
+    if doubt.cause == schedule::Cause::Silence {
+        return;
+    }
+    tokio::task::spawn_local(async move {
+        sleep(RECHECK_DELAY).await;
+        let again = probe::run(&place.shared, &doubt.target).await;
+        if again != View::Reached {
+            settle(&place.shared, &doubt, again).await;
+        }
+    });
 }
 
-/// Answers another host's question whether this one reaches a target.
-pub(crate) async fn handle_question(shared: &Shared, body: &[u8]) -> Result<Vec<u8>> {
-    let target: Incarnation = ciborium::from_reader(body).context("the target can't be read")?;
-    let view = match probe(shared, &target).await {
-        View::Reached => View::Reached,
-        // Its own links may be lost as well.
-        _ if !shared.links.borrow().is_empty() => View::Unknown,
-        view => view,
-    };
-    let mut encoded = Vec::new();
-    ciborium::into_writer(&view, &mut encoded)?;
-    Ok(encoded)
+/// Asks other hosts about a target that this host does not reach, and applies what follows.
+async fn settle(shared: &Rc<Shared>, doubt: &Doubt, own: View) {
+    let Doubt {
+        service, target, ..
+    } = doubt;
+    let survey = survey::run(shared, target, own).await;
+    let verdict = survey.verdict();
+    log::info!(
+        target = target.id.as_str(), own = format!("{own:?}"), reached = survey.reached,
+        refused = survey.refused, asked = survey.asked, verdict = format!("{verdict:?}");
+        "target can't be reached from this host"
+    );
+    match verdict {
+        Verdict::Lost => {
+            shared.surveys.borrow_mut().record_lost();
+            lose(shared, service, target);
+        }
+        Verdict::Ended => crash::record_end(shared, target),
+        Verdict::Open => {}
+    }
 }
 
 /// Records that the link to a target is lost. What its failures seemed to say about the target is
 /// forgotten.
 fn lose(shared: &Rc<Shared>, service: &name::Service, target: &Incarnation) {
-    let has_answered = has_answered(shared, service, shared.now() - SURVEY_INTERVAL);
+    let has_answered = has_answered(shared, service, shared.now() - REPEAT_INTERVAL);
     let mut links = shared.links.borrow_mut();
     links.record_lost(service, target, has_answered);
     drop(links);
@@ -278,7 +252,7 @@
     });
     shared.crash_observer.borrow_mut().forget(target);
     shared.links_changed.notify_waiters();
-    admission::reroute(shared);
+    shared.reroute_due.notify_one();
 }
 
 /// Returns whether any target of a service has answered this host since a time.
@@ -300,7 +274,9 @@
             continue;
         }
         sleep(RETRY_INTERVAL).await;
-        while retry(&shared).await {}
+        while retry(&shared).await {
+            sleep(FOUND_INTERVAL).await;
+        }
     }
 }
 
@@ -313,7 +289,7 @@
     };
     lost.shuffle(&mut *shared.random.borrow_mut());
     lost.truncate(MAX_RETRIES);
-    let probes = lost.iter().map(|(_, target)| probe(shared, target));
+    let probes = lost.iter().map(|(_, target)| probe::run(shared, target));
     let views = future::join_all(probes).await;
     let mut is_found = false;
     for ((service, target), view) in lost.iter().zip(views) {
@@ -358,7 +334,7 @@
             if !has_answered(shared, service, sent) {
                 check(shared, service, target, Cause::Silence).await;
             }
-            wait = SURVEY_INTERVAL.as_duration();
+            wait = REPEAT_INTERVAL.as_duration();
         }
     }
 }
--- a/crates/entry/src/ready.rs
+++ b/crates/entry/src/ready.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 
 use crate::{
-    reach, recovery, relay,
+    probe, reach, recovery, relay,
     reply::{Problem, Reply},
     service::Request,
     shared::Shared,
@@ -40,7 +40,7 @@
         };
     }
     if request.path == reach::PATH {
-        return match reach::handle_question(shared, &request.body).await {
+        return match probe::handle_question(shared, &request.body).await {
             Ok(view) => Reply::content("application/cbor", Bytes::from(view)),
             Err(_) => Reply::problem(Problem::new(400, "the question can't be read"), None),
         };
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -86,7 +86,9 @@
     tokio::task::spawn_local(relay::run(shared.clone()));
     tokio::task::spawn_local(candidacy::run(shared.clone()));
     tokio::task::spawn_local(admission::run(shared.clone()));
+    tokio::task::spawn_local(admission::run_reroutes(shared.clone()));
     tokio::task::spawn_local(reach::run(shared.clone()));
+    tokio::task::spawn_local(reach::run_surveys(shared.clone()));
     tokio::task::spawn_local(lag::run(shared.clone()));
     ending.await;
     stop::run(&shared, accepting).await;
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -212,6 +212,7 @@
     };
     if !rate_limit::allows(shared, &registration.incarnation, now)
         || reach::is_lost(shared, &registration.service, &registration.incarnation)
+        || reach::is_unreached(shared, &registration.incarnation)
     {
         return false;
     }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -24,12 +24,13 @@
     fleet::Fleet,
     links::Links,
     load::Load,
-    pace::Pace,
+    pace::{Pace, Turns},
     pause::Pause,
     queue::{Queue, Ticket},
     registration::Incarnation,
     restart::{Bounds, Detector},
     share::Share,
+    survey::Schedule,
     traffic::Traffic,
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -46,10 +47,12 @@
     lease::Rank,
     metrics::Metrics,
     pool::Pool,
+    probe::Probe,
     protocol::Protocol,
     replica::Replica,
     settings::Settings,
     stop::{Phase, Progress},
+    survey::Refresh,
 };
 
 /// State of a host.
@@ -98,8 +101,20 @@
     pub(crate) links: RefCell<Links>,
     /// Notified when a link is lost or found again.
     pub(crate) links_changed: Notify,
-    /// When other hosts were last asked about a target.
-    pub(crate) surveyed_at: RefCell<BTreeMap<Incarnation, Instant>>,
+    /// Order and rate of the surveys of targets that this host can't reach.
+    pub(crate) surveys: RefCell<Schedule>,
+    /// Notified when a survey ends or has to wait.
+    pub(crate) surveys_changed: Notify,
+    /// Probes of targets under way.
+    pub(crate) probes: RefCell<BTreeMap<Incarnation, Probe>>,
+    /// Turns of the probes that other hosts ask for.
+    pub(crate) probe_turns: RefCell<Turns>,
+    /// Search for helping hosts under way.
+    pub(crate) refresh: RefCell<Option<Refresh>>,
+    /// When helping hosts were last searched.
+    pub(crate) refreshed_at: Cell<Instant>,
+    /// Notified when waiting requests may have to go through another host.
+    pub(crate) reroute_due: Notify,
     /// Hosts that reach targets to which this host has lost its links.
     pub(crate) helpers: RefCell<BTreeMap<String, Helper>>,
     pub(crate) budgets: RefCell<BTreeMap<name::Service, (Share, Budget)>>,
@@ -212,7 +227,13 @@
             crash_aggregator: RefCell::default(),
             links: RefCell::default(),
             links_changed: Notify::new(),
-            surveyed_at: RefCell::default(),
+            surveys: RefCell::default(),
+            surveys_changed: Notify::new(),
+            probes: RefCell::default(),
+            probe_turns: RefCell::default(),
+            refresh: RefCell::default(),
+            refreshed_at: Cell::default(),
+            reroute_due: Notify::new(),
             helpers: RefCell::default(),
             budgets: RefCell::default(),
             metrics,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod restart;
 pub mod retry;
 pub mod share;
+pub mod survey;
 pub mod traffic;
 pub mod update;
