Forget the local state of targets that ended two minutes ago

What callers saw: nothing yet; found by the review. Each host kept the load, the pool and the statements of every incarnation that ever ran, and each report and answer walks all of them, so the work of the leader grew with its run time.

State without an entry is removed after 120 s, as long as leaving targets are remembered at least, unless a request, a connection or a pause still uses it. A gauge shows the number.

The new test of router::retention covers the decision.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod crash;
 mod delivery;
 mod exchange;
+mod expiry;
 pub mod exporter;
 pub mod follow;
 mod hop;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -49,6 +49,7 @@
     callers: Gauge<u64>,
     hosts: Gauge<u64>,
     targets: Gauge<u64>,
+    endpoints: Gauge<u64>,
     unowned: Gauge<u64>,
     limited: Gauge<u64>,
     leaving: Gauge<u64>,
@@ -231,6 +232,10 @@
             callers: gauge("ragwortrill.callers", "Open connections of callers"),
             hosts: gauge("ragwortrill.hosts", "Hosts of the system"),
             targets: gauge("ragwortrill.targets", "Known targets"),
+            endpoints: gauge(
+                "ragwortrill.endpoints",
+                "Incarnations of targets whose local state is kept",
+            ),
             unowned: gauge(
                 "ragwortrill.ranges.moving",
                 "Ranges of keys without an owner",
@@ -285,6 +290,7 @@
             .record(ranges.filter(|range| !range.is_held()).count() as u64, &[]);
         let now = shared.now();
         let endpoints = shared.endpoints.borrow();
+        self.endpoints.record(endpoints.len() as u64, &[]);
         let limited = endpoints
             .values()
             .filter(|endpoint| endpoint.rate_limit.rate(now).is_some());
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -83,6 +83,11 @@
         self.open = self.open.saturating_sub(dropped);
     }
 
+    /// Returns whether a connection is being opened or serves a request.
+    pub(crate) fn is_in_use(&self) -> bool {
+        self.open as usize > self.idle.len()
+    }
+
     /// Counts a connection that is being opened.
     pub(crate) fn record_open(&mut self) {
         self.open += 1;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    admission, caller, candidacy,
+    admission, caller, candidacy, expiry,
     follow::{self, Topic},
     lag,
     protocol::Protocol,
@@ -88,6 +88,7 @@
     tokio::task::spawn_local(admission::run(shared.clone()));
     tokio::task::spawn_local(reach::run(shared.clone()));
     tokio::task::spawn_local(lag::run(shared.clone()));
+    tokio::task::spawn_local(expiry::run(shared.clone()));
     ending.await;
     stop::run(&shared, accepting).await;
     Ok(())
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -29,6 +29,7 @@
     queue::{Queue, Ticket},
     registration::Incarnation,
     restart::{Bounds, Detector},
+    retention::Retention,
     share::Share,
     traffic::Traffic,
 };
@@ -160,6 +161,7 @@
     pub(crate) rate_limit: Limit,
     pub(crate) pause: Pause,
     pub(crate) pool: Pool,
+    retention: Retention,
 }
 
 impl Endpoint {
@@ -172,9 +174,17 @@
             rate_limit: Limit::default(),
             pause: Pause::default(),
             pool: Pool::default(),
+            retention: Retention::default(),
         }
     }
 
+    /// Records whether the target has an entry. Returns whether this state is still needed.
+    pub(crate) fn is_needed(&mut self, now: Instant, is_listed: bool) -> bool {
+        let is_kept = self.retention.record(now, is_listed);
+        let is_paused = self.pause.left(now).is_some();
+        is_kept || is_paused || self.load.in_flight() > 0 || self.pool.is_in_use()
+    }
+
     /// Tells whether the target may have restarted under its id without a new entry yet.
     pub(crate) fn may_have_restarted(&mut self, now: Instant, bounds: &Bounds) -> bool {
         let detector = &mut self.restart_detector;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod queue;
 pub mod registration;
 pub mod restart;
+pub mod retention;
 pub mod retry;
 pub mod share;
 pub mod traffic;
