A host that leads again forgets the suspicions of its first time

What callers saw: an order under which two targets ended was refused as a crashing request for ten minutes, although it had run in between.

Cause: hosts report crashes again to each new leader, but an answered request only once. A host that led a second time still had the suspicion of its first time, which the leader in between had cleared, and counted the second end as its second crash.

A host now forgets all reports when the store names another leader, and gets the crashes again when it leads. Hosts report again at each new term, also of the same host, and leave out the requests that have run since the crash. Quarantined requests and ends of targets stay known.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -109,6 +109,11 @@
         self.suspects.remove(&fingerprint);
     }
 
+    /// Removes all suspicions.
+    pub fn clear_suspects(&mut self) {
+        self.suspects.clear();
+    }
+
     /// Adopts a suspicion of another holder if it is stronger than the known one.
     pub fn merge(&mut self, fingerprint: Fingerprint, suspicion: Suspicion) {
         let own = self.suspects.entry(fingerprint).or_insert(suspicion);
--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -257,6 +257,9 @@
     if let Some(term) = term.filter(|term| term.rank() >= shared.latest_term.get()) {
         shared.latest_term.set(term.rank());
         log::info!(leader = term.host, term = term.number; "leader updated from the store");
+        if term.host != shared.settings.borrow().host.as_str() {
+            shared.crash_aggregator.borrow_mut().forget_reports();
+        }
         *shared.leader.borrow_mut() = Some(term.host);
     }
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -33,6 +33,7 @@
     call::{Call, Client},
     compression, crash,
     follow::{self, Topic},
+    lease::Rank,
     leaving,
     notice::{Digests, Notices},
     protocol::Record,
@@ -251,12 +252,13 @@
 /// Sends reports to the leader for as long as the host runs.
 pub(crate) async fn run(shared: Rc<Shared>) {
     let mut client: Option<(SocketAddr, Client)> = None;
-    let mut leader = None;
+    let mut leader = (None, Rank::default());
     let mut known = Known::default();
     let mut delay = REPORT_INTERVAL;
     loop {
         sleep(delay).await;
-        let current = shared.leader.borrow().clone();
+        // A host that leads again has forgotten what it knew if another one led meanwhile.
+        let current = (shared.leader.borrow().clone(), shared.latest_term.get());
         if current != leader {
             // The new leader knows none of the crashes.
             shared.crash_observer.borrow_mut().report_again();
--- a/crates/router/src/crash.rs
+++ b/crates/router/src/crash.rs
@@ -191,9 +191,24 @@
         let since = self.suspected_since.get(&fingerprint);
         if since.is_some_and(|since| *since <= sent_at) {
             self.report.answered.insert(fingerprint);
+            self.acquit(fingerprint, sent_at);
         }
     }
 
+    /// Removes a fingerprint from the crashes that the next leader will get, if they are older than a
+    /// request with it that was answered.
+    fn acquit(&mut self, fingerprint: Fingerprint, sent_at: Instant) {
+        let earlier = self
+            .acknowledged
+            .iter_mut()
+            .filter(|(at, _)| *at <= sent_at);
+        for (_, crash) in earlier {
+            crash.in_flight.retain(|other| *other != fingerprint);
+        }
+        self.acknowledged
+            .retain(|(_, crash)| !crash.in_flight.is_empty());
+    }
+
     /// Returns what the leader has not acknowledged yet.
     pub fn report(&self) -> Report {
         self.report.clone()
--- a/crates/router/src/crash/aggregator.rs
+++ b/crates/router/src/crash/aggregator.rs
@@ -166,6 +166,17 @@
         self.is_changed |= self.suspicions.remove(&fingerprint).is_some();
     }
 
+    /// Forgets the reported crashes and all suspicions, since another host leads: it gets the crashes
+    /// again and the answers from now on.
+    pub fn forget_reports(&mut self) {
+        self.quarantine.clear_suspects();
+        self.crashes.clear();
+        self.suspicions.clear();
+        self.due.clear();
+        self.pending = 0;
+        self.is_changed = true;
+    }
+
     /// Evaluates the crashes whose report window is over, unless the last evaluation was shortly
     /// before. Returns the fingerprints to quarantine.
     pub fn decide(&mut self, now: Instant) -> Vec<Fingerprint> {
--- a/crates/router/tests/crash.rs
+++ b/crates/router/tests/crash.rs
@@ -114,6 +114,52 @@
     assert_eq!(observer.report(), report, "the next leader gets it too");
 }
 
+/// Guards against a request that the next leader suspects although it has run since the crash, and
+/// against a crash that the next leader does not get since another request has run.
+#[test]
+fn next_leader_does_not_suspect_requests_that_ran_since_the_crash() {
+    let cases = [
+        ("one of two has run", 150, vec![crash(1, &[8])]),
+        ("it was sent before", 50, vec![crash(1, &[7, 8])]),
+    ];
+    for (name, sent_ms, expected) in cases {
+        let mut observer = Observer::default();
+        observer.record_unanswered(&target(1), Fingerprint(7), at(0));
+        observer.record_unanswered(&target(1), Fingerprint(8), at(0));
+        observer.record_end(at(10), &target(1));
+        let report = observer.report();
+        observer.acknowledge(at(80), &report);
+        let mut aggregator = Aggregator::default();
+        aggregator.add(at(80), crash(1, &[7, 8]));
+        aggregator.decide(at(80));
+        observer.set_verdicts(at(100), aggregator.verdicts());
+        observer.record_answer(Fingerprint(7), at(sent_ms));
+        observer.report_again();
+        assert_eq!(observer.report().crashes, expected, "{name}");
+    }
+}
+
+/// Guards against a host that leads a second time and still suspects requests which ran while another
+/// host led, and against one that forgets quarantined requests with them.
+#[test]
+fn host_that_leads_again_knows_what_it_is_told_then() {
+    let mut aggregator = Aggregator::default();
+    aggregator.add(at(0), crash(1, &[7]));
+    assert!(aggregator.decide(at(1_000)).is_empty());
+    aggregator.forget_reports();
+    aggregator.add(at(20_000), crash(2, &[7]));
+    assert!(aggregator.decide(at(21_000)).is_empty(), "one crash counts");
+    aggregator.add(at(22_000), crash(3, &[7]));
+    let found = aggregator.decide(at(23_000));
+    assert_eq!(found, [Fingerprint(7)], "two crashes count");
+    aggregator.forget_reports();
+    let version = aggregator.version();
+    aggregator.add(at(24_000), crash(4, &[7]));
+    aggregator.decide(at(25_000));
+    assert!(aggregator.verdicts().suspects.is_empty());
+    assert!(aggregator.version() <= version + 1);
+}
+
 /// Guards against an answer that clears a suspicion although it is older than the crash.
 #[test]
 fn only_answers_to_later_requests_clear_a_suspicion() {
