--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -24,6 +24,7 @@
 use ragwortrill_router::{
     assignment::{Assignment, Range, State},
     leader::{Action, Leader, Tick},
+    pace,
     registration::Incarnation,
 };
 use tokio::{
@@ -58,13 +59,6 @@
 const QUARANTINE_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Longest interval between two planning steps.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
-/// Shortest pause between two planning steps, however many answers of targets arrive.
-const MIN_TICK_PAUSE: Duration = Duration::from_millis(10);
-/// Shortest pause after a planning step, as a multiple of the time that the step took, so that
-/// planning leaves the event loop to callers for most of the time.
-const TICK_PAUSE_FACTOR: u32 = 4;
-/// Longest pause after a planning step. A step that a paused process interrupts looks long.
-const MAX_TICK_PAUSE: Duration = Duration::from_millis(200);
 /// Lag of the event loop from which another host should lead: the leader's callers wait as long, and
 /// its orders are as late.
 const MAX_LAG: Span = Span::from_millis(1_000);
@@ -312,8 +306,8 @@
                     }
                 }
             }
-            let elapsed = self.shared.now().since(started).as_duration();
-            sleep(pause(elapsed)).await;
+            let elapsed = self.shared.now().since(started);
+            sleep(pace::planning_pause(elapsed).as_duration()).await;
             let _ = timeout(TICK_INTERVAL, self.progress.notified()).await;
         }
     }
@@ -510,8 +504,3 @@
         }
     }
 }
-
-/// Returns the pause after a planning step that took a time.
-fn pause(elapsed: Duration) -> Duration {
-    (elapsed * TICK_PAUSE_FACTOR).clamp(MIN_TICK_PAUSE, MAX_TICK_PAUSE)
-}
--- a/crates/router/tests/pace.rs
+++ b/crates/router/tests/pace.rs
@@ -1,7 +1,7 @@
-//! Rate of the leader's answers to the reports of other hosts.
+//! Rate of the leader's answers to the reports of other hosts, and of its planning.
 
 use ragwortrill_core::time::{Instant, Span};
-use ragwortrill_router::pace::{ANSWER_INTERVAL, Pace, round};
+use ragwortrill_router::pace::{ANSWER_INTERVAL, Pace, planning_pause, round};
 
 /// Delay between an answer and the host's next report.
 const REPORT_DELAY: Span = Span::from_millis(50);
@@ -61,3 +61,46 @@
         );
     }
 }
+
+struct Step {
+    name: &'static str,
+    elapsed_ms: u64,
+    pause_ms: u64,
+}
+
+/// Guards against a leader that plans without a pause, so that its callers wait, and against one that
+/// renews no grants for seconds since its process was paused during a step: grants last 4 s.
+#[test]
+fn leader_pauses_after_a_planning_step_by_its_time_within_bounds() {
+    let steps = [
+        Step {
+            name: "no time",
+            elapsed_ms: 0,
+            pause_ms: 10,
+        },
+        Step {
+            name: "short step",
+            elapsed_ms: 2,
+            pause_ms: 10,
+        },
+        Step {
+            name: "usual step",
+            elapsed_ms: 20,
+            pause_ms: 80,
+        },
+        Step {
+            name: "step at the bound",
+            elapsed_ms: 50,
+            pause_ms: 200,
+        },
+        Step {
+            name: "step during which the process was paused",
+            elapsed_ms: 3_000,
+            pause_ms: 200,
+        },
+    ];
+    for step in steps {
+        let pause = planning_pause(Span::from_millis(step.elapsed_ms));
+        assert_eq!(pause, Span::from_millis(step.pause_ms), "{}", step.name);
+    }
+}
