--- a/crates/router/src/pace.rs
+++ b/crates/router/src/pace.rs
@@ -1,11 +1,18 @@
-//! Pace at which the leader answers the reports of other hosts, and at which each host makes probes
-//! for others.
+//! Pace at which the leader answers the reports of other hosts and plans, and at which each host makes
+//! probes for others.
 
 use ragwortrill_core::time::{Instant, Span};
 
 /// Shortest interval between two answers of the leader, whatever happens and however many hosts
 /// report.
 pub const ANSWER_INTERVAL: Span = Span::from_millis(5);
+/// Shortest pause between two planning steps, however many answers of targets arrive.
+const MIN_PLANNING_PAUSE: Span = Span::from_millis(10);
+/// Shortest pause after a planning step, as a multiple of the time that the step took, so that
+/// planning leaves the event loop to callers for most of the time.
+const PLANNING_PAUSE_FACTOR: u64 = 4;
+/// Longest pause after a planning step. A step that a paused process interrupts looks long.
+const MAX_PLANNING_PAUSE: Span = Span::from_millis(200);
 
 /// Allots a time to each answer, so that events don't raise their rate.
 #[derive(Clone, Copy, Debug, Default)]
@@ -27,6 +34,12 @@
     ANSWER_INTERVAL.scale(hosts as u64, 1)
 }
 
+/// Returns the pause after a planning step that took a time.
+pub fn planning_pause(elapsed: Span) -> Span {
+    let pause = elapsed.scale(PLANNING_PAUSE_FACTOR, 1);
+    pause.clamp(MIN_PLANNING_PAUSE, MAX_PLANNING_PAUSE)
+}
+
 /// Shortest interval between two probes of targets that a host makes for others.
 pub const PROBE_INTERVAL: Span = Span::from_millis(10);
 /// Longest time for which a probe waits for its turn. A host that asks waits 450 ms for the answer,
