A connection that is given up for its caller is no failure of its target

Found by the review of: the error that giving a connection up causes counted as a failure of the target (three open its breaker), as a broken connection and as a request in flight at a possible crash. Callers that leave in masses could shut a slow target for those that stay.

Such an attempt now ends without a record. No test: one with three callers that leave one after the other passed without this change as well, since the breaker opens for 400 ms only; the fault is shown by reading.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -155,6 +155,8 @@
             };
             accept(shared, job, target, checkout, received, exchange)
         }
+        // This host has given the connection up itself, which says nothing about the target.
+        Err(error) if is_given_up => Attempt::failed(Outcome::Unknown, error.to_string()),
         Err(error) => {
             let now = shared.now();
             shared.with_endpoint(incarnation, |endpoint| endpoint.breaker.record_failure(now));
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -50,8 +50,9 @@
 pub(crate) struct Handle(Socket);
 
 impl Handle {
-    /// Makes the kernel give the connection up instead of sending bytes once more that the peer has
-    /// not acknowledged by now. Without such bytes the connection goes on.
+    /// Makes the kernel give the connection up instead of sending or probing for bytes again that the
+    /// peer has not acknowledged. Bytes that were lost once may be sent a second time before that.
+    /// Without such bytes the connection goes on.
     pub(crate) fn give_up_unacknowledged(&self) -> io::Result<()> {
         self.0.set_tcp_user_timeout(Some(UNNEEDED_TIMEOUT))
     }
