--- a/crates/entry/src/ready.rs
+++ b/crates/entry/src/ready.rs
@@ -49,6 +49,8 @@
         return Reply::problem(Problem::new(404, "no such path"), None);
     }
     let answer = tokio::select! {
+        // What a report says is taken also if its host has given up already.
+        biased;
         answer = relay::handle_report(shared, &request.body) => answer,
         () = request.abandoned() => {
             return Reply::problem(Problem::new(408, "the host has not waited for the answer"), None);
