A target that refuses with a time gets no requests of its holder until then

What callers saw, on the own interface: a request for a target that had answered 503 with Retry-After was sent to it again and again, and waited for its deadline (2.0 s) although the target had said that it would take it after 4 s.

The holder's queue keeps the end of the time, by the platform's rules; their code moves from router::pause to core::pause, with its tests. Nothing starts within the time, also no order whose registration in the log ends within it. A request that the target would not take within half of its time goes to another target or is refused at once, as queue-full with what is left; so are those that wait. Reports carry what is left (`paused`, absent unless there is a pause, with limit 0 for the release before). It ends with the run of the target.

Before: the three tests of daemon/tests/pause.rs failed (a refusal after 2.0 s in place of at once; a request that should wait for 2 s was sent after 81 ms; a second order reached the target). After: they pass, no request within 4 s less the 0.5 s of slack. registered_order_waits_for_the_end_of_a_pause failed 20 ms into the pause without the change of registration.rs, and passes with it.

The stand-in of a target can state any time; the default of 1 s is as before.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -4,6 +4,7 @@
 use crate::{
     backlog::{Backlog, Waiting},
     estimate::Estimate,
+    pause::{self, Pause},
     rate_limit::{self, Limit, Rate},
     request::{self, Refusal},
     table,
@@ -95,6 +96,7 @@
     preferred_class: usize,
     estimate: Estimate,
     rate_limit: Limit,
+    pause: Pause,
 }
 
 impl Queue {
@@ -108,6 +110,7 @@
             preferred_class: IDEMPOTENT,
             estimate: Estimate::default(),
             rate_limit: Limit::default(),
+            pause: Pause::default(),
             settings,
         }
     }
@@ -123,6 +126,15 @@
         if request.deadline <= now {
             return Admission::Refuse(Refusal::Late, Span::ZERO);
         }
+        let waiting = Waiting {
+            request,
+            arrived: now,
+        };
+        if let Some(left) = self.pause_left(now)
+            && now + left > patience(&waiting)
+        {
+            return Admission::Refuse(Refusal::Full, left);
+        }
         let class = class(&request);
         if self.backlogs[class].len() == 0 && self.may_start(now, &request) {
             self.start(now, request);
@@ -137,8 +149,7 @@
         if needed > budget {
             return Admission::Refuse(Refusal::Late, needed - budget);
         }
-        let arrived = now;
-        self.backlogs[class].push(Waiting { request, arrived });
+        self.backlogs[class].push(waiting);
         Admission::Wait
     }
 
@@ -217,6 +228,34 @@
         has_changed
     }
 
+    /// Records for how long the target wants nothing, from an answer on.
+    pub fn record_pause(&mut self, answered_at: Instant, time: pause::Time) {
+        self.pause.record(answered_at, time);
+    }
+
+    /// Ends the pause, since it was stated by an earlier run of the target.
+    pub fn end_pause(&mut self) {
+        self.pause = Pause::default();
+    }
+
+    /// Returns the time for which the target still wants nothing.
+    pub fn pause_left(&self, now: Instant) -> Option<Span> {
+        self.pause.left(now)
+    }
+
+    /// Refuses the waiting requests that the target will not take in time.
+    pub fn refuse_paused(&mut self, now: Instant, out: &mut Vec<Decision>) {
+        let Some(left) = self.pause_left(now) else {
+            return;
+        };
+        let end = now + left;
+        for backlog in &mut self.backlogs {
+            let refused = backlog.extract_if(|waiting| end > patience(waiting));
+            let refuse = |waiting: Waiting| Decision::Refuse(waiting.request, Refusal::Full, left);
+            out.extend(refused.into_iter().map(refuse));
+        }
+    }
+
     /// Returns the rate limit that the target states.
     pub fn rate_limit(&self, now: Instant) -> Option<Rate> {
         self.rate_limit.rate(now)
@@ -288,7 +327,9 @@
         };
         let turns = ahead + other;
         let wait = Span(interval.0 * turns as u64);
+        let pause = self.pause_left(now).unwrap_or_default();
         wait.max(self.time_within_rate(now, turns as u32))
+            .max(pause)
     }
 
     fn dispatch(&mut self, now: Instant, out: &mut Vec<Decision>) {
@@ -317,7 +358,8 @@
     }
 
     fn may_start(&self, now: Instant, request: &Request) -> bool {
-        let full = self.running.len() >= self.limit as usize
+        let full = self.pause_left(now).is_some()
+            || self.running.len() >= self.limit as usize
             || self.connections() >= self.settings.connections as usize
             || !self.is_within_rate(now);
         if full || self.running.iter().any(|running| running.request.exclusive) {
@@ -372,6 +414,12 @@
     }
 }
 
+/// Returns until when a waiting request may wait for the end of a pause.
+fn patience(waiting: &Waiting) -> Instant {
+    let budget = waiting.request.deadline.since(waiting.arrived);
+    pause::patience(waiting.arrived, budget)
+}
+
 fn is_late(estimate: &Estimate, now: Instant, waiting: &Waiting) -> bool {
     let budget = waiting.request.deadline.since(waiting.arrived);
     now + estimate.start_allowance(budget) > waiting.request.deadline
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -189,8 +189,8 @@
         }
     }
 
-    /// Requeues requests that wait for a target that is lost or draining, if any target of the
-    /// service may run them.
+    /// Requeues requests that wait for a target that is lost or draining or wants nothing for a time,
+    /// if any target of the service may run them.
     pub(crate) fn requeue_undivided(
         &mut self,
         now: Instant,
@@ -203,7 +203,9 @@
             .target_states
             .get(target)
             .is_none_or(|d| d.queue.waiting() == 0);
-        let stays = !self.is_draining(target) && !self.is_lost(target);
+        let stays = !self.is_draining(target)
+            && !self.is_lost(target)
+            && self.pause_left(now, target).is_none();
         if undivided && !idle && !stays {
             self.requeue(now, target, actions);
         }
--- a/crates/core/src/departure.rs
+++ b/crates/core/src/departure.rs
@@ -23,8 +23,15 @@
         }
     }
 
-    /// Records that a target has answered that it leaves. `sent_to` is the run that the request was
-    /// sent to, if it was known then: an answer of an earlier run says nothing about this one.
+    /// Returns whether the answer to a request is from the current run of a target that this process
+    /// holds. `sent_to` is the run that the request was sent to, if it was known then.
+    pub(crate) fn is_of_current_run(&self, target: &name::Target, sent_to: Option<u64>) -> bool {
+        let state = self.target_states.get(target);
+        let current = state.and_then(|state| state.start_id());
+        sent_to.is_none() || sent_to == current
+    }
+
+    /// Records that a target has answered that it leaves.
     pub(crate) fn record_leaving(
         &mut self,
         now: Instant,
@@ -36,7 +43,7 @@
         let Some(current) = state.and_then(|state| state.start_id()) else {
             return;
         };
-        if sent_to.is_none_or(|sent_to| sent_to == current) {
+        if self.is_of_current_run(target, sent_to) {
             self.leaving.record(target, current);
             self.requeue_undivided(now, target, actions);
         }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -10,6 +10,7 @@
     ledger::Ledger,
     name,
     number::{Epoch, Offset},
+    pause,
     process::Process,
     rate_limit::{self, Rate},
     record::Entry,
@@ -65,6 +66,17 @@
         /// Run of the target when the request was sent, if it was known.
         start_id: Option<u64>,
     },
+    /// A target's answer stated for how long it wants nothing.
+    PauseStated {
+        /// Target that answered.
+        target: name::Target,
+        /// Run of the target when the request was sent, if it was known.
+        start_id: Option<u64>,
+        /// When the answer was received.
+        answered_at: Instant,
+        /// Time that it stated.
+        time: pause::Time,
+    },
     /// A target answered a grant.
     Granted {
         /// Target that answered.
@@ -125,6 +137,9 @@
     /// read it.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub leaving: bool,
+    /// Time for which the target still wants nothing. Earlier releases neither send nor read it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub paused: Option<Span>,
 }
 
 /// Records that a read of the log returned.
--- a/crates/core/src/inspection.rs
+++ b/crates/core/src/inspection.rs
@@ -10,7 +10,7 @@
     record::State,
     report::{Condition, Gauges, Hash, Host, Load, Propagation, Status, Target},
     table,
-    time::Instant,
+    time::{Instant, Span},
 };
 
 impl Node {
@@ -148,6 +148,7 @@
             unheld_targets: self.unheld_targets().count() as u64,
             lost_targets: self.lost_targets().count() as u64,
             leaving_targets: self.leaving_targets().count() as u64,
+            paused_targets: self.paused_targets(now).count() as u64,
             quarantined: self.ledger().quarantine().len() as u64,
             held_targets: self.ownership().held().len() as u64,
         }
@@ -186,6 +187,12 @@
         held.filter(|target| self.is_leaving(target))
     }
 
+    /// Returns the held targets that want nothing for a time, each with what is left of it.
+    pub fn paused_targets(&self, now: Instant) -> impl Iterator<Item = (&name::Target, Span)> {
+        let held = self.target_states.iter();
+        held.filter_map(move |(target, state)| Some((target, state.queue.pause_left(now)?)))
+    }
+
     /// Returns the held targets that operators have in service and that do not answer probes.
     fn lost_targets(&self) -> impl Iterator<Item = &name::Target> {
         let states = self.target_states.iter();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod node;
 pub mod number;
 pub mod ownership;
+pub mod pause;
 pub mod placement;
 pub mod process;
 pub mod quarantine;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -173,6 +173,16 @@
             Event::LeavingStated { target, start_id } => {
                 self.record_leaving(now, &target, start_id, actions);
             }
+            Event::PauseStated {
+                target,
+                start_id,
+                answered_at,
+                time,
+            } => {
+                if self.is_of_current_run(&target, start_id) {
+                    self.record_pause(now, &target, answered_at, time, actions);
+                }
+            }
             Event::Granted {
                 target,
                 epoch,
--- a/crates/router/src/pause.rs
+++ b/crates/core/src/pause.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, str::FromStr};
 
-use ragwortrill_core::time::{Instant, Span};
+use crate::time::{Instant, Span};
 
 /// Time that a refusal states.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -30,6 +30,12 @@
     }
 }
 
+/// Returns until when a request may wait for the end of a pause, so that it is still served within its
+/// budget of time.
+pub fn patience(now: Instant, budget: Span) -> Instant {
+    now + budget.scale(1, 2)
+}
+
 /// The time until which one target wants nothing from this host.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pause {
--- a/crates/core/src/registration.rs
+++ b/crates/core/src/registration.rs
@@ -125,7 +125,12 @@
             if let Some(held) = self.tickets.get_mut(&ticket) {
                 held.intent = Some(intent);
             }
-            self.start(now, ticket, &target, actions);
+            if self.pause_left(now, &target).is_none() {
+                return self.start(now, ticket, &target, actions);
+            }
+            self.await_routing(ticket);
+            self.free_slot(now, ticket, &target, None, actions);
+            self.route(now, ticket, actions);
         } else {
             self.await_routing(ticket);
             self.free_slot(now, ticket, &target, None, actions);
--- a/crates/core/src/report/status.rs
+++ b/crates/core/src/report/status.rs
@@ -86,6 +86,8 @@
     pub lost_targets: u64,
     /// Held targets that have stated that they leave.
     pub leaving_targets: u64,
+    /// Held targets that want nothing for a time.
+    pub paused_targets: u64,
     /// Number of quarantined fingerprints.
     pub quarantined: u64,
     /// Number of targets that this process holds.
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -94,8 +94,8 @@
     /// The service has no target that can take requests.
     #[error("no target of the service takes requests; retry later, or return a target")]
     NoTarget,
-    /// The target's queue is full.
-    #[error("the target's queue is full; retry later")]
+    /// The target's queue is full, or the target wants no requests for a time.
+    #[error("the target takes no more requests at the moment; retry later")]
     Full,
     /// The key is being moved to another target.
     #[error("the key is being moved to another target; retry")]
--- a/crates/core/src/target_state.rs
+++ b/crates/core/src/target_state.rs
@@ -164,9 +164,11 @@
             };
             return self.health.observe(now, observation);
         };
-        // A restarted target has lost its grant and needs a new one at once.
+        // A restarted target has lost its grant and needs a new one at once. What the earlier run
+        // refused says nothing about it.
         if self.start_id.is_some_and(|known| known != start_id) {
             self.last_grant = None;
+            self.queue.end_pause();
         }
         self.start_id = Some(start_id);
         self.clock_ms = clock_ms;
@@ -253,17 +255,23 @@
         leaving: bool,
         now: Instant,
     ) -> TargetReport {
+        let paused = self.queue.pause_left(now);
         TargetReport {
             target: target.clone(),
             start_id: self.start_id,
             state: self.health.state(),
             in_flight: (self.queue.running() + self.queue.waiting()) as u32,
-            limit: self.queue.limit(),
+            // Earlier releases read the limit alone.
+            limit: match paused {
+                Some(_) => 0,
+                None => self.queue.limit(),
+            },
             latency: self.health.median().unwrap_or_default(),
             load: self.slice_busy_us.values().sum(),
             capacity_percent: self.capacity_percent(now),
             rate_limit: self.queue.rate_limit(now),
             leaving,
+            paused,
         }
     }
 }
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -8,6 +8,7 @@
     key::Digest,
     name,
     node::{Node, Pending, Phase},
+    pause,
     quarantine::Status,
     rate_limit::{Source, Statement},
     request::{self, Refusal},
@@ -61,10 +62,8 @@
             return;
         };
         let Some(target) = self.choose_target(now, &row, &arrival) else {
-            if arrival.forwarded {
-                self.refuse(ticket, Refusal::Moving, None, actions);
-            } else if !row.divided_by_key && row.targets.keys().all(|t| self.is_draining(t)) {
-                self.refuse(ticket, Refusal::NoTarget, Some(MIN_RETRY_AFTER), actions);
+            if let Some((refusal, retry_after)) = self.refusal_without_target(now, &row, &arrival) {
+                self.refuse(ticket, refusal, retry_after, actions);
             }
             return;
         };
@@ -79,6 +78,46 @@
         }
     }
 
+    /// Returns the refusal of a request for which there is no target now, or none if it waits for one.
+    fn refusal_without_target(
+        &self,
+        now: Instant,
+        row: &table::Service,
+        arrival: &Arrival,
+    ) -> Option<(Refusal, Option<Span>)> {
+        let mut targets = row.targets.keys();
+        if !row.divided_by_key && !arrival.forwarded && targets.all(|t| self.is_draining(t)) {
+            return Some((Refusal::NoTarget, Some(MIN_RETRY_AFTER)));
+        }
+        let patience = pause::patience(now, arrival.deadline.since(now));
+        if let Some(left) = self.pause_of_all(now, row)
+            && now + left > patience
+        {
+            return Some((Refusal::Full, Some(left.max(MIN_RETRY_AFTER))));
+        }
+        arrival.forwarded.then_some((Refusal::Moving, None))
+    }
+
+    /// Returns the time for which all targets that may run the requests of a service want nothing. None
+    /// if one takes requests, or if only the owner of a key may run them.
+    fn pause_of_all(&self, now: Instant, row: &table::Service) -> Option<Span> {
+        if row.divided_by_key {
+            return None;
+        }
+        let targets = row.targets.keys();
+        let serving = targets.filter(|target| !self.is_draining(target) && !self.is_lost(target));
+        let times: Option<Vec<Span>> = serving.map(|t| self.pause_left(now, t)).collect();
+        times?.into_iter().min()
+    }
+
+    /// Returns the time for which a target still wants nothing from its holder.
+    pub(crate) fn pause_left(&self, now: Instant, target: &name::Target) -> Option<Span> {
+        match (self.target_states.get(target), self.reports.get(target)) {
+            (Some(state), _) => state.queue.pause_left(now),
+            (None, report) => report?.paused,
+        }
+    }
+
     /// Chooses the target of a request: the owner of its key, or any target if the service is not
     /// divided by key.
     fn choose_target(
@@ -114,8 +153,10 @@
         row: &table::Service,
         own_only: bool,
     ) -> Candidate {
-        let usable =
-            !self.is_draining(target) && !self.is_lost(target) && self.has_live_holder(now, target);
+        let usable = !self.is_draining(target)
+            && !self.is_lost(target)
+            && self.pause_left(now, target).is_none()
+            && self.has_live_holder(now, target);
         let unknown = Candidate {
             in_flight: 0,
             limit: row.slots,
@@ -240,6 +281,27 @@
         self.apply_decisions(now, target, decisions, actions);
     }
 
+    /// Records for how long a target wants nothing, and takes back or refuses the requests that wait
+    /// for it.
+    pub(crate) fn record_pause(
+        &mut self,
+        now: Instant,
+        target: &name::Target,
+        answered_at: Instant,
+        time: pause::Time,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(state) = self.target_states.get_mut(target) {
+            state.queue.record_pause(answered_at, time);
+        }
+        self.requeue_undivided(now, target, actions);
+        let mut decisions = Vec::new();
+        if let Some(state) = self.target_states.get_mut(target) {
+            state.queue.refuse_paused(now, &mut decisions);
+        }
+        self.apply_decisions(now, target, decisions, actions);
+    }
+
     fn is_quarantined(&self, fingerprint: request::Fingerprint) -> bool {
         self.ledger.quarantine().contains_key(&fingerprint)
     }
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/statements.rs
@@ -1,15 +1,18 @@
-//! Targets that state that they leave: which run of a target a statement holds for.
+//! Targets that state that they leave, or for how long they want nothing: which run of a target a
+//! statement holds for, and what becomes of a registered request.
 
 use ragwortrill_core::{
     action::Action,
-    event::{Event, Message, Probe, Read, TargetReport},
+    event::{Arrival, Event, Head, Message, Probe, Read, TargetReport, Ticket},
     health::State,
+    key::Digest,
     name,
     node::{Config, Node},
     number::{Offset, Version},
+    pause,
     process::Process,
     record::{Entry, Id, Record},
-    table_file,
+    request, table_file,
     time::{Instant, Span},
     times::Times,
 };
@@ -23,6 +26,9 @@
     }]
 }"#;
 
+/// Time for which the target wants nothing.
+const PAUSE: Span = Span::from_secs(2);
+
 fn target() -> name::Target {
     "orders-1".parse().expect("the name is valid")
 }
@@ -43,6 +49,7 @@
         capacity_percent: 100,
         rate_limit: None,
         leaving,
+        paused: None,
     }
 }
 
@@ -55,6 +62,8 @@
     Answer(Option<u64>),
     /// A peer reports a run, and whether it leaves.
     Report(u64, bool),
+    /// An answer to a request that was sent to a run states that the target wants nothing for 2 s.
+    Pause(u64),
 }
 
 /// A node that holds the target, and a log that answers at once.
@@ -64,8 +73,12 @@
     end: Offset,
     entries: u128,
     actions: Vec<Action>,
-    /// Whether the latest heartbeat to the peer reports that the target leaves.
-    reported: Option<bool>,
+    /// The target in the latest heartbeat to the peer.
+    reported: Option<TargetReport>,
+    /// Intents that the log holds back.
+    intents: Vec<Entry>,
+    /// Requests that were sent to the target.
+    sent: Vec<Ticket>,
 }
 
 impl Harness {
@@ -83,6 +96,8 @@
             entries: 0,
             actions: Vec::new(),
             reported: None,
+            intents: Vec::new(),
+            sent: Vec::new(),
         };
         let table = table_file::parse(TABLE).expect("the table is valid");
         let base = Version(0);
@@ -122,7 +137,7 @@
         self.node.handle(self.now, event, &mut self.actions);
     }
 
-    /// Advances the time in ticks. Probes get no answer.
+    /// Advances the time in ticks. Probes get no answer, and intents are held back.
     fn pass(&mut self, span: Span) {
         let end = self.now + span;
         while self.now < end {
@@ -131,11 +146,15 @@
             let mut entries = Vec::new();
             for action in std::mem::take(&mut self.actions) {
                 match action {
+                    Action::Append(entry) if matches!(entry.record, Record::Intent { .. }) => {
+                        self.intents.push(entry);
+                    }
+                    Action::Dispatch(dispatch) => self.sent.push(dispatch.ticket),
                     Action::Append(entry) => entries.push(entry),
                     Action::Send {
                         message: Message::Heartbeat { reports, .. },
                         ..
-                    } => self.reported = reports.first().map(|report| report.leaving),
+                    } => self.reported = reports.first().cloned(),
                     _ => {}
                 }
             }
@@ -155,6 +174,12 @@
                 self.handle(Event::Probed { target, answer });
             }
             Step::Answer(start_id) => self.handle(Event::LeavingStated { target, start_id }),
+            Step::Pause(start_id) => self.handle(Event::PauseStated {
+                target,
+                start_id: Some(start_id),
+                answered_at: self.now,
+                time: pause::Time(PAUSE),
+            }),
             Step::Report(start_id, leaving) => {
                 let message = Message::Heartbeat {
                     sent: self.now,
@@ -260,8 +285,92 @@
         case.after.iter().for_each(|step| harness.take(*step));
         harness.reported = None;
         harness.pass(Span::from_millis(500));
-        assert_eq!(harness.reported, Some(case.leaves), "{}", case.name);
+        let leaves = harness.reported.map(|report| report.leaving);
+        assert_eq!(leaves, Some(case.leaves), "{}", case.name);
+    }
+}
+
+/// Guards against a pause that is taken for one of another run of the target, which may well take
+/// requests.
+#[test]
+fn pause_holds_for_the_run_that_stated_it() {
+    use Step::{Pause, Probe};
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+        is_paused: bool,
+    }
+    let cases = [
+        Case {
+            name: "the same run",
+            steps: &[Probe(1), Pause(1), Probe(1)],
+            is_paused: true,
+        },
+        Case {
+            name: "next run",
+            steps: &[Probe(1), Pause(1), Probe(2)],
+            is_paused: false,
+        },
+        Case {
+            name: "late answer of the earlier run",
+            steps: &[Probe(1), Probe(2), Pause(1)],
+            is_paused: false,
+        },
+    ];
+    for case in cases {
+        let mut harness = Harness::new();
+        while harness.node.ownership().held().is_empty() {
+            harness.pass(Span::from_millis(20));
+        }
+        case.steps.iter().for_each(|step| harness.take(*step));
+        harness.reported = None;
+        harness.pass(Span::from_millis(500));
+        let report = harness.reported.expect("the target is reported");
+        assert_eq!(report.paused.is_some(), case.is_paused, "{}", case.name);
+        assert_eq!(report.limit == 0, case.is_paused, "{}", case.name);
+    }
+}
+
+/// Guards against an order that is sent to a target within its pause, because its registration in the
+/// log began before, and against one whose id is used up although it never ran.
+#[test]
+fn registered_order_waits_for_the_end_of_a_pause() {
+    let mut harness = Harness::new();
+    while harness.node.ownership().held().is_empty() {
+        harness.pass(Span::from_millis(20));
+    }
+    harness.take(Step::Probe(1));
+    harness.pass(Span::from_millis(500));
+    let service = "orders".parse().expect("the name is valid");
+    let key = Digest::new(&service, b"key");
+    let ticket = Ticket(7);
+    harness.handle(Event::Arrive(Arrival {
+        ticket,
+        head: Head {
+            request: request::Id { key, number: 1 },
+            service,
+            key: Some(key),
+            idempotent: false,
+            fingerprint: request::Fingerprint(1),
+            caller: 1,
+        },
+        deadline: harness.now + Span::from_secs(10),
+        forwarded: false,
+        min_offset: Offset(0),
+    }));
+    harness.pass(Span::from_millis(20));
+    let intents = std::mem::take(&mut harness.intents);
+    assert_eq!(intents.len(), 1);
+    harness.take(Step::Pause(1));
+    let began = harness.now;
+    harness.read(intents);
+    while harness.now.since(began) < PAUSE {
+        assert_eq!(harness.sent, [], "{}", harness.now.since(began));
+        harness.take(Step::Probe(1));
+        harness.pass(Span::from_millis(20));
     }
+    harness.pass(Span::from_millis(40));
+    assert_eq!(harness.sent, [ticket]);
 }
 
 /// Guards against reports that a daemon of the release before can't read, or that are read differently
@@ -270,8 +379,9 @@
 fn report_without_a_statement_is_that_of_the_release_before() {
     let plain = serde_json::to_value(report(1, false)).expect("a report can be encoded");
     assert_eq!(plain.get("leaving"), None);
+    assert_eq!(plain.get("paused"), None);
     let read: TargetReport = serde_json::from_value(plain).expect("the report is read");
-    assert!(!read.leaving);
+    assert_eq!((read.leaving, read.paused), (false, None));
     let stated = serde_json::to_value(report(1, true)).expect("a report can be encoded");
     let read: TargetReport = serde_json::from_value(stated).expect("the report is read");
     assert!(read.leaving);
--- a/crates/daemon/examples/slopes/messages.rs
+++ b/crates/daemon/examples/slopes/messages.rs
@@ -97,6 +97,7 @@
                 capacity_percent: 100,
                 rate_limit: None,
                 leaving: false,
+                paused: None,
             })
             .collect(),
         stopping: false,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -28,6 +28,7 @@
     unheld_targets: Gauge<u64>,
     lost_targets: Gauge<u64>,
     leaving_targets: Gauge<u64>,
+    paused_targets: Gauge<u64>,
     quarantined: Gauge<u64>,
     held_targets: Gauge<u64>,
 }
@@ -99,6 +100,7 @@
         gauges.unheld_targets.record(values.unheld_targets, &[]);
         gauges.lost_targets.record(values.lost_targets, &[]);
         gauges.leaving_targets.record(values.leaving_targets, &[]);
+        gauges.paused_targets.record(values.paused_targets, &[]);
         gauges.quarantined.record(values.quarantined, &[]);
         gauges.held_targets.record(values.held_targets, &[]);
     }
@@ -141,6 +143,10 @@
                 "ragwortrill.targets.leaving",
                 "Held targets that have stated that they leave",
             ),
+            paused_targets: count(
+                "ragwortrill.targets.paused",
+                "Held targets that want nothing for a time",
+            ),
             quarantined: count(
                 "ragwortrill.quarantine.fingerprints",
                 "Fingerprints of requests that are barred",
--- a/crates/daemon/src/monitor.rs
+++ b/crates/daemon/src/monitor.rs
@@ -1,6 +1,6 @@
 //! Reports the node's state as metrics and log lines.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ragwortrill_core::{
     name,
@@ -14,12 +14,14 @@
 /// Interval between reports.
 const REPORT_INTERVAL: Span = Span::from_millis(500);
 
-/// Time of the next report, and what the last one had: peers that differ, and targets that leave.
+/// Time of the next report, and what the last one had: peers that differ, and targets
+/// that leave or want nothing for a time.
 #[derive(Debug, Default)]
 pub(crate) struct Monitor {
     next_report: Instant,
     differing: BTreeSet<Process>,
     leaving: BTreeSet<name::Target>,
+    paused: BTreeSet<name::Target>,
 }
 
 impl Monitor {
@@ -43,5 +45,12 @@
             log::info!(target = target.as_str(); "target states that it leaves");
         }
         self.leaving = leaving;
+        let paused: BTreeMap<_, _> = node.paused_targets(now).collect();
+        for (target, left) in &paused {
+            if !self.paused.contains(*target) {
+                log::info!(target = target.as_str(), seconds = left.as_secs_f64(); "target wants no requests of this host for a time");
+            }
+        }
+        self.paused = paused.into_keys().cloned().collect();
     }
 }
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -15,7 +15,7 @@
         error::{ClientError, ConnectError},
     },
     http::{
-        Method, Version,
+        Method, StatusCode, Version,
         header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING},
     },
     io::IoConfig,
@@ -25,6 +25,7 @@
 use ragwortrill_core::{
     action::Dispatch,
     event::{Event, Finish},
+    pause,
     rate_limit::{InvalidRate, Statement},
     time::{Instant, Span},
 };
@@ -218,6 +219,7 @@
     if let Ok(response) = &sent {
         report_rate_limit(shared, dispatch, response, now);
         report_leaving(shared, dispatch, response);
+        report_pause(shared, dispatch, response);
     }
     match sent {
         Ok(response) if response.headers().contains_key(target::REFUSED_HEADER) => {
@@ -289,6 +291,26 @@
     }
 }
 
+/// Tells the node for how long a target wants nothing, if its refusal says so.
+fn report_pause(shared: &Shared, dispatch: &Dispatch, response: &ClientResponse) {
+    let stated = response.headers().get(headers::RETRY_AFTER);
+    let Some(value) = stated.filter(|_| response.status() == StatusCode::SERVICE_UNAVAILABLE)
+    else {
+        return;
+    };
+    match value.to_str().unwrap_or_default().parse::<pause::Time>() {
+        Ok(time) => shared.send_event(Event::PauseStated {
+            target: dispatch.target.clone(),
+            start_id: dispatch.start_id,
+            answered_at: shared.clock.now(),
+            time,
+        }),
+        Err(error) => {
+            log::warn!(target = dispatch.target.as_str(), error = error.to_string(); "target states a time that can't be read")
+        }
+    }
+}
+
 /// Returns how a request failed, which depends on whether it may have reached its target.
 ///
 /// ntex reports a connection that closes after the request was sent as a connect error without
--- a/crates/entry/src/pause.rs
+++ b/crates/entry/src/pause.rs
@@ -5,10 +5,11 @@
 
 use std::rc::Rc;
 
-use ragwortrill_core::time::{Instant, Span};
-use ragwortrill_router::{
-    pause::Time, queue::Resource, registration::Incarnation, restart::Exchange,
+use ragwortrill_core::{
+    pause::{self, Time},
+    time::{Instant, Span},
 };
+use ragwortrill_router::{queue::Resource, registration::Incarnation, restart::Exchange};
 
 use crate::{
     admission,
@@ -79,7 +80,7 @@
 /// its target, so that it is still served in time.
 pub(crate) fn patience(job: &Job, now: Instant) -> Instant {
     let left = job.deadline.since(now);
-    now + job.rule.objective.min(left).scale(1, 2)
+    pause::patience(now, job.rule.objective.min(left))
 }
 
 /// Returns the refusal of a request whose targets want nothing until after a time, if they do. It
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod links;
 pub mod load;
 pub mod pace;
-pub mod pause;
 pub mod plan;
 pub mod queue;
 pub mod registration;
--- a/crates/standin/src/target/handler.rs
+++ b/crates/standin/src/target/handler.rs
@@ -3,9 +3,12 @@
     time::Instant,
 };
 
-use ntex::http::{Request, Response};
+use ntex::http::{Request, Response, StatusCode};
 use ragwortrill_core::name;
-use ragwortrill_platform::target::{CANCEL_PATH, IS_LEAVING, LEAVING_HEADER, RATE_LIMIT_HEADER};
+use ragwortrill_platform::{
+    headers::RETRY_AFTER,
+    target::{CANCEL_PATH, IS_LEAVING, LEAVING_HEADER, RATE_LIMIT_HEADER},
+};
 
 use super::{
     call::{self, Call},
@@ -49,7 +52,12 @@
     /// Adds what the target states about itself to an answer.
     fn add_statements(&self, response: &mut Response) {
         let settings = self.state.read(|state| state.settings.clone());
+        let is_unavailable = response.status() == StatusCode::SERVICE_UNAVAILABLE;
         let headers = response.headers_mut();
+        if is_unavailable {
+            let time = call::value(settings.retry_after);
+            headers.insert(call::name(RETRY_AFTER), time);
+        }
         if let Some(rate) = settings.rate_limit {
             headers.insert(call::name(RATE_LIMIT_HEADER), call::value(rate));
         }
--- a/crates/standin/src/target/settings.rs
+++ b/crates/standin/src/target/settings.rs
@@ -32,6 +32,8 @@
     pub persists_epoch: bool,
     /// Requests per second that the target states in its answers as its limit.
     pub rate_limit: Option<String>,
+    /// Seconds that the target states in each refusal with status 503 as `Retry-After`.
+    pub retry_after: String,
     /// What the load report contains.
     pub report_mode: ReportMode,
     /// Time that a run takes.
@@ -71,6 +73,7 @@
             is_leaving: false,
             persists_epoch: false,
             rate_limit: None,
+            retry_after: "1".to_owned(),
             report_mode: ReportMode::Exact,
             service_time: Span::ZERO,
             sheds: false,
