--- a/crates/router/src/pause.rs
+++ b/crates/core/src/pause.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, str::FromStr};
 
-use ragwortrill_core::time::{Instant, Span};
+use crate::time::{Instant, Span};
 
 /// Time that a refusal states.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -30,6 +30,12 @@
     }
 }
 
+/// Returns until when a request may wait for the end of a pause, so that it is still served within its
+/// budget of time.
+pub fn patience(now: Instant, budget: Span) -> Instant {
+    now + budget.scale(1, 2)
+}
+
 /// Time by which a pause must grow until the requests that wait for its end are judged again. Each
 /// refusal of a busy target moves the end a little.
 const JUDGE_STEP: Span = Span::from_millis(100);
