--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -229,8 +229,8 @@
     }
 
     /// Records for how long the target wants nothing, from an answer on.
-    pub fn record_pause(&mut self, answered_at: Instant, time: pause::Time) {
-        self.pause.record(answered_at, time);
+    pub fn record_pause(&mut self, answered_at: Instant, time: pause::Time) -> pause::Change {
+        self.pause.record(answered_at, time)
     }
 
     /// Ends the pause, since it was stated by an earlier run of the target.
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -291,8 +291,10 @@
         time: pause::Time,
         actions: &mut Vec<Action>,
     ) {
-        if let Some(state) = self.target_states.get_mut(target) {
-            state.queue.record_pause(answered_at, time);
+        let state = self.target_states.get_mut(target);
+        let change = state.map(|state| state.queue.record_pause(answered_at, time));
+        if !change.is_some_and(|change| change.is_longer) {
+            return;
         }
         self.requeue_undivided(now, target, actions);
         let mut decisions = Vec::new();
