Relays in each data centre pass records and reports on between the leader and hundreds of hosts

Cause: all hosts exchanged with one leader, one answer each 5 ms, so a round was 1.5 s at 295 hosts and the bytes had no bound; a host that got its answer late read the store itself. Claims to leadership were lost to registrations of other hosts. Change: beyond 100 hosts the strongest hosts of each data centre relay (router::tree). A relay answers from its own copies, with the time as of which they were read, and adds what its hosts report to its own report. A host whose relay does not answer goes to the next one, at last to the leader. Hosts behind relays make no call of their own while their relay answers, take turns in an outage that the relay states, stay out of the group of candidates, and get their first lists from the relay, once the first page of the host list has told who relays. A host that is registered does not register again. A claim is repeated if only registrations came before it. A range that ends before it begins is refused (no test).

--- a/crates/core/src/rate_limit.rs
+++ b/crates/core/src/rate_limit.rs
@@ -79,7 +79,9 @@
 pub enum Source {
     /// An answer to this host.
     Answer,
-    /// Another host, which got the answer.
+    /// A host that reports to this one.
+    Report,
+    /// The host that this one reports to.
     Relay,
 }
 
@@ -103,11 +105,11 @@
         (now.since(statement.stated_at) < STATEMENT_TTL).then_some(statement)
     }
 
-    /// Returns the last statement if this host got it itself.
+    /// Returns the last statement if this host, or one that reports to it, got it itself.
     pub fn own_statement(&self, now: Instant) -> Option<Statement> {
         let is_own = self
             .statement
-            .is_some_and(|(_, source)| source == Source::Answer);
+            .is_some_and(|(_, source)| source != Source::Relay);
         self.statement(now).filter(|_| is_own)
     }
 
--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeSet, rc::Rc};
 
+use anyhow::{Result, ensure};
 use ragwortrill_core::{name, time::Instant};
 use ragwortrill_router::{
     assignment::Range,
@@ -27,7 +28,11 @@
 /// Applies records of a topic. If `is_complete`, they are the newest record of every key, and keys
 /// that are not among them are gone.
 pub(crate) fn apply(shared: &Rc<Shared>, topic: Topic, records: Vec<Record>, is_complete: bool) {
-    let is_urgent = topic != Topic::Targets && !records.is_empty();
+    // Hosts that have just started wait for the first list of targets.
+    let is_urgent = match topic {
+        Topic::Targets => !shared.has_listed_targets.get(),
+        Topic::Operators | Topic::Ownership => !records.is_empty(),
+    };
     match topic {
         Topic::Operators => apply_commands(shared, records, is_complete),
         Topic::Targets => apply_entries(shared, records, is_complete),
@@ -114,7 +119,8 @@
             .value
             .as_deref()
             .and_then(|value| decode(shared, &record.key, value));
-        if entry.is_some() {
+        let is_decoded = entry.is_some();
+        if is_decoded {
             listed.insert(id.clone());
         }
         let earlier = serving(shared, &id);
@@ -123,11 +129,14 @@
         if let Some(earlier) = earlier.filter(|_| has_ended) {
             crash::record_end(shared, &earlier);
         }
-        // Other hosts may get the replica as a complete list.
+        // Other hosts may get the replica as a complete list. An entry that can't be decoded is none.
+        let value = record.value.filter(|_| is_decoded);
+        let record = Record { value, ..record };
         if change != Change::None || is_complete {
             store_in_replica(shared, Topic::Targets, &record);
         }
-        if change != Change::None {
+        // A host that has just started logs the list as a whole.
+        if change != Change::None && shared.has_listed_targets.get() {
             log_change(shared, now, &id, change);
         }
     }
@@ -145,7 +154,9 @@
             log::info!(target = id.as_str(); "target is missing from the complete list of targets");
         }
     }
-    shared.has_listed_targets.set(true);
+    if !shared.has_listed_targets.replace(true) {
+        log::info!(targets = shared.fleet.borrow().targets().len(); "targets listed for the first time");
+    }
 }
 
 /// Returns the incarnation of a target that is registered and does not drain.
@@ -178,6 +189,7 @@
 
 fn apply_ownership(shared: &Rc<Shared>, records: Vec<Record>) {
     let mut ranges = 0;
+    let hosts = shared.hosts.borrow().len();
     for record in records {
         // Records read after a complete list may be older than those of the list.
         if !store_in_replica(shared, Topic::Ownership, &record) {
@@ -197,6 +209,10 @@
     if ranges > 0 {
         log::info!(ranges = ranges; "key ranges updated from the store");
     }
+    let known = shared.hosts.borrow().len();
+    if known != hosts {
+        log::info!(hosts = known, before = hosts; "list of hosts changed");
+    }
 }
 
 /// Returns the service in the key of a range's record.
@@ -234,14 +250,26 @@
             }
         }
     }
+    shared.uplink.hosts_changed();
     if hosts.len() != before {
-        log::info!(host = host, hosts = hosts.len(); "list of hosts changed");
+        log::debug!(host = host, hosts = hosts.len(); "list of hosts changed");
     }
 }
 
+/// Decodes the record of a range.
+pub(crate) fn decode_range(value: &[u8]) -> Result<Range> {
+    let range: Range = serde_json::from_slice(value)?;
+    let (first, last) = (range.first, range.last);
+    ensure!(
+        first <= last,
+        "the range ends at {last}, before its first key {first}"
+    );
+    Ok(range)
+}
+
 fn apply_range(shared: &Shared, service: name::Service, record: &Record) {
     let value = record.value.as_deref().unwrap_or_default();
-    match serde_json::from_slice::<Range>(value) {
+    match decode_range(value) {
         Ok(range) => {
             let mut assignments = shared.assignments.borrow_mut();
             let assignment = assignments.entry(service).or_default();
@@ -251,7 +279,7 @@
             }
         }
         Err(error) => {
-            log::error!(key = record.key, error = error.to_string(); "key range can't be decoded; the previous one stays effective")
+            log::error!(key = record.key, error = format!("{error:#}"); "key range can't be decoded; the previous one stays effective")
         }
     }
 }
--- a/crates/entry/src/candidacy.rs
+++ b/crates/entry/src/candidacy.rs
@@ -4,6 +4,7 @@
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use ragwortrill_core::time::{Instant, Span};
+use ragwortrill_router::tree::Role;
 use tokio::{sync::Notify, time::sleep};
 
 use crate::{
@@ -15,6 +16,7 @@
     shared::{Host, Shared},
     stop::Phase,
     store::Store,
+    uplink,
 };
 
 /// Time after a host's last join request at which it drops out of the group.
@@ -25,9 +27,9 @@
 const REGISTRATION_RETRY_DELAY: Span = Span::from_secs(3);
 /// Multiple of a host's processor time from which another host should lead in its place.
 const STRONGER_FACTOR: u32 = 2;
-/// Time for which a strong host counts as alive after a connection to it was opened.
+/// Time for which a better host counts as alive after a connection to it was opened.
 const LIVENESS_TTL: Span = Span::from_millis(1_500);
-/// Timeout of a connection that probes whether a strong host is alive.
+/// Timeout of a connection that probes whether a better host is alive.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval between two checks whether this host may lead.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -103,6 +105,7 @@
     let key = format!("{HOST_PREFIX}{host}");
     let topic = shared.protocol.topics.ownership;
     let own = own_record(&shared);
+    let encoded = serde_json::to_string(&own).unwrap_or_default();
     let record = |value: &str| {
         [Draft {
             key: key.clone(),
@@ -114,10 +117,11 @@
     let mut registered_at = None;
     let mut registered_in = None;
     let mut liveness = Liveness::default();
+    uplink::read_hosts(&shared).await;
     while !shared.stop.has_reached(Phase::Stopping) {
         // An earlier process of this host removes the record when it stops, which may happen after
         // this process has registered.
-        let is_known = shared.hosts.borrow().contains_key(&host);
+        let is_known = shared.hosts.borrow().get(&host) == Some(&own);
         let now = shared.now();
         let is_due = registered_at.is_none_or(|at| now.since(at) >= REGISTRATION_RETRY_DELAY);
         // A store restored from a copy may lack the record.
@@ -127,16 +131,15 @@
         }
         let is_lost = registered_in.is_some_and(|known| timeline != Some(known));
         if !is_known && is_due || is_lost {
-            let appended = store.append(topic, None, &record(&own)).await;
+            let appended = store.append(topic, None, &record(&encoded)).await;
             if matches!(appended, Ok(Append::Done(_))) {
                 registered_at = Some(now);
                 registered_in = shared.timeline.get();
             }
         }
         let is_withdrawn = shared.now() < candidate.withdrawn_until.get();
-        let stays_out = is_withdrawn
-            || reach::is_cut_off(&shared)
-            || is_weak(&shared) && liveness.has_strong_host(&shared).await;
+        let stays_out =
+            is_withdrawn || reach::is_cut_off(&shared) || liveness.has_better_host(&shared).await;
         let member = Member {
             name: &host,
             ttl: GROUP_TTL,
@@ -169,23 +172,38 @@
     }
 }
 
-/// Encodes this host's record for the store.
-fn own_record(shared: &Shared) -> String {
+/// Returns this host's record for the store.
+fn own_record(shared: &Shared) -> Host {
     let settings = shared.settings.borrow();
-    let host = Host {
+    Host {
         address: settings.listen.hosts,
         forwards: settings.listen.forwards,
         compares_routes: true,
         data_centre: Some(settings.data_centre.clone()),
         processor_percent: settings.limits.processor_percent,
-    };
-    serde_json::to_string(&host).unwrap_or_default()
+        link_mbps: settings.limits.link_mbps,
+        relays: true,
+    }
 }
 
-/// Returns whether another host has so much more processor time that it should lead.
-fn is_weak(shared: &Shared) -> bool {
+/// Returns the hosts of which one should lead in place of this one. With many hosts only relays lead,
+/// which are the strongest ones, so that the others need no call to the group.
+fn better_hosts(shared: &Shared) -> Vec<SocketAddr> {
+    let hosts = shared.hosts.borrow();
+    if uplink::role(shared) == Role::Leaf {
+        let tree = uplink::tree(shared);
+        let relays = tree.relays().filter_map(|relay| hosts.get(relay));
+        return relays.filter_map(|host| host.address).collect();
+    }
     let own = shared.settings.borrow().limits.processor_percent;
-    strongest(shared) >= own * STRONGER_FACTOR
+    let max_percent = strongest(shared);
+    if max_percent < own * STRONGER_FACTOR {
+        return Vec::new();
+    }
+    let strong = hosts
+        .values()
+        .filter(|host| host.processor_percent * STRONGER_FACTOR > max_percent);
+    strong.filter_map(|host| host.address).collect()
 }
 
 fn strongest(shared: &Shared) -> u32 {
@@ -194,28 +212,25 @@
     all.max().unwrap_or_default()
 }
 
-/// Liveness of the hosts with much processor time. As long as one is alive, weak hosts stay out of
-/// the group.
+/// Liveness of the hosts that should lead in place of this one. As long as one is alive, this host
+/// stays out of the group.
 #[derive(Default)]
 struct Liveness {
     seen_at: Option<Instant>,
 }
 
 impl Liveness {
-    async fn has_strong_host(&mut self, shared: &Shared) -> bool {
+    async fn has_better_host(&mut self, shared: &Shared) -> bool {
         let now = shared.now();
+        let hosts = better_hosts(shared);
+        if hosts.is_empty() {
+            return false;
+        }
         let is_recent = |at: &Instant| now.since(*at) < LIVENESS_TTL;
-        if self.seen_at.as_ref().is_some_and(is_recent) {
+        let reports_to_relay = uplink::role(shared) == Role::Leaf && shared.uplink.is_alive(now);
+        if reports_to_relay || self.seen_at.as_ref().is_some_and(is_recent) {
             return true;
         }
-        let max_percent = strongest(shared);
-        let hosts: Vec<SocketAddr> = {
-            let hosts = shared.hosts.borrow();
-            let strong = hosts
-                .values()
-                .filter(|host| host.processor_percent * STRONGER_FACTOR > max_percent);
-            strong.filter_map(|host| host.address).collect()
-        };
         for address in hosts {
             if Connection::open(address, PROBE_TIMEOUT).await.is_ok() {
                 self.seen_at = Some(now);
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -7,11 +7,12 @@
     number::Offset,
     time::{Instant, Span},
 };
+use ragwortrill_router::tree::Role;
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    apply::apply, crash, protocol::Read, relay, settings::Bounds, shared::Shared, store::Store,
+    apply::apply, crash, protocol::Read, settings::Bounds, shared::Shared, store::Store, uplink,
 };
 
 /// Longest time for which a read of the ownership topic waits for a new record. A dead connection
@@ -43,10 +44,14 @@
 /// Age up to which the leader's relayed records of the ownership topic replace this host's own
 /// reads, which would wait for new records.
 const MAX_OWNERSHIP_RELAY_AGE: Span = Span::from_millis(4_300);
+/// Time by which a relay reads the store before the hosts that report to it would.
+const RELAY_LEAD: Span = Span::from_millis(700);
 /// Age from which this host's copy of the ownership topic counts as outdated.
 const MAX_OWNERSHIP_AGE: Span = Span::from_millis(5_000);
 /// Interval between two checks whether the leader's relayed records are recent enough.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval between two checks whether a topic is still not to be read.
+const DEFERRED_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Assumed age of a response of the store when it arrives.
 const RESPONSE_AGE: Span = Span::from_millis(20);
 
@@ -113,10 +118,14 @@
     /// Returns the age up to which the leader's relayed records replace this host's own reads.
     fn max_relay_age(self, shared: &Shared) -> Span {
         let bound = self.max_age(shared);
+        let is_relay = uplink::role(shared) == Role::Relay;
         let usual = match self {
-            Self::Ownership => return MAX_OWNERSHIP_RELAY_AGE,
+            Self::Ownership if !is_relay => return MAX_OWNERSHIP_RELAY_AGE,
+            Self::Ownership => MAX_OWNERSHIP_RELAY_AGE,
             _ => Bounds::max_relay_age(bound),
         };
+        // A relay reads the store before the hosts that report to it would.
+        let usual = if is_relay { usual - RELAY_LEAD } else { usual };
         let fallback = shared.fallback.borrow();
         fallback.max_relay_age(shared.now(), shared.recent_lag(), bound, usual)
     }
@@ -127,6 +136,9 @@
     let mut store = Store::new(shared.clone());
     let mut backoff = MIN_BACKOFF;
     let mut is_failing = false;
+    if topic != Topic::Ownership {
+        uplink::discover(&shared).await;
+    }
     loop {
         if topic == Topic::Operators {
             relist_operators(&shared);
@@ -139,6 +151,10 @@
             }
             continue;
         }
+        if uplink::defers_read(&shared, topic) {
+            sleep(DEFERRED_CHECK_INTERVAL).await;
+            continue;
+        }
         report_age(&shared, topic);
         // After a failure, a read that waits would delay the recovery by its wait. The first read in
         // place of a late relay confirms at once what is newest.
@@ -164,8 +180,11 @@
                 is_failing = false;
                 backoff = MIN_BACKOFF;
                 shared.failed_topics.borrow_mut().remove(&topic);
+                shared.uplink.record_read(shared.now());
                 shared.store_recovered.notify_waiters();
                 match topic {
+                    // The first page of the list was read, which names the hosts.
+                    Topic::Ownership if next_offset(&shared, topic).is_none() => {}
                     Topic::Targets => wait_to_poll_targets(&shared).await,
                     Topic::Ownership if shared.is_leading.get() => {
                         sleep(LEADER_OWNERSHIP_INTERVAL).await
@@ -243,10 +262,10 @@
     }
 }
 
-/// Returns whether the leader's relayed records of a topic are recent enough. A leader that has
-/// removed its record, as it stops, relays nothing any more.
+/// Returns whether the relayed records of a topic are recent enough. A leader that has removed its
+/// record, as it stops, relays nothing any more.
 fn is_relayed(shared: &Shared, topic: Topic) -> bool {
-    if relay::leader_address(shared).is_none() {
+    if uplink::target(shared).is_none() {
         return false;
     }
     let relayed_at = shared.relayed_at.borrow();
@@ -303,6 +322,15 @@
     let name = topic.store_name(shared);
     let sent = shared.now();
     let timeline = shared.timeline.get();
+    if topic == Topic::Ownership && !shared.uplink.knows_hosts() {
+        let page = store.first_page(name).await?;
+        apply(shared, topic, page.records, false);
+        if !page.has_more {
+            shared.advance_replica(topic, page.end, sent);
+        }
+        shared.uplink.record_hosts();
+        return Ok(());
+    }
     let Some(from) = next_offset(shared, topic) else {
         let (records, next) = store.newest(name).await?;
         apply(shared, topic, records, true);
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -33,12 +33,12 @@
 };
 
 use crate::{
-    apply::{self, QUARANTINE_PREFIX, SERVICE_PREFIX},
+    apply::{self, HOST_PREFIX, QUARANTINE_PREFIX, SERVICE_PREFIX},
     call::Client,
     candidacy::Candidacy,
     follow::{self, Topic},
     lease::{Lease, TERM_KEY, Term},
-    protocol::{Append, Draft, Record},
+    protocol::{Append, Draft, Read, Record},
     rate_limit, reach, recovery,
     shared::Shared,
     stop::Phase,
@@ -55,6 +55,8 @@
 const MAX_FLEET_AGE: Span = Span::from_millis(1_500);
 /// Delay before ranges are read back after a failed write.
 const RELOAD_DELAY: Duration = Duration::from_millis(200);
+/// Delay before a claim is repeated that another host's registration preceded.
+const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Delay before a failed write of quarantined fingerprints is repeated.
 const QUARANTINE_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Longest interval between two planning steps.
@@ -93,7 +95,6 @@
     let mut store = Store::new(shared.clone());
     let lease = Lease::acquire(shared, &mut store).await?;
     let mut snapshot = read(shared, &mut store).await?;
-    let topic = shared.protocol.topics.ownership;
     let earlier = snapshot.term.take();
     let earlier = earlier.filter(|term| term.timeline == lease.term().timeline);
     let is_first = earlier.is_none();
@@ -104,10 +105,7 @@
     let claim = claim(lease.term(), is_uncertain)?;
     // Earlier leaders append on condition of the topic's end, which this record moves, so none of
     // them can write a range from here on.
-    let claims = std::slice::from_ref(&claim);
-    let Append::Done(end) = store.append(topic, Some(snapshot.end), claims).await? else {
-        bail!("another host wrote to the ownership topic before this host's claim");
-    };
+    let end = append_claim(&mut store, &lease, snapshot.end, &claim).await?;
     apply::apply(
         shared,
         Topic::Ownership,
@@ -153,6 +151,35 @@
     outcome
 }
 
+/// Appends a claim to the ownership topic and returns the topic's end after it. Hosts that register
+/// meanwhile move the end of the topic; another leader's records end the attempt.
+async fn append_claim(
+    store: &mut Store,
+    lease: &Lease,
+    mut end: Offset,
+    claim: &Draft,
+) -> Result<Offset> {
+    let topic = lease.shared().protocol.topics.ownership;
+    let claims = std::slice::from_ref(claim);
+    loop {
+        if !lease.is_valid() {
+            bail!("leader lease lost before the claim was written");
+        }
+        if let Append::Done(end) = store.append(topic, Some(end), claims).await? {
+            return Ok(end);
+        }
+        let Read::Records(records, next) = store.read(topic, end, Span::ZERO).await? else {
+            bail!("records of the ownership topic expired before they were read");
+        };
+        let is_host = |record: &Record| record.key.starts_with(HOST_PREFIX);
+        if !records.iter().all(is_host) {
+            bail!("another host wrote to the ownership topic before this host's claim");
+        }
+        end = next;
+        sleep(CLAIM_RETRY_DELAY).await;
+    }
+}
+
 /// Contents of the ownership topic.
 struct Snapshot {
     assignments: BTreeMap<name::Service, Assignment>,
@@ -173,7 +200,7 @@
             continue;
         };
         if let Some(service) = apply::service(&key) {
-            let range = serde_json::from_slice(&value)?;
+            let range = apply::decode_range(&value)?;
             snapshot
                 .assignments
                 .entry(service)
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -110,6 +110,10 @@
         }))
     }
 
+    pub(crate) fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
     pub(crate) fn term(&self) -> &Term {
         &self.term
     }
--- a/crates/entry/src/leaving.rs
+++ b/crates/entry/src/leaving.rs
@@ -3,7 +3,8 @@
 //!
 //! Such a target counts as draining from then on, whatever its entry in the store says.
 
-use ragwortrill_router::{leaving::Source, registration::Incarnation};
+pub(crate) use ragwortrill_router::leaving::Source;
+use ragwortrill_router::registration::Incarnation;
 
 use crate::{
     message::{Header, Headers},
@@ -33,7 +34,7 @@
     if is_new {
         let source = match source {
             Source::Answer => "answer",
-            Source::Relay => "other host",
+            Source::Relay | Source::Report => "other host",
         };
         log::info!(target = target.id.as_str(), born = target.start_ms, source = source; "target states that it leaves");
     }
@@ -44,10 +45,11 @@
     shared.fleet.borrow().is_leaving(target)
 }
 
-/// Returns the targets that stated to this host itself that they leave, for the leader.
+/// Returns the targets that stated to this host, or to one that reports to it, that they leave, for
+/// the leader.
 pub(crate) fn own(shared: &Shared) -> Vec<Incarnation> {
     let fleet = shared.fleet.borrow();
-    let own = fleet.leaving().filter(|(_, s)| *s == Source::Answer);
+    let own = fleet.leaving().filter(|(_, s)| *s != Source::Relay);
     own.map(|(target, _)| target.clone()).collect()
 }
 
@@ -58,9 +60,9 @@
 }
 
 /// Records targets that leave, as another host told.
-pub(crate) fn merge(shared: &Shared, targets: Vec<Incarnation>) {
+pub(crate) fn merge(shared: &Shared, targets: Vec<Incarnation>, source: Source) {
     for target in targets {
-        store(shared, &target, Source::Relay);
+        store(shared, &target, source);
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -52,5 +52,6 @@
 mod store;
 mod survey;
 pub mod tally;
+mod uplink;
 
 pub use run::{run, run_until};
--- a/crates/entry/src/rate_limit.rs
+++ b/crates/entry/src/rate_limit.rs
@@ -4,8 +4,9 @@
 //! attempts, retries and requests from the queue. Each host sends its part. A host that never sent
 //! to the target learns the limit from the leader.
 
+pub(crate) use ragwortrill_core::rate_limit::Source;
 use ragwortrill_core::{
-    rate_limit::{Limit, Part, Rate, Source, Statement},
+    rate_limit::{Limit, Part, Rate, Statement},
     time::{Instant, Span},
 };
 use ragwortrill_router::{queue::Resource, registration::Incarnation, restart::Exchange, share};
@@ -67,7 +68,7 @@
     }
     let source = match source {
         Source::Answer => "answer",
-        Source::Relay => "other host",
+        Source::Relay | Source::Report => "other host",
     };
     match statement.rate {
         Some(rate) => {
@@ -166,7 +167,7 @@
     share::rate_limit_part(rate, &target.id, settings.host.as_str(), &hosts)
 }
 
-/// Returns the statements that this host got itself, for the leader.
+/// Returns the statements that this host, or one that reports to it, got itself, for the leader.
 pub(crate) fn own(shared: &Shared) -> Vec<Relayed> {
     collect(shared, |limit, now| limit.own_statement(now))
 }
@@ -196,7 +197,7 @@
 }
 
 /// Records statements that another host told, as of a time.
-pub(crate) fn merge(shared: &Shared, told_at: Instant, relayed: Vec<Relayed>) {
+pub(crate) fn merge(shared: &Shared, told_at: Instant, relayed: Vec<Relayed>, source: Source) {
     for Relayed {
         target,
         per_second,
@@ -209,6 +210,6 @@
             sent_at: stated_at,
             stated_at,
         };
-        store(shared, &target, statement, Source::Relay);
+        store(shared, &target, statement, source);
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use ragwortrill_core::{name, time::Span};
+use ragwortrill_router::tree;
 
 /// Settings of one entry host process.
 #[derive(Clone, Debug)]
@@ -17,8 +18,12 @@
     pub store: SocketAddr,
     /// Interval in which targets renew their entries in the store.
     pub heartbeat: Span,
+    /// Whether all hosts start for the first time, so that none is known yet.
+    pub is_first_start: bool,
     /// Limits of the host.
     pub limits: Limits,
+    /// Sizes of the tree in which hosts report to the leader.
+    pub tree: tree::Limits,
     /// Times and amounts that the platform fixes.
     pub bounds: Bounds,
 }
@@ -45,6 +50,8 @@
     pub memory_mb: u64,
     /// Largest number of open file descriptors.
     pub descriptors: u64,
+    /// Bandwidth of the host's link in megabits a second; 0 if it is unknown.
+    pub link_mbps: u32,
 }
 
 /// Times and amounts that hold for all hosts of the system.
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -55,6 +55,7 @@
     stop::{Phase, Progress},
     survey::Refresh,
     tally::Tally,
+    uplink::Uplink,
 };
 
 /// State of a host.
@@ -94,6 +95,8 @@
     pub(crate) store_recovered: Notify,
     /// Time as of which the leader's relayed records of a topic are up to date.
     pub(crate) relayed_at: RefCell<BTreeMap<Topic, Instant>>,
+    /// The host that this one reports to.
+    pub(crate) uplink: Uplink,
     /// When this host reads the store itself although another host leads.
     pub(crate) fallback: RefCell<Fallback>,
     /// Topics of which this host's copy was found older than it may be.
@@ -158,7 +161,7 @@
 }
 
 /// Record of a registered host in the store.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Host {
     /// Address for the other hosts.
     pub(crate) address: Option<SocketAddr>,
@@ -172,6 +175,12 @@
     pub(crate) data_centre: Option<name::DataCentre>,
     /// Processor time, in percent of a core.
     pub(crate) processor_percent: u32,
+    /// Bandwidth of its link in megabits a second; 0 if it is unknown.
+    #[serde(default)]
+    pub(crate) link_mbps: u32,
+    /// Whether it passes reports of other hosts on to the leader. Hosts of earlier releases don't.
+    #[serde(default)]
+    pub(crate) relays: bool,
 }
 
 /// Local state of one incarnation of a target.
@@ -243,6 +252,7 @@
             relist_at: Cell::new(None),
             store_recovered: Notify::new(),
             relayed_at: RefCell::default(),
+            uplink: Uplink::new(clock.now()),
             fallback: RefCell::default(),
             outdated_topics: RefCell::default(),
             endpoints: RefCell::default(),
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     call::{self, Call, Client, Reply},
-    protocol::{Append, Draft, Member, Membership, Read, Record},
+    protocol::{Append, Draft, Member, Membership, Page, Read, Record},
     shared::Shared,
 };
 
@@ -34,6 +34,15 @@
         }
     }
 
+    /// Reads the first page of the newest records, with the offset from which to continue reading if
+    /// there are no more.
+    pub(crate) async fn first_page(&mut self, topic: &str) -> Result<Page> {
+        let log = self.shared.protocol.log;
+        let call = (log.newest)(topic, None);
+        let reply = self.fetch(&call, RESPONSE_TIMEOUT).await?;
+        (log.decode_newest)(&reply)
+    }
+
     /// Reads the newest record of each key, and the offset from which to continue reading. The
     /// pages are not a consistent snapshot: records from that offset on may be among them.
     pub(crate) async fn newest(&mut self, topic: &str) -> Result<(Vec<Record>, Offset)> {
--- a/crates/router/src/crash.rs
+++ b/crates/router/src/crash.rs
@@ -54,6 +54,8 @@
     silences: BTreeMap<Incarnation, Silence>,
     /// Crashes and answers that no leader has acknowledged.
     report: Report,
+    /// What other hosts reported to this one, which relays it, and no leader has acknowledged.
+    relayed: Report,
     /// Acknowledged crashes, which the next leader needs.
     acknowledged: Vec<(Instant, Crash)>,
     verdicts: Verdicts,
@@ -97,6 +99,24 @@
     pub answered: BTreeSet<Fingerprint>,
 }
 
+impl Report {
+    /// Adds another report. Of too many crashes, further ones are left out.
+    fn merge(&mut self, other: &Self) {
+        for crash in &other.crashes {
+            if self.crashes.len() < MAX_REMEMBERED && !self.crashes.contains(crash) {
+                self.crashes.push(crash.clone());
+            }
+        }
+        self.answered.extend(&other.answered);
+    }
+
+    fn remove(&mut self, other: &Self) {
+        self.crashes.retain(|crash| !other.crashes.contains(crash));
+        let answered = &mut self.answered;
+        answered.retain(|fingerprint| !other.answered.contains(fingerprint));
+    }
+}
+
 /// What the leader knows of suspected requests.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Verdicts {
@@ -209,19 +229,30 @@
             .retain(|(_, crash)| !crash.in_flight.is_empty());
     }
 
-    /// Returns what the leader has not acknowledged yet.
+    /// Returns what the leader has not acknowledged yet, of this host and of those that report to it.
     pub fn report(&self) -> Report {
-        self.report.clone()
+        let mut report = self.report.clone();
+        report.merge(&self.relayed);
+        report
+    }
+
+    /// Records what another host reported to this one, for the leader.
+    pub fn relay(&mut self, report: &Report) {
+        self.relayed.merge(report);
     }
 
     /// Records that the leader has received a report.
     pub fn acknowledge(&mut self, now: Instant, report: &Report) {
-        let unknown = |crash: &Crash| !report.crashes.contains(crash);
-        self.report.crashes.retain(unknown);
-        let answered = &mut self.report.answered;
-        answered.retain(|fingerprint| !report.answered.contains(fingerprint));
-        let received = report.crashes.iter().cloned().map(|crash| (now, crash));
+        // The hosts that reported the others remember them.
+        let own = self
+            .report
+            .crashes
+            .iter()
+            .filter(|c| report.crashes.contains(c));
+        let received = own.cloned().map(|crash| (now, crash));
         self.acknowledged.extend(received);
+        self.report.remove(report);
+        self.relayed.remove(report);
         let excess = self.acknowledged.len().saturating_sub(MAX_REMEMBERED);
         self.acknowledged.drain(..excess);
     }
@@ -233,6 +264,11 @@
         self.report.crashes.extend(crashes);
     }
 
+    /// Returns what the leader knows of suspects.
+    pub fn verdicts(&self) -> &Verdicts {
+        &self.verdicts
+    }
+
     /// Replaces what the leader knows of suspects.
     pub fn set_verdicts(&mut self, now: Instant, verdicts: Verdicts) {
         self.suspected_since
--- a/crates/router/src/fallback.rs
+++ b/crates/router/src/fallback.rs
@@ -8,6 +8,9 @@
 const MIN_RELAY_AGE: Span = Span::from_millis(1_000);
 /// Time for the requests that are already being sent when a new record takes effect.
 const SENDING_TIME: Span = Span::from_millis(100);
+/// Shortest mean interval between two reads that hosts which report to relays make while the store does
+/// not answer the relays either.
+const OUTAGE_READ_INTERVAL: Span = Span::from_millis(20);
 /// Time after which a slow read counts half.
 const HALF_LIFE: Span = Span::from_secs(5);
 
@@ -15,6 +18,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Fallback {
     read_time: Peak,
+    /// Relays between the leader and this host.
+    relays: u64,
     /// When the answer to the pending report is due; in the past after a report without an answer.
     answer_due: Option<Instant>,
 }
@@ -45,6 +50,12 @@
         self.read_time.record(now, taken);
     }
 
+    /// Records how many relays stand between the leader and this host. Each adds to the age that
+    /// records reach in normal operation.
+    pub fn set_relays(&mut self, relays: u64) {
+        self.relays = relays;
+    }
+
     /// Records that a report was sent whose answer is due at a time.
     pub fn expect_answer(&mut self, due: Instant) {
         // After a report without an answer, the relay stays late until the next answer.
@@ -65,7 +76,8 @@
     /// whose reads are fast, `bound` the age that the host's view must not exceed, and `lag` how late
     /// its event loop is.
     pub fn max_relay_age(&self, now: Instant, lag: Span, bound: Span, usual: Span) -> Span {
-        let least = MIN_RELAY_AGE.min(usual);
+        let usual = usual.max(MIN_RELAY_AGE);
+        let least = MIN_RELAY_AGE.scale(1 + self.relays, 1).min(usual);
         if self.answer_due.is_some_and(|due| due <= now) {
             return least;
         }
@@ -74,3 +86,9 @@
         (bound - needed).min(usual).max(least)
     }
 }
+
+/// Returns the interval at which one of a number of hosts that report to relays tries the store while
+/// it does not answer the relays. It may answer some hosts only.
+pub fn outage_interval(hosts: usize) -> Span {
+    OUTAGE_READ_INTERVAL.scale(hosts as u64, 1)
+}
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -111,7 +111,7 @@
     /// Records that a target leaves. Returns whether that is new.
     pub fn record_leaving(&mut self, now: Instant, target: &Incarnation, source: Source) -> bool {
         // Each exchange between hosts repeats what is known.
-        if source == Source::Relay && self.leaving.contains(target) {
+        if source != Source::Answer && self.leaving.source(target) >= Some(source) {
             return false;
         }
         self.leaving.expire(now, |t| is_listed(&self.targets, t));
--- a/crates/router/src/leaving.rs
+++ b/crates/router/src/leaving.rs
@@ -13,12 +13,14 @@
 const UNLISTED_TTL: Span = Span::from_secs(120);
 
 /// Where a host knows from that a target leaves.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Source {
+    /// The host that this one reports to.
+    Relay,
+    /// A host that reports to this one.
+    Report,
     /// An answer of the target.
     Answer,
-    /// Another host, which got such an answer.
-    Relay,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -37,6 +39,11 @@
         self.0.contains_key(target)
     }
 
+    /// Returns where it is known from that an incarnation leaves, if it does.
+    pub fn source(&self, target: &Incarnation) -> Option<Source> {
+        self.0.get(target).map(|statement| statement.source)
+    }
+
     /// Returns all incarnations that leave, and where that is known from.
     pub fn iter(&self) -> impl Iterator<Item = (&Incarnation, Source)> {
         self.0
@@ -51,9 +58,7 @@
             source,
             recorded_at: now,
         });
-        if source == Source::Answer {
-            statement.source = source;
-        }
+        statement.source = statement.source.max(source);
         is_new
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod share;
 pub mod survey;
 pub mod traffic;
+pub mod tree;
 pub mod update;
--- a/crates/router/src/load.rs
+++ b/crates/router/src/load.rs
@@ -154,6 +154,13 @@
         }
     }
 
+    /// Adds work times that a host which reports to this one measured, for the leader.
+    pub fn relay_samples(&mut self, samples: Samples) {
+        self.add_samples(samples);
+        self.samples.sum_us += samples.sum_us;
+        self.samples.count = self.samples.count.saturating_add(samples.count);
+    }
+
     /// Takes the work times that were not sent to the leader yet.
     pub fn take_samples(&mut self) -> Samples {
         std::mem::take(&mut self.samples)
--- a/crates/router/src/traffic.rs
+++ b/crates/router/src/traffic.rs
@@ -19,7 +19,7 @@
 pub struct Traffic {
     buckets: Vec<f32>,
     decayed_at: Instant,
-    /// Own counts that were not sent to the leader yet.
+    /// Counts of this host, and of those that report to it, that were not sent to the leader yet.
     unsent: BTreeMap<u16, u32>,
 }
 
@@ -59,7 +59,16 @@
         }
     }
 
-    /// Takes the own counts that were not sent to the leader yet, by bucket.
+    /// Adds the counts of a host that reports to this one, which relays them to the leader.
+    pub fn relay(&mut self, now: Instant, counts: &BTreeMap<u16, u32>) {
+        self.merge(now, counts);
+        for (bucket, count) in counts {
+            let unsent = self.unsent.entry(*bucket).or_default();
+            *unsent = unsent.saturating_add(*count);
+        }
+    }
+
+    /// Takes the counts that were not sent to the leader yet, by bucket.
     pub fn take_unsent(&mut self) -> BTreeMap<u16, u32> {
         std::mem::take(&mut self.unsent)
     }
