A registered request that has to run elsewhere withdraws its registration first

Change: before such a request is routed to another epoch than the one it was registered under, its intent is withdrawn, and it waits until that is in the log. Result: crates/daemon/tests/leaving.rs passes in the runs so far; the cause is suspected from the code, no run traced it.

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -92,6 +92,8 @@
     pub(crate) phase: Phase,
     /// The intent in the log, once the request is registered and until it is sent.
     pub(crate) intent: Option<Intent>,
+    /// Offset of its intent that is being withdrawn, so that it can run elsewhere.
+    pub(crate) withdrawn: Option<Offset>,
     /// True if it may have run: it was sent and the result is not known.
     pub(crate) sent: bool,
 }
--- a/crates/core/src/registration.rs
+++ b/crates/core/src/registration.rs
@@ -137,6 +137,37 @@
         }
     }
 
+    /// Withdraws the intent of a request that was not sent and is to run elsewhere than it was registered
+    /// for, and returns whether the request has to wait until that is in the log. The holder of its new
+    /// target would take it for a repeated request.
+    pub(crate) fn withdraw_before_reroute(
+        &mut self,
+        ticket: Ticket,
+        target: &name::Target,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let epoch = self.target_states.get(target).map(|state| state.epoch);
+        let Some(held) = self.tickets.get_mut(&ticket) else {
+            return false;
+        };
+        let request = held.arrival.head.request;
+        let is_registered_here = |intent: &mut Intent| Some(intent.epoch) == epoch;
+        if held.sent || held.intent.as_mut().is_some_and(is_registered_here) {
+            return false;
+        }
+        if let Some(intent) = held.intent.take() {
+            held.withdrawn = Some(intent.offset);
+            self.withdraw(request, intent.offset, actions);
+            return true;
+        }
+        let withdrawn = held.withdrawn;
+        let is_pending = |offset| {
+            let known = self.ledger.intent(&request);
+            known.is_some_and(|known| known.offset == offset)
+        };
+        withdrawn.is_some_and(is_pending)
+    }
+
     /// Withdraws the intent of a request that was not sent and will not be.
     pub(crate) fn withdraw(
         &mut self,
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -29,6 +29,7 @@
             arrival,
             phase,
             intent: None,
+            withdrawn: None,
             sent: false,
         };
         self.tickets.insert(ticket, held);
@@ -67,6 +68,9 @@
             }
             return;
         };
+        if self.withdraw_before_reroute(ticket, &target, actions) {
+            return;
+        }
         if self
             .ownership
             .epoch(&target, now, &self.config.times)
