A host behind a relay reads the store itself if the store refuses its relay

Cause: hosts behind a relay that stated an outage waited for their turn. Change: each host tries the store when its records get too old; only one that the store did not answer takes turns. Answers no longer state an outage.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -171,6 +171,7 @@
             fallback.record_read(now, now.since(started));
         }
         record_store_result(&shared, outcome.is_ok());
+        uplink::record_read(&shared, outcome.is_ok());
         let name = topic.store_name(&shared);
         match outcome {
             Ok(()) => {
@@ -180,7 +181,6 @@
                 is_failing = false;
                 backoff = MIN_BACKOFF;
                 shared.failed_topics.borrow_mut().remove(&topic);
-                shared.uplink.record_read(shared.now());
                 shared.store_recovered.notify_waiters();
                 match topic {
                     // The first page of the list was read, which names the hosts.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -248,9 +248,7 @@
     known: &mut Known,
 ) -> Result<()> {
     let now = shared.now();
-    shared
-        .uplink
-        .record_answer(now, update.is_outage, update.verdicts);
+    shared.uplink.record_answer(now, update.verdicts);
     known.learn(&update);
     let mut observer = shared.crash_observer.borrow_mut();
     for fingerprint in update.quarantined {
--- a/crates/entry/src/relay/answer.rs
+++ b/crates/entry/src/relay/answer.rs
@@ -179,7 +179,6 @@
         verdicts: verdicts(shared).1,
         rate_limits: notices.rate_limits,
         leaving: notices.leaving,
-        is_outage: uplink::is_outage(shared),
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&update, &mut encoded)?;
--- a/crates/entry/src/relay/message.rs
+++ b/crates/entry/src/relay/message.rs
@@ -99,9 +99,6 @@
     /// Targets that stated to any host that they leave.
     #[serde(default)]
     pub(super) leaving: Vec<Incarnation>,
-    /// Whether the store does not answer, neither the answering host nor the one it reports to.
-    #[serde(default)]
-    pub(super) is_outage: bool,
 }
 
 /// New records of one topic.
--- a/crates/entry/src/uplink.rs
+++ b/crates/entry/src/uplink.rs
@@ -34,8 +34,6 @@
 const FIRST_LIST_TIME: Span = Span::from_millis(2_000);
 /// Time for which an answer shows that a host which may lead is alive.
 const LIVENESS_TTL: Span = Span::from_secs(3);
-/// Time for which an own read shows that the store answers this host.
-const READ_TTL: Span = Span::from_secs(2);
 
 /// What this host knows of the host that it reports to.
 pub(crate) struct Uplink {
@@ -47,14 +45,8 @@
     /// Version of the leader's verdicts that this host has.
     verdicts: Cell<u64>,
     answered_at: Cell<Option<Instant>>,
-    /// Whether the last answer stated that the store does not answer.
-    states_outage: Cell<bool>,
     /// Whether this host has read who the other hosts are.
     knows_hosts: Cell<bool>,
-    /// When this host last read the store itself.
-    read_at: Cell<Option<Instant>>,
-    /// When this host may next try the store in an outage.
-    next_try: Cell<Option<Instant>>,
 }
 
 /// A host to which this one reports.
@@ -74,10 +66,7 @@
             lost: RefCell::default(),
             verdicts: Cell::default(),
             answered_at: Cell::default(),
-            states_outage: Cell::default(),
             knows_hosts: Cell::default(),
-            read_at: Cell::default(),
-            next_try: Cell::default(),
         }
     }
 
@@ -96,11 +85,9 @@
         self.tree.take();
     }
 
-    /// Records an answer, whether it states that the store does not answer, and the version of the
-    /// verdicts in it.
-    pub(crate) fn record_answer(&self, now: Instant, states_outage: bool, verdicts: u64) {
+    /// Records an answer, and the version of the verdicts in it.
+    pub(crate) fn record_answer(&self, now: Instant, verdicts: u64) {
         self.answered_at.set(Some(now));
-        self.states_outage.set(states_outage);
         self.verdicts.set(verdicts);
     }
 
@@ -111,12 +98,6 @@
         lost.insert(relay.to_owned(), now + LOST_TIME);
     }
 
-    /// Records an own read of the store.
-    pub(crate) fn record_read(&self, now: Instant) {
-        self.read_at.set(Some(now));
-        self.next_try.set(None);
-    }
-
     /// Returns the version of the leader's verdicts that this host has.
     pub(crate) fn verdicts(&self) -> u64 {
         self.verdicts.get()
@@ -189,14 +170,6 @@
     tree(shared).reporters(host, is_leader) + if is_leader { others } else { 0 }
 }
 
-/// Returns whether the store does not answer, neither this host nor the one that it reports to.
-pub(crate) fn is_outage(shared: &Shared) -> bool {
-    let now = shared.now();
-    let read_at = shared.uplink.read_at.get();
-    let reads = read_at.is_some_and(|at| now.since(at) < READ_TTL);
-    !shared.failed_topics.borrow().is_empty() || shared.uplink.states_outage.get() && !reads
-}
-
 /// Waits until the list of hosts has been read, or a read of it has failed, for `DISCOVERY_TIME` after
 /// the start at most.
 pub(crate) async fn read_hosts(shared: &Shared) {
@@ -222,8 +195,8 @@
     shared.now().since(shared.uplink.started_at)
 }
 
-/// Returns whether a topic is not to be read from the store yet, since the host that this one reports
-/// to has it, or the store does not answer that host either.
+/// Returns whether a topic is not to be read from the store yet: the relay that this host reports to has
+/// it, or the store did not answer this host and other ones take their turn.
 pub(crate) fn defers_read(shared: &Shared, topic: Topic) -> bool {
     let now = shared.now();
     if role(shared) != Role::Leaf || target(shared).is_none_or(|target| !target.is_relay) {
@@ -238,24 +211,19 @@
     if is_first && waits_for_lists {
         return true;
     }
-    is_outage(shared) && shared.uplink.is_alive(now) && !takes_turn(shared, now)
+    let interval = fallback::outage_interval(shared.hosts.borrow().len());
+    let mut fallback = shared.fallback.borrow_mut();
+    shared.uplink.is_alive(now) && !fallback.takes_turn(now, interval)
 }
 
-/// Returns whether this host may try the store now, and takes its turn.
-fn takes_turn(shared: &Shared, now: Instant) -> bool {
-    let interval = fallback::outage_interval(shared.hosts.borrow().len());
-    let next_try = &shared.uplink.next_try;
-    match next_try.get() {
-        Some(at) if at <= now => {
-            next_try.set(Some(now + interval));
-            true
-        }
-        Some(_) => false,
-        None => {
-            // The hosts' first turns are spread over the interval.
-            let delay = shared.random.borrow_mut().random_range(0..=interval.0);
-            next_try.set(Some(now + Span(delay)));
-            false
-        }
+/// Records whether the store answered an own read of this host.
+pub(crate) fn record_read(shared: &Shared, is_answered: bool) {
+    if is_answered {
+        return shared.fallback.borrow_mut().read_answered();
     }
+    let interval = fallback::outage_interval(shared.hosts.borrow().len());
+    // The hosts' next turns are spread over the interval.
+    let delay = shared.random.borrow_mut().random_range(0..=interval.0);
+    let mut fallback = shared.fallback.borrow_mut();
+    fallback.read_failed(shared.now(), Span(delay));
 }
--- a/crates/router/src/fallback.rs
+++ b/crates/router/src/fallback.rs
@@ -8,8 +8,8 @@
 const MIN_RELAY_AGE: Span = Span::from_millis(1_000);
 /// Time for the requests that are already being sent when a new record takes effect.
 const SENDING_TIME: Span = Span::from_millis(100);
-/// Shortest mean interval between two reads that hosts which report to relays make while the store does
-/// not answer the relays either.
+/// Mean interval between two reads that all hosts behind relays together make while the store does not
+/// answer them.
 const OUTAGE_READ_INTERVAL: Span = Span::from_millis(20);
 /// Time after which a slow read counts half.
 const HALF_LIFE: Span = Span::from_secs(5);
@@ -20,6 +20,8 @@
     read_time: Peak,
     /// Relays between the leader and this host.
     relays: u64,
+    /// When a host behind a relay may try the store again; none if its last read was answered.
+    next_try: Option<Instant>,
     /// When the answer to the pending report is due; in the past after a report without an answer.
     answer_due: Option<Instant>,
 }
@@ -50,6 +52,29 @@
         self.read_time.record(now, taken);
     }
 
+    /// Records that the store answered an own read.
+    pub fn read_answered(&mut self) {
+        self.next_try = None;
+    }
+
+    /// Records that the store did not answer an own read. The next one waits for a time.
+    pub fn read_failed(&mut self, now: Instant, delay: Span) {
+        self.next_try.get_or_insert(now + delay);
+    }
+
+    /// Returns whether a host behind a relay may read the store now, and takes its turn. Only a host that
+    /// the store did not answer waits: it may refuse the relay and answer this host.
+    pub fn takes_turn(&mut self, now: Instant, interval: Span) -> bool {
+        let Some(next) = self.next_try else {
+            return true;
+        };
+        let is_due = next <= now;
+        if is_due {
+            self.next_try = Some(now + interval);
+        }
+        is_due
+    }
+
     /// Records how many relays stand between the leader and this host. Each adds to the age that
     /// records reach in normal operation.
     pub fn set_relays(&mut self, relays: u64) {
@@ -87,8 +112,8 @@
     }
 }
 
-/// Returns the interval at which one of a number of hosts that report to relays tries the store while
-/// it does not answer the relays. It may answer some hosts only.
+/// Returns the interval at which one of a number of hosts behind relays tries the store while it does
+/// not answer.
 pub fn outage_interval(hosts: usize) -> Span {
     OUTAGE_READ_INTERVAL.scale(hosts as u64, 1)
 }
--- a/crates/router/tests/fallback.rs
+++ b/crates/router/tests/fallback.rs
@@ -1,7 +1,7 @@
 //! Age of relayed records at which a host reads the store itself.
 
 use ragwortrill_core::time::{Instant, Span};
-use ragwortrill_router::fallback::Fallback;
+use ragwortrill_router::fallback::{Fallback, outage_interval};
 
 /// Bound on the age of a configuration.
 const BOUND: Span = Span::from_millis(2_500);
@@ -175,3 +175,56 @@
         assert_eq!(age, expected, "{}", case.name);
     }
 }
+
+struct Turn {
+    name: &'static str,
+    /// Time since the last read that the store did not answer; none if it answered.
+    failed_ms: Option<u64>,
+    may_read: bool,
+}
+
+/// Guards against a host that does not read the store since the store refuses its relay, and against
+/// hundreds of hosts that all try a store which is down again and again.
+#[test]
+fn only_a_host_that_the_store_did_not_answer_waits_for_its_turn() {
+    let interval = outage_interval(300);
+    assert_eq!(interval, Span::from_secs(6));
+    let turns = [
+        Turn {
+            name: "the store answered",
+            failed_ms: None,
+            may_read: true,
+        },
+        Turn {
+            name: "the store did not answer a moment ago",
+            failed_ms: Some(100),
+            may_read: false,
+        },
+        Turn {
+            name: "the turn has come",
+            failed_ms: Some(6_000),
+            may_read: true,
+        },
+    ];
+    for turn in turns {
+        let mut fallback = Fallback::default();
+        fallback.read_failed(at(0), interval);
+        if turn.failed_ms.is_none() {
+            fallback.read_answered();
+        }
+        let now = at(turn.failed_ms.unwrap_or_default());
+        assert_eq!(
+            fallback.takes_turn(now, interval),
+            turn.may_read,
+            "{}",
+            turn.name
+        );
+        let again = turn.failed_ms.is_none();
+        assert_eq!(
+            fallback.takes_turn(now, interval),
+            again,
+            "{}, again",
+            turn.name
+        );
+    }
+}
