--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -265,7 +265,7 @@
 /// Returns whether the relayed records of a topic are recent enough. A leader that has removed its
 /// record, as it stops, relays nothing any more.
 fn is_relayed(shared: &Shared, topic: Topic) -> bool {
-    if uplink::target(shared).is_none() {
+    if uplink::peer(shared).is_none() {
         return false;
     }
     let relayed_at = shared.relayed_at.borrow();
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -26,7 +26,7 @@
     lease::Rank,
     leaving, rate_limit,
     shared::Shared,
-    uplink::{self, Target},
+    uplink::{self, Peer},
 };
 
 /// Path of the exchange on the port between hosts.
@@ -51,12 +51,12 @@
 
 /// Exchange with one host, while it is the one to report to.
 struct Session {
-    target: Target,
+    peer: Peer,
     client: Client,
 }
 
 /// What reports depend on: the leader, its term, and the host to report to.
-type Situation = (Option<String>, Rank, Option<Target>);
+type Situation = (Option<String>, Rank, Option<Peer>);
 
 /// Sends reports for as long as the host runs.
 pub(crate) async fn run(shared: Rc<Shared>) {
@@ -68,7 +68,7 @@
     loop {
         sleep(delay).await;
         let leader = shared.leader.borrow().clone();
-        let current = (leader, shared.latest_term.get(), uplink::target(&shared));
+        let current = (leader, shared.latest_term.get(), uplink::peer(&shared));
         if current != situation {
             // A new leader, or one that leads again, knows none of the crashes, and a relay that is
             // lost may not have passed them on.
@@ -77,22 +77,22 @@
             known = Known::default();
             delay = REPORT_INTERVAL;
         }
-        let Some(target) = situation.2.clone() else {
+        let Some(peer) = situation.2.clone() else {
             merge_own(&shared);
             known = Known::default();
             session = None;
             delay = REPORT_INTERVAL;
             continue;
         };
-        let relays = u64::from(target.is_relay);
+        let relays = u64::from(peer.is_relay);
         shared.fallback.borrow_mut().set_relays(relays);
         let crashes = shared.crash_observer.borrow().report();
         let report = Report {
             is_urgent,
             ..take_report(&shared, &crashes, &known)
         };
-        let open = session.take().filter(|open| open.target == target);
-        let open = session.insert(open.unwrap_or_else(|| Session::new(target)));
+        let open = session.take().filter(|open| open.peer == peer);
+        let open = session.insert(open.unwrap_or_else(|| Session::new(peer)));
         match open.send(&shared, &report, &mut known).await {
             Ok(()) => {
                 is_urgent = false;
@@ -102,27 +102,27 @@
                 observer.acknowledge(shared.now(), &crashes);
             }
             Err(error) => {
-                log::debug!(host = open.target.host, error = format!("{error:#}"); "report not answered; retrying");
-                is_urgent = open.target.is_relay;
+                log::debug!(host = open.peer.host, error = format!("{error:#}"); "report not answered; retrying");
+                is_urgent = open.peer.is_relay;
                 delay = match is_urgent {
                     true => REPORT_INTERVAL,
                     false => (delay * 2).min(MAX_REPORT_INTERVAL),
                 };
                 // A part of the answer may have been applied.
                 known = Known::default();
-                record_failure(&shared, &open.target);
+                record_failure(&shared, &open.peer);
             }
         }
     }
 }
 
 /// Records that a host did not answer. Another relay replaces one that is lost.
-fn record_failure(shared: &Shared, target: &Target) {
+fn record_failure(shared: &Shared, peer: &Peer) {
     let now = shared.now();
     shared.fallback.borrow_mut().answer_failed(now);
-    if target.is_relay {
-        shared.uplink.record_lost(now, &target.host);
-        log::info!(host = target.host; "relay does not answer; another one replaces it");
+    if peer.is_relay {
+        shared.uplink.record_lost(now, &peer.host);
+        log::info!(host = peer.host; "relay does not answer; another one replaces it");
     }
 }
 
@@ -201,9 +201,9 @@
 }
 
 impl Session {
-    fn new(target: Target) -> Self {
-        let client = Client::new(target.address, MAX_UPDATE_BYTES);
-        Self { target, client }
+    fn new(peer: Peer) -> Self {
+        let client = Client::new(peer.address, MAX_UPDATE_BYTES);
+        Self { peer, client }
     }
 
     /// Sends a report and applies the response. `known` is what the host has of the leader's notices.
@@ -215,7 +215,7 @@
     ) -> Result<()> {
         let call = encode(report)?;
         let sent = shared.now();
-        let host = &self.target.host;
+        let host = &self.peer.host;
         let usual = hold_time(shared, host) + round(shared, host);
         let due = sent + Span::from_micros((usual + DELIVERY_TIME).as_micros() as u64);
         shared.fallback.borrow_mut().expect_answer(due);
--- a/crates/entry/src/relay/answer.rs
+++ b/crates/entry/src/relay/answer.rs
@@ -28,7 +28,7 @@
 
 /// Returns whether this host reports to none, so that it evaluates the reported crashes itself.
 fn is_root(shared: &Shared) -> bool {
-    uplink::target(shared).is_none()
+    uplink::peer(shared).is_none()
 }
 
 /// Returns the verdicts on suspected requests, as evaluated by this host or by the one that it reports
--- a/crates/entry/src/uplink.rs
+++ b/crates/entry/src/uplink.rs
@@ -51,7 +51,7 @@
 
 /// A host to which this one reports.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) struct Target {
+pub(crate) struct Peer {
     pub(crate) host: String,
     pub(crate) address: SocketAddr,
     /// Whether it passes the reports on to the leader.
@@ -139,7 +139,7 @@
 }
 
 /// Returns the host to which this one reports; none if it leads, or no host does and it is no relay's.
-pub(crate) fn target(shared: &Shared) -> Option<Target> {
+pub(crate) fn peer(shared: &Shared) -> Option<Peer> {
     let now = shared.now();
     let own = shared.settings.borrow().host.to_string();
     let leader = shared.leader.borrow().clone();
@@ -155,7 +155,7 @@
         Parent::Leader => (leader?, false),
     };
     let address = address(&host)?;
-    Some(Target {
+    Some(Peer {
         host,
         address,
         is_relay,
@@ -199,7 +199,7 @@
 /// it, or the store did not answer this host and other ones take their turn.
 pub(crate) fn defers_read(shared: &Shared, topic: Topic) -> bool {
     let now = shared.now();
-    if role(shared) != Role::Leaf || target(shared).is_none_or(|target| !target.is_relay) {
+    if role(shared) != Role::Leaf || peer(shared).is_none_or(|peer| !peer.is_relay) {
         return false;
     }
     let is_first = follow::next_offset(shared, topic).is_none();
