A slow relay keeps no host from reading the store

Cause: a host behind a relay whose own read had failed once waited for its turn, up to 6 s at 295 hosts, whatever its relay had. Change: a host waits for its turn only while its relay states as well that the store does not answer it. Result: router/tests/fallback.rs, case by case.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -248,7 +248,8 @@
     known: &mut Known,
 ) -> Result<()> {
     let now = shared.now();
-    shared.uplink.record_answer(now, update.verdicts);
+    let uplink = &shared.uplink;
+    uplink.record_answer(now, update.is_outage, update.verdicts);
     known.learn(&update);
     let mut observer = shared.crash_observer.borrow_mut();
     for fingerprint in update.quarantined {
--- a/crates/entry/src/relay/answer.rs
+++ b/crates/entry/src/relay/answer.rs
@@ -179,6 +179,7 @@
         verdicts: verdicts(shared).1,
         rate_limits: notices.rate_limits,
         leaving: notices.leaving,
+        is_outage: !shared.failed_topics.borrow().is_empty(),
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&update, &mut encoded)?;
--- a/crates/entry/src/relay/message.rs
+++ b/crates/entry/src/relay/message.rs
@@ -99,6 +99,9 @@
     /// Targets that stated to any host that they leave.
     #[serde(default)]
     pub(super) leaving: Vec<Incarnation>,
+    /// Whether the store does not answer the host that makes this answer.
+    #[serde(default)]
+    pub(super) is_outage: bool,
 }
 
 /// New records of one topic.
--- a/crates/entry/src/uplink.rs
+++ b/crates/entry/src/uplink.rs
@@ -45,6 +45,8 @@
     /// Version of the leader's verdicts that this host has.
     verdicts: Cell<u64>,
     answered_at: Cell<Option<Instant>>,
+    /// Whether the last answer stated that the store does not answer that host either.
+    states_outage: Cell<bool>,
     /// Whether this host has read who the other hosts are.
     knows_hosts: Cell<bool>,
 }
@@ -66,6 +68,7 @@
             lost: RefCell::default(),
             verdicts: Cell::default(),
             answered_at: Cell::default(),
+            states_outage: Cell::default(),
             knows_hosts: Cell::default(),
         }
     }
@@ -85,9 +88,11 @@
         self.tree.take();
     }
 
-    /// Records an answer, and the version of the verdicts in it.
-    pub(crate) fn record_answer(&self, now: Instant, verdicts: u64) {
+    /// Records an answer, whether it states that the store does not answer, and the version of the
+    /// verdicts in it.
+    pub(crate) fn record_answer(&self, now: Instant, states_outage: bool, verdicts: u64) {
         self.answered_at.set(Some(now));
+        self.states_outage.set(states_outage);
         self.verdicts.set(verdicts);
     }
 
@@ -196,7 +201,7 @@
 }
 
 /// Returns whether a topic is not to be read from the store yet: the relay that this host reports to has
-/// it, or the store did not answer this host and other ones take their turn.
+/// it, or the store answers neither that relay nor this host, and other hosts take their turn.
 pub(crate) fn defers_read(shared: &Shared, topic: Topic) -> bool {
     let now = shared.now();
     if role(shared) != Role::Leaf || peer(shared).is_none_or(|peer| !peer.is_relay) {
@@ -213,7 +218,8 @@
     }
     let interval = fallback::outage_interval(shared.hosts.borrow().len());
     let mut fallback = shared.fallback.borrow_mut();
-    shared.uplink.is_alive(now) && !fallback.takes_turn(now, interval)
+    let states_outage = shared.uplink.is_alive(now) && shared.uplink.states_outage.get();
+    fallback.waits_for_turn(now, interval, states_outage)
 }
 
 /// Records whether the store answered an own read of this host.
--- a/crates/router/src/fallback.rs
+++ b/crates/router/src/fallback.rs
@@ -62,17 +62,18 @@
         self.next_try.get_or_insert(now + delay);
     }
 
-    /// Returns whether a host behind a relay may read the store now, and takes its turn. Only a host that
-    /// the store did not answer waits: it may refuse the relay and answer this host.
-    pub fn takes_turn(&mut self, now: Instant, interval: Span) -> bool {
-        let Some(next) = self.next_try else {
-            return true;
+    /// Returns whether a host behind a relay waits for its turn to read the store, or takes it. It waits
+    /// only if the store answers neither this host nor, as that states, its relay: the store may refuse
+    /// one of them, and a relay that is slow or lacks records is no reason to wait.
+    pub fn waits_for_turn(&mut self, now: Instant, interval: Span, states_outage: bool) -> bool {
+        let Some(next) = self.next_try.filter(|_| states_outage) else {
+            return false;
         };
         let is_due = next <= now;
         if is_due {
             self.next_try = Some(now + interval);
         }
-        is_due
+        !is_due
     }
 
     /// Records how many relays stand between the leader and this host. Each adds to the age that
--- a/crates/router/tests/fallback.rs
+++ b/crates/router/tests/fallback.rs
@@ -180,30 +180,41 @@
     name: &'static str,
     /// Time since the last read that the store did not answer; none if it answered.
     failed_ms: Option<u64>,
-    may_read: bool,
+    /// Whether the relay states that the store does not answer it either.
+    states_outage: bool,
+    waits: bool,
 }
 
-/// Guards against a host that does not read the store since the store refuses its relay, and against
-/// hundreds of hosts that all try a store which is down again and again.
+/// Guards against a host that does not read the store since the store refuses its relay, or since its
+/// relay is slow or lacks records, and against hundreds of hosts that all try a store which is down.
 #[test]
-fn only_a_host_that_the_store_did_not_answer_waits_for_its_turn() {
+fn only_a_host_that_the_store_does_not_answer_as_its_relay_waits_for_its_turn() {
     let interval = outage_interval(300);
     assert_eq!(interval, Span::from_secs(6));
     let turns = [
         Turn {
-            name: "the store answered",
+            name: "the store answered this host, not its relay",
             failed_ms: None,
-            may_read: true,
+            states_outage: true,
+            waits: false,
         },
         Turn {
-            name: "the store did not answer a moment ago",
+            name: "the store did not answer this host a moment ago, and its relay states nothing",
             failed_ms: Some(100),
-            may_read: false,
+            states_outage: false,
+            waits: false,
+        },
+        Turn {
+            name: "the store answers neither",
+            failed_ms: Some(100),
+            states_outage: true,
+            waits: true,
         },
         Turn {
             name: "the turn has come",
             failed_ms: Some(6_000),
-            may_read: true,
+            states_outage: true,
+            waits: false,
         },
     ];
     for turn in turns {
@@ -213,16 +224,13 @@
             fallback.read_answered();
         }
         let now = at(turn.failed_ms.unwrap_or_default());
+        let waits = fallback.waits_for_turn(now, interval, turn.states_outage);
+        assert_eq!(waits, turn.waits, "{}", turn.name);
+        let again = fallback.waits_for_turn(now, interval, turn.states_outage);
+        let has_failed = turn.failed_ms.is_some();
         assert_eq!(
-            fallback.takes_turn(now, interval),
-            turn.may_read,
-            "{}",
-            turn.name
-        );
-        let again = turn.failed_ms.is_none();
-        assert_eq!(
-            fallback.takes_turn(now, interval),
             again,
+            has_failed && turn.states_outage,
             "{}, again",
             turn.name
         );
