Only a relay reads the store earlier; other hosts keep their bound

Cause: found on reading the change: the least age of relayed records also raised the usual age of hosts that report to the leader, so a host with a bound under 1.7 s would have relied on older records than before. Change: the least age limits how much earlier a relay reads, and nothing else.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -7,7 +7,7 @@
     number::Offset,
     time::{Instant, Span},
 };
-use ragwortrill_router::tree::Role;
+use ragwortrill_router::{fallback::MIN_RELAY_AGE, tree::Role};
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
@@ -125,7 +125,10 @@
             _ => Bounds::max_relay_age(bound),
         };
         // A relay reads the store before the hosts that report to it would.
-        let usual = if is_relay { usual - RELAY_LEAD } else { usual };
+        let usual = match is_relay {
+            true => (usual - RELAY_LEAD).max(MIN_RELAY_AGE.min(usual)),
+            false => usual,
+        };
         let fallback = shared.fallback.borrow();
         fallback.max_relay_age(shared.now(), shared.recent_lag(), bound, usual)
     }
--- a/crates/router/src/fallback.rs
+++ b/crates/router/src/fallback.rs
@@ -5,7 +5,7 @@
 /// Age that the leader's relayed records reach in normal operation: they may be as old as the leader's
 /// last read, and the next answer comes after the time for which the leader holds a report. A host
 /// that read the store itself before would do so all the time.
-const MIN_RELAY_AGE: Span = Span::from_millis(1_000);
+pub const MIN_RELAY_AGE: Span = Span::from_millis(1_000);
 /// Time for the requests that are already being sent when a new record takes effect.
 const SENDING_TIME: Span = Span::from_millis(100);
 /// Mean interval between two reads that all hosts behind relays together make while the store does not
@@ -102,7 +102,6 @@
     /// whose reads are fast, `bound` the age that the host's view must not exceed, and `lag` how late
     /// its event loop is.
     pub fn max_relay_age(&self, now: Instant, lag: Span, bound: Span, usual: Span) -> Span {
-        let usual = usual.max(MIN_RELAY_AGE);
         let least = MIN_RELAY_AGE.scale(1 + self.relays, 1).min(usual);
         if self.answer_due.is_some_and(|due| due <= now) {
             return least;
