Records that expired leave no removed key in a replica, and no host without its relay's records

Cause: after a store drops its history, a host lists the topic again, but its copy for other hosts kept the keys that the list lacks. A relay passed them on as part of a complete list, so a target that left meanwhile came back at each host that started or listed again. And a relay or leader whose copy does not reach back to a host's offset left the topic out of its answers, so all its hosts listed the store.

Change: a complete list removes what it lacks from the replica; a host whose offset is too old gets the complete list.

--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, rc::Rc};
 
 use anyhow::{Result, ensure};
-use ragwortrill_core::{name, time::Instant};
+use ragwortrill_core::{name, number::Offset, time::Instant};
 use ragwortrill_router::{
     assignment::Range,
     fleet::Change,
@@ -25,9 +25,22 @@
 /// Prefix of keys of quarantined request fingerprints in the ownership topic.
 pub(crate) const QUARANTINE_PREFIX: &str = "barred/";
 
-/// Applies records of a topic. If `is_complete`, they are the newest record of every key, and keys
-/// that are not among them are gone.
-pub(crate) fn apply(shared: &Rc<Shared>, topic: Topic, records: Vec<Record>, is_complete: bool) {
+/// Applies a complete list of the records before `end`: the newest record of every key. Keys that are
+/// not among them are gone.
+pub(crate) fn apply_list(shared: &Rc<Shared>, topic: Topic, records: Vec<Record>, end: Offset) {
+    let listed = records.iter().map(|record| record.key.as_str()).collect();
+    let mut replicas = shared.replicas.borrow_mut();
+    replicas.entry(topic).or_default().retain(&listed, end);
+    drop(replicas);
+    apply(shared, topic, records, true);
+}
+
+/// Applies new records of a topic.
+pub(crate) fn apply_changes(shared: &Rc<Shared>, topic: Topic, records: Vec<Record>) {
+    apply(shared, topic, records, false);
+}
+
+fn apply(shared: &Rc<Shared>, topic: Topic, records: Vec<Record>, is_complete: bool) {
     // Hosts that have just started wait for the first list of targets.
     let is_urgent = match topic {
         Topic::Targets => !shared.has_listed_targets.get(),
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -11,9 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
-use crate::{
-    apply::apply, crash, protocol::Read, settings::Bounds, shared::Shared, store::Store, uplink,
-};
+use crate::{apply, crash, protocol::Read, settings::Bounds, shared::Shared, store::Store, uplink};
 
 /// Longest time for which a read of the ownership topic waits for a new record. A dead connection
 /// is noticed soon after, by the read's timeout.
@@ -327,7 +325,7 @@
     let timeline = shared.timeline.get();
     if topic == Topic::Ownership && !shared.uplink.knows_hosts() {
         let page = store.first_page(name).await?;
-        apply(shared, topic, page.records, false);
+        apply::apply_changes(shared, topic, page.records);
         if !page.has_more {
             shared.advance_replica(topic, page.end, sent);
         }
@@ -336,7 +334,7 @@
     }
     let Some(from) = next_offset(shared, topic) else {
         let (records, next) = store.newest(name).await?;
-        apply(shared, topic, records, true);
+        apply::apply_list(shared, topic, records, next);
         shared.advance_replica(topic, next, sent);
         return Ok(());
     };
@@ -351,7 +349,7 @@
             let now = shared.now();
             let waited = now - RESPONSE_AGE - shared.lag.current(now);
             let read_at = if wait == Span::ZERO { sent } else { waited };
-            apply(shared, topic, records, false);
+            apply::apply_changes(shared, topic, records);
             shared.advance_replica(topic, next, read_at.max(sent));
         }
         Read::Expired => {
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -106,12 +106,7 @@
     // Earlier leaders append on condition of the topic's end, which this record moves, so none of
     // them can write a range from here on.
     let end = append_claim(&mut store, &lease, snapshot.end, &claim).await?;
-    apply::apply(
-        shared,
-        Topic::Ownership,
-        assign_offsets(vec![claim], end),
-        false,
-    );
+    apply::apply_changes(shared, Topic::Ownership, assign_offsets(vec![claim], end));
     log::info!(
         term = lease.term().number,
         earlier_grants_ms = lease.earlier_grants_until().since(shared.now()).as_millis();
@@ -258,7 +253,7 @@
         };
         snapshot.end = end;
         let records = assign_offsets(part.to_vec(), end);
-        apply::apply(shared, Topic::Ownership, records, false);
+        apply::apply_changes(shared, Topic::Ownership, records);
     }
     Ok((snapshot, is_uncertain))
 }
@@ -442,7 +437,7 @@
     /// Applies records that this host wrote, so that it need not read them back.
     fn apply_written(&self, records: Vec<Record>, end: Offset, sent: Instant) {
         let first = records.first().map(|record| record.offset);
-        apply::apply(&self.shared, Topic::Ownership, records, false);
+        apply::apply_changes(&self.shared, Topic::Ownership, records);
         // The read position advances only without a gap: records of other hosts may stand between
         // the last record read and the first one written.
         if follow::next_offset(&self.shared, Topic::Ownership) == first {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -298,7 +298,11 @@
     if !known.map_or(is_complete, |known| known <= next) {
         return Ok(());
     }
-    apply::apply(shared, topic, changes.into_records()?, is_complete);
+    let records = changes.into_records()?;
+    match is_complete {
+        true => apply::apply_list(shared, topic, records, next),
+        false => apply::apply_changes(shared, topic, records),
+    }
     follow::advance(shared, topic, next, confirmed_at);
     Ok(())
 }
--- a/crates/entry/src/relay/message.rs
+++ b/crates/entry/src/relay/message.rs
@@ -129,7 +129,8 @@
 
 impl Changes {
     /// Returns what a host lacks that has all records before an offset, or has none if there is no
-    /// offset. Returns none if the replica can't tell.
+    /// offset. If records since then have expired, these are the newest records of all keys. Returns
+    /// none before the replica's first complete list.
     pub fn since(
         replica: &Replica,
         from: Option<Offset>,
@@ -137,8 +138,10 @@
         compresses: bool,
     ) -> Option<Self> {
         let next = replica.next_offset()?;
-        let records = match from {
-            Some(from) => replica.changes_since(from)?,
+        let changes = from.and_then(|from| replica.changes_since(from));
+        let is_complete = changes.is_none();
+        let records = match changes {
+            Some(records) => records,
             None => replica.all()?,
         };
         let mut plain = Vec::new();
@@ -154,7 +157,7 @@
         Some(Self {
             records: plain,
             compressed,
-            is_complete: from.is_none(),
+            is_complete,
             next_offset: next.0,
             age_us: now.since(replica.read_at()).0,
         })
--- a/crates/entry/src/replica.rs
+++ b/crates/entry/src/replica.rs
@@ -49,9 +49,7 @@
             return false;
         }
         if let Some(known) = known {
-            self.keys.remove(&known);
-            self.compressed.get_mut().remove(&known);
-            self.tombstones.remove(&known);
+            self.remove(known);
         }
         if record.value.is_none() {
             self.tombstones.insert(record.offset);
@@ -73,10 +71,22 @@
     }
 
     /// Makes the next read a complete list, since records expired before they were read.
-    pub(crate) fn reset(&mut self) {
+    pub fn reset(&mut self) {
         self.next = None;
     }
 
+    /// Removes the records that a complete list of the records before `end` lacks: their keys were
+    /// removed by records that expired before they were read.
+    pub fn retain(&mut self, listed: &BTreeSet<&str>, end: Offset) {
+        let is_absent = |(_, key): &(&Offset, &String)| !listed.contains(key.as_str());
+        let known = self.keys.range(..end).filter(is_absent);
+        let absent: Vec<Offset> = known.map(|(offset, _)| *offset).collect();
+        for offset in absent {
+            self.remove(offset);
+        }
+        self.complete_from = self.complete_from.max(end);
+    }
+
     /// Forgets all records, since the store was restored from a copy and gives offsets out again.
     pub(crate) fn clear(&mut self) {
         *self = Self::default();
@@ -126,12 +136,18 @@
         if self.tombstones.len() <= MAX_TOMBSTONES {
             return;
         }
-        let Some(offset) = self.tombstones.pop_first() else {
+        let Some(offset) = self.tombstones.first().copied() else {
             return;
         };
+        self.remove(offset);
+        self.complete_from = self.complete_from.max(offset.next());
+    }
+
+    fn remove(&mut self, offset: Offset) {
         if let Some(key) = self.keys.remove(&offset) {
             self.records.remove(&key);
-            self.complete_from = self.complete_from.max(offset.next());
         }
+        self.compressed.get_mut().remove(&offset);
+        self.tombstones.remove(&offset);
     }
 }
