An odd record of a range, claim or lease keeps no host from leading

Cause: a candidate that could not decode one range, claim or lease failed, and so did each next one; epochs and numbers near the largest integer overflowed, which ends a debug build.

Change: such a record is logged and counts as missing. The next leader asks the other hosts for what they have in force, as after a restore of the store, and writes it again; a leader that meets one while it reads its ranges back stops. Epochs and numbers above 2^63 - 1 are not taken.

--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -5,7 +5,7 @@
 use anyhow::{Result, ensure};
 use ragwortrill_core::{name, number::Offset, time::Instant};
 use ragwortrill_router::{
-    assignment::Range,
+    assignment::{MAX_EPOCH, Range},
     fleet::Change,
     registration::{Incarnation, Registration},
 };
@@ -269,36 +269,47 @@
     }
 }
 
-/// Decodes the record of a range.
-pub(crate) fn decode_range(value: &[u8]) -> Result<Range> {
+/// Decodes the record of a range; logs one that can't be decoded.
+pub(crate) fn decode_range(key: &str, value: &[u8]) -> Option<Range> {
+    match parse_range(value) {
+        Ok(range) => Some(range),
+        Err(error) => {
+            log::error!(key = key, error = format!("{error:#}"); "key range can't be decoded; the previous one stays effective");
+            None
+        }
+    }
+}
+
+fn parse_range(value: &[u8]) -> Result<Range> {
     let range: Range = serde_json::from_slice(value)?;
     let (first, last) = (range.first, range.last);
     ensure!(
         first <= last,
         "the range ends at {last}, before its first key {first}"
     );
+    ensure!(
+        range.epoch <= MAX_EPOCH,
+        "epoch {} is above {MAX_EPOCH}",
+        range.epoch
+    );
     Ok(range)
 }
 
 fn apply_range(shared: &Shared, service: name::Service, record: &Record) {
     let value = record.value.as_deref().unwrap_or_default();
-    match decode_range(value) {
-        Ok(range) => {
-            let mut assignments = shared.assignments.borrow_mut();
-            let assignment = assignments.entry(service).or_default();
-            // A store restored from a copy has ranges of before.
-            if !assignment.is_outdated(&range) {
-                assignment.upsert(range);
-            }
-        }
-        Err(error) => {
-            log::error!(key = record.key, error = format!("{error:#}"); "key range can't be decoded; the previous one stays effective")
-        }
+    let Some(range) = decode_range(&record.key, value) else {
+        return;
+    };
+    let mut assignments = shared.assignments.borrow_mut();
+    let assignment = assignments.entry(service).or_default();
+    // A store restored from a copy has ranges of before.
+    if !assignment.is_outdated(&range) {
+        assignment.upsert(range);
     }
 }
 
 fn apply_term(shared: &Shared, value: Option<&[u8]>) {
-    let term = value.and_then(|value| serde_json::from_slice::<Term>(value).ok());
+    let term = value.and_then(Term::decode);
     // A store restored from a copy has a term of before.
     if let Some(term) = term.filter(|term| term.rank() >= shared.latest_term.get()) {
         shared.latest_term.set(term.rank());
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -99,7 +99,8 @@
     let earlier = earlier.filter(|term| term.timeline == lease.term().timeline);
     let is_first = earlier.is_none();
     let mut is_uncertain = earlier.is_some_and(|term| term.is_uncertain);
-    if is_first {
+    let must_recover = is_first || snapshot.is_damaged;
+    if must_recover {
         (snapshot, is_uncertain) = recover(shared, &mut store, &lease, snapshot).await?;
     }
     let claim = claim(lease.term(), is_uncertain)?;
@@ -113,7 +114,7 @@
         "leadership acquired"
     );
     let leader = Leader::new(&snapshot.assignments, lease.earlier_grants_until());
-    let leader = match is_first || is_uncertain {
+    let leader = match must_recover || is_uncertain {
         true => leader.recovered(!is_uncertain),
         false => leader,
     };
@@ -180,6 +181,8 @@
     assignments: BTreeMap<name::Service, Assignment>,
     /// Lease term of the host that wrote the last claim.
     term: Option<Term>,
+    /// Whether a range is missing since its record can't be decoded.
+    is_damaged: bool,
     end: Offset,
 }
 
@@ -188,6 +191,7 @@
     let mut snapshot = Snapshot {
         assignments: BTreeMap::new(),
         term: None,
+        is_damaged: false,
         end,
     };
     for Record { key, value, .. } in records {
@@ -195,14 +199,14 @@
             continue;
         };
         if let Some(service) = apply::service(&key) {
-            let range = apply::decode_range(&value)?;
-            snapshot
-                .assignments
-                .entry(service)
-                .or_default()
-                .upsert(range);
+            let Some(range) = apply::decode_range(&key, &value) else {
+                snapshot.is_damaged = true;
+                continue;
+            };
+            let assignment = snapshot.assignments.entry(service).or_default();
+            assignment.upsert(range);
         } else if key == TERM_KEY {
-            snapshot.term = Some(serde_json::from_slice(&value)?);
+            snapshot.term = Term::decode(&value);
         }
     }
     Ok(snapshot)
@@ -220,7 +224,7 @@
 }
 
 /// Writes all that hosts remember to a store that no leader has written to since it was restored
-/// from a copy. The claim that follows marks it as written. Returns also whether later ranges may be
+/// from a copy, or that has records which can't be decoded. The claim that follows marks it as written. Returns also whether later ranges may be
 /// missing.
 async fn recover(
     shared: &Rc<Shared>,
@@ -513,6 +517,11 @@
                     self.lease.revoke();
                     return;
                 }
+                // The next leader asks other hosts for the range that can't be decoded.
+                Ok(snapshot) if snapshot.is_damaged => {
+                    self.lease.revoke();
+                    return;
+                }
                 Ok(mut snapshot) => {
                     self.topic_end.set(snapshot.end);
                     let assignment = snapshot.assignments.remove(service).unwrap_or_default();
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -3,7 +3,7 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use anyhow::{Result, bail};
+use anyhow::{Result, bail, ensure};
 use ragwortrill_core::{
     number::{Offset, Timeline},
     time::{Instant, Span},
@@ -26,6 +26,8 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(700);
 /// Delay before a failed renewal is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Largest number of a term; later ones must not overflow.
+const MAX_NUMBER: u64 = u64::MAX >> 1;
 /// Key of the lease's record.
 pub(crate) const TERM_KEY: &str = "term";
 
@@ -57,6 +59,25 @@
         self.rank() == other.rank() && self.host == other.host
     }
 
+    /// Decodes the record of a lease or claim; logs one that can't be decoded. It counts as missing,
+    /// so the next leader waits until the grants of any earlier one have expired.
+    pub(crate) fn decode(value: &[u8]) -> Option<Self> {
+        let decoded: Result<Self> = serde_json::from_slice(value).map_err(Into::into);
+        let checked = decoded.and_then(|term| {
+            ensure!(
+                term.number <= MAX_NUMBER,
+                "number {} is above {MAX_NUMBER}",
+                term.number
+            );
+            Ok(term)
+        });
+        checked
+            .inspect_err(|error| {
+                log::error!(error = format!("{error:#}"); "record of a leader's term can't be decoded; it counts as missing");
+            })
+            .ok()
+    }
+
     /// Encodes the lease as a record to append.
     pub(crate) fn record(&self) -> Result<Draft> {
         Ok(Draft {
@@ -87,7 +108,7 @@
         let host = shared.settings.borrow().host.to_string();
         let renewed_at = shared.now();
         let term = Term {
-            number: earlier.as_ref().map_or(0, |term| term.number) + 1,
+            number: latest_number(shared, earlier.as_ref(), timeline) + 1,
             host,
             is_over: false,
             timeline,
@@ -204,6 +225,14 @@
     }
 }
 
+/// Returns the highest number of a term that this host knows, since the record in the store may be
+/// missing.
+fn latest_number(shared: &Shared, stored: Option<&Term>, timeline: Timeline) -> u64 {
+    let (known_timeline, known) = shared.latest_term.get();
+    let known = if known_timeline == timeline { known } else { 0 };
+    stored.map_or(0, |term| term.number).max(known)
+}
+
 /// Returns when the last grant of an earlier leader has expired.
 fn earlier_grants_until(
     shared: &Shared,
@@ -226,8 +255,6 @@
     let (records, end) = store.newest(shared.protocol.topics.terms).await?;
     let record = records.into_iter().find(|record| record.key == TERM_KEY);
     let value = record.and_then(|record| record.value);
-    let term = value
-        .map(|value| serde_json::from_slice(&value))
-        .transpose()?;
+    let term = value.and_then(|value| Term::decode(&value));
     Ok((term, end))
 }
--- a/crates/router/src/assignment.rs
+++ b/crates/router/src/assignment.rs
@@ -9,6 +9,9 @@
 /// A key of a partitioned service.
 pub type Key = u16;
 
+/// Largest epoch of a range; later ones must not overflow.
+pub const MAX_EPOCH: u64 = u64::MAX >> 1;
+
 /// Number of keys of a service.
 pub const KEY_COUNT: u32 = 65_536;
 
