Bodies of requests take a bounded part of the host's memory

Cause: each connection read up to MaxBodyBytes of a body before its request was sent, and nothing bounded their sum; no code read the host's memory from its settings.

Change: a body reserves memory, its stated length at once, until its request ends.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     activity::Guard,
-    crash,
+    body, crash,
     message::Request,
     presence::Presence,
     reply::{Problem, RETRY_AFTER_ABSENT_MS, RETRY_AFTER_BUSY_MS},
@@ -29,10 +29,11 @@
 const REPLY_MARGIN: Span = Span::from_millis(15);
 
 /// A request as received from a caller.
-#[derive(Clone, Debug)]
 pub(crate) struct Incoming {
     pub(crate) head: Request,
     pub(crate) body: Bytes,
+    /// Memory that the body takes until the request ends.
+    pub(crate) _reservation: body::Reservation,
     /// Earliest time at which the first byte can have arrived.
     pub(crate) received: Instant,
     /// A request that is not idempotent stays in the register until it ends, even if its caller
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 mod apply;
 pub mod arrivals;
 mod attempt;
+mod body;
 pub mod call;
 mod caller;
 mod candidacy;
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -11,13 +11,14 @@
 use crate::{
     activity::Stage,
     arrivals::Arrivals,
+    body::Reservation,
     connection,
     delivery::Response,
     job::Incoming,
-    message::{self, Decoder, Request},
+    message::{self, Decoder, Framing, Request},
     presence::Presence,
     proxy,
-    reply::{Problem, Reply},
+    reply::{Problem, RETRY_AFTER_BUSY_MS, Reply},
     route,
     shared::Shared,
     stop::Phase,
@@ -57,6 +58,7 @@
     head: Request,
     decoder: Decoder,
     body: BytesMut,
+    reservation: Reservation,
     /// Earliest time at which the first byte of the request can have arrived.
     received: Instant,
 }
@@ -130,13 +132,16 @@
         match head {
             Ok(Some(head)) => {
                 self.head_since = None;
-                let decoder = Decoder::new(head.framing);
-                let partial = Partial {
+                let mut partial = Partial {
+                    decoder: Decoder::new(head.framing),
                     head,
-                    decoder,
                     body: BytesMut::new(),
+                    reservation: Reservation::new(self.shared.clone()),
                     received,
                 };
+                if let Framing::Length(length) = partial.head.framing {
+                    self.reserve_body(&mut partial, length)?;
+                }
                 self.continue_body(partial)
             }
             Ok(None) => {
@@ -152,7 +157,6 @@
 
     /// Decodes more of a body. Returns whether the request was started.
     fn continue_body(&mut self, mut partial: Partial) -> Result<bool, Problem> {
-        let limit = self.limits().body_bytes;
         loop {
             match partial.decoder.take(&mut self.buffer) {
                 Ok(Some(bytes)) => partial.body.extend_from_slice(&bytes),
@@ -163,14 +167,28 @@
                 }
                 Err(_) => return Err(Problem::new(400, "the body is not encoded properly")),
             }
-            if partial.body.len() > limit {
-                return Err(Problem::new(413, "the body is too long"));
-            }
+            let length = partial.body.len() as u64;
+            self.reserve_body(&mut partial, length)?;
         }
         self.start(partial);
         Ok(true)
     }
 
+    /// Reserves memory for the bytes of a body. A body that is too long, or finds no room among those
+    /// of the other requests, is not read.
+    fn reserve_body(&self, partial: &mut Partial, length: u64) -> Result<(), Problem> {
+        if length > self.limits().body_bytes as u64 {
+            return Err(Problem::new(413, "the body is too long"));
+        }
+        match partial.reservation.extend_to(length) {
+            true => Ok(()),
+            false => Err(Problem::refusal(
+                "the bodies of other requests take the memory for bodies",
+                RETRY_AFTER_BUSY_MS,
+            )),
+        }
+    }
+
     fn start(&mut self, partial: Partial) {
         let shared = self.shared.clone();
         let keeps_alive = partial.head.keeps_alive;
@@ -184,6 +202,7 @@
         let incoming = Incoming {
             head: partial.head,
             body: partial.body.freeze(),
+            _reservation: partial.reservation,
             received,
             activity: activity.clone(),
             caller: self.caller.clone(),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -46,7 +46,7 @@
 pub struct Limits {
     /// Available processor time, in percent of a core.
     pub processor_percent: u32,
-    /// Available memory in megabytes.
+    /// Available memory in megabytes; 0 if it is unknown.
     pub memory_mb: u64,
     /// Largest number of open file descriptors.
     pub descriptors: u64,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -154,6 +154,8 @@
     pub(crate) caller_connections: Cell<u32>,
     /// Connections of callers since the host started, open and closed.
     pub(crate) accepted_connections: Cell<u64>,
+    /// Bytes that are reserved for the bodies of requests.
+    pub(crate) body_bytes: Cell<u64>,
     /// Number of connections to targets that were opened or tried so far.
     pub(crate) opened_connections: Cell<u64>,
     /// Requests that have no complete reply yet.
@@ -283,6 +285,7 @@
             has_listed_targets: Cell::new(false),
             caller_connections: Cell::new(0),
             accepted_connections: Cell::new(0),
+            body_bytes: Cell::new(0),
             opened_connections: Cell::new(0),
             active_requests: Rc::default(),
         })
