A configuration with the largest numbers is served

Cause: the sum of the weights of a route and the limit of heads of forwarded requests overflowed, which ends the connection's task in a debug build and chooses wrong limits in a release.

Change: weights are summed in 64 bits, the limit saturates.

Measured: platform/tests/odd_entries.rs, configuration_with_the_largest_numbers_is_served: before, the order got no answer; now it is served.

--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -127,7 +127,7 @@
             true => route::MAX_HEADER_BYTES,
             false => 0,
         };
-        let max_bytes = limits.header_bytes + added_bytes;
+        let max_bytes = limits.header_bytes.saturating_add(added_bytes);
         let head = message::take_request(&mut self.buffer, max_bytes);
         match head {
             Ok(Some(head)) => {
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -128,12 +128,13 @@
 
 impl Rule {
     /// Returns the service for a random number from 0 up to, but excluding, the sum of the weights.
-    pub fn destination(&self, mut number: u32) -> Option<&name::Service> {
+    pub fn destination(&self, mut number: u64) -> Option<&name::Service> {
         for destination in &self.destinations {
-            if number < destination.weight {
+            let weight = u64::from(destination.weight);
+            if number < weight {
                 return Some(&destination.service);
             }
-            number -= destination.weight;
+            number -= weight;
         }
         None
     }
@@ -145,7 +146,7 @@
     }
 
     /// Returns the sum of the weights of all destinations.
-    pub fn total_weight(&self) -> u32 {
-        self.destinations.iter().map(|d| d.weight).sum()
+    pub fn total_weight(&self) -> u64 {
+        self.destinations.iter().map(|d| u64::from(d.weight)).sum()
     }
 }
