Test that relays lengthen no bound on the age of a host's records

The age up to which a host relies on relayed records is decided in router::fallback. The test fails if the age of a late relay's records is not limited by the host's own bound.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -7,7 +7,7 @@
     number::Offset,
     time::{Instant, Span},
 };
-use ragwortrill_router::{fallback::MIN_RELAY_AGE, tree::Role};
+use ragwortrill_router::{fallback, tree::Role};
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
@@ -42,8 +42,6 @@
 /// Age up to which the leader's relayed records of the ownership topic replace this host's own
 /// reads, which would wait for new records.
 const MAX_OWNERSHIP_RELAY_AGE: Span = Span::from_millis(4_300);
-/// Time by which a relay reads the store before the hosts that report to it would.
-const RELAY_LEAD: Span = Span::from_millis(700);
 /// Age from which this host's copy of the ownership topic counts as outdated.
 const MAX_OWNERSHIP_AGE: Span = Span::from_millis(5_000);
 /// Interval between two checks whether the leader's relayed records are recent enough.
@@ -117,16 +115,12 @@
     fn max_relay_age(self, shared: &Shared) -> Span {
         let bound = self.max_age(shared);
         let is_relay = uplink::role(shared) == Role::Relay;
-        let usual = match self {
+        let of_host = match self {
             Self::Ownership if !is_relay => return MAX_OWNERSHIP_RELAY_AGE,
             Self::Ownership => MAX_OWNERSHIP_RELAY_AGE,
             _ => Bounds::max_relay_age(bound),
         };
-        // A relay reads the store before the hosts that report to it would.
-        let usual = match is_relay {
-            true => (usual - RELAY_LEAD).max(MIN_RELAY_AGE.min(usual)),
-            false => usual,
-        };
+        let usual = fallback::usual_relay_age(of_host, is_relay);
         let fallback = shared.fallback.borrow();
         fallback.max_relay_age(shared.now(), shared.recent_lag(), bound, usual)
     }
--- a/crates/router/src/fallback.rs
+++ b/crates/router/src/fallback.rs
@@ -6,6 +6,8 @@
 /// last read, and the next answer comes after the time for which the leader holds a report. A host
 /// that read the store itself before would do so all the time.
 pub const MIN_RELAY_AGE: Span = Span::from_millis(1_000);
+/// Time by which a relay reads the store before the hosts that report to it would.
+const RELAY_LEAD: Span = Span::from_millis(700);
 /// Time for the requests that are already being sent when a new record takes effect.
 const SENDING_TIME: Span = Span::from_millis(100);
 /// Mean interval between two reads that all hosts behind relays together make while the store does not
@@ -112,6 +114,15 @@
     }
 }
 
+/// Returns the age up to which a host relies on relayed records if its reads are fast. `of_host` is
+/// that age for a host that no others report to; a relay reads the store before them.
+pub fn usual_relay_age(of_host: Span, is_relay: bool) -> Span {
+    match is_relay {
+        true => (of_host - RELAY_LEAD).max(MIN_RELAY_AGE.min(of_host)),
+        false => of_host,
+    }
+}
+
 /// Returns the interval at which one of a number of hosts behind relays tries the store while it does
 /// not answer.
 pub fn outage_interval(hosts: usize) -> Span {
--- a/crates/router/tests/fallback.rs
+++ b/crates/router/tests/fallback.rs
@@ -1,7 +1,7 @@
 //! Age of relayed records at which a host reads the store itself.
 
 use ragwortrill_core::time::{Instant, Span};
-use ragwortrill_router::fallback::{Fallback, outage_interval};
+use ragwortrill_router::fallback::{Fallback, outage_interval, usual_relay_age};
 
 /// Bound on the age of a configuration.
 const BOUND: Span = Span::from_millis(2_500);
@@ -236,3 +236,54 @@
         );
     }
 }
+
+struct Usual {
+    name: &'static str,
+    /// Age up to which a host that no others report to relies on relayed records.
+    of_host_ms: u64,
+    is_relay: bool,
+    expected_ms: u64,
+}
+
+/// Guards against a host that relies on older records than its bound allows since relays need time to
+/// pass them on, and against a relay that reads the store no earlier than its hosts.
+#[test]
+fn relays_lengthen_no_bound_of_a_host() {
+    let cases = [
+        Usual {
+            name: "host",
+            of_host_ms: 1_800,
+            is_relay: false,
+            expected_ms: 1_800,
+        },
+        Usual {
+            name: "relay",
+            of_host_ms: 1_800,
+            is_relay: true,
+            expected_ms: 1_100,
+        },
+        Usual {
+            name: "host with a short bound",
+            of_host_ms: 800,
+            is_relay: false,
+            expected_ms: 800,
+        },
+        Usual {
+            name: "relay with a short bound",
+            of_host_ms: 800,
+            is_relay: true,
+            expected_ms: 800,
+        },
+    ];
+    for case in cases {
+        let of_host = Span::from_millis(case.of_host_ms);
+        let usual = usual_relay_age(of_host, case.is_relay);
+        let expected = Span::from_millis(case.expected_ms);
+        assert_eq!(usual, expected, "{}", case.name);
+        let mut fallback = Fallback::default();
+        fallback.set_relays(1);
+        fallback.answer_failed(at(0));
+        let late = fallback.max_relay_age(at(0), Span::ZERO, BOUND, usual);
+        assert!(late <= usual, "{}, late relay: {late}", case.name);
+    }
+}
