A host behind a relay reads the store soon after one lost connection

Change: the first read that fails is repeated after 300 ms; only if that fails too, hosts take turns.

Measured: router/tests/fallback.rs, which counts the reads of such a host, fails before (none in 5 s).

--- a/crates/router/src/fallback.rs
+++ b/crates/router/src/fallback.rs
@@ -10,6 +10,9 @@
 const RELAY_LEAD: Span = Span::from_millis(700);
 /// Time for the requests that are already being sent when a new record takes effect.
 const SENDING_TIME: Span = Span::from_millis(100);
+/// Delay before a host behind a relay repeats the first read that the store did not answer. One
+/// connection that is lost is no outage, also if the relay is cut off from the store.
+const RETRY_DELAY: Span = Span::from_millis(300);
 /// Mean interval between two reads that all hosts behind relays together make while the store does not
 /// answer them.
 const OUTAGE_READ_INTERVAL: Span = Span::from_millis(20);
@@ -22,12 +25,20 @@
     read_time: Peak,
     /// Relays between the leader and this host.
     relays: u64,
-    /// When a host behind a relay may try the store again; none if its last read was answered.
-    next_try: Option<Instant>,
+    /// Reads of a host behind a relay since the store did not answer one; none if it answered the last.
+    outage: Option<Outage>,
     /// When the answer to the pending report is due; in the past after a report without an answer.
     answer_due: Option<Instant>,
 }
 
+/// When the store is read while it does not answer.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    next_try: Instant,
+    /// Time from the next read to the one after it.
+    delay: Span,
+}
+
 /// Largest of the latest values.
 #[derive(Clone, Copy, Debug, Default)]
 struct Peak {
@@ -56,24 +67,31 @@
 
     /// Records that the store answered an own read.
     pub fn read_answered(&mut self) {
-        self.next_try = None;
+        self.outage = None;
     }
 
-    /// Records that the store did not answer an own read. The next one waits for a time.
+    /// Records that the store did not answer an own read. The first one is repeated soon; the next
+    /// one after that waits for a time.
     pub fn read_failed(&mut self, now: Instant, delay: Span) {
-        self.next_try.get_or_insert(now + delay);
+        self.outage.get_or_insert(Outage {
+            next_try: now + RETRY_DELAY,
+            delay,
+        });
     }
 
     /// Returns whether a host behind a relay waits for its turn to read the store, or takes it. It waits
     /// only if the store answers neither this host nor, as that states, its relay: the store may refuse
     /// one of them, and a relay that is slow or lacks records is no reason to wait.
     pub fn waits_for_turn(&mut self, now: Instant, interval: Span, states_outage: bool) -> bool {
-        let Some(next) = self.next_try.filter(|_| states_outage) else {
+        let Some(outage) = self.outage.as_mut().filter(|_| states_outage) else {
             return false;
         };
-        let is_due = next <= now;
+        let is_due = outage.next_try <= now;
         if is_due {
-            self.next_try = Some(now + interval);
+            *outage = Outage {
+                next_try: now + outage.delay,
+                delay: interval,
+            };
         }
         !is_due
     }
--- a/crates/router/tests/fallback.rs
+++ b/crates/router/tests/fallback.rs
@@ -210,6 +210,12 @@
             states_outage: true,
             waits: true,
         },
+        Turn {
+            name: "the first read that failed is repeated",
+            failed_ms: Some(300),
+            states_outage: true,
+            waits: false,
+        },
         Turn {
             name: "the turn has come",
             failed_ms: Some(6_000),
@@ -287,3 +293,28 @@
         assert!(late <= usual, "{}, late relay: {late}", case.name);
     }
 }
+
+/// Guards against a host that reads nothing for seconds after one connection to the store was lost,
+/// while its relay is cut off from the store.
+#[test]
+fn host_reads_the_store_soon_after_one_lost_connection() {
+    let interval = outage_interval(300);
+    let mut fallback = Fallback::default();
+    fallback.read_failed(at(0), interval);
+    // Reads of other topics fail at the same moment.
+    fallback.read_failed(at(50), interval);
+    let reads = |fallback: &mut Fallback, from_ms: u64, to_ms: u64| {
+        let due = |ms: &u64| !fallback.waits_for_turn(at(*ms), interval, true);
+        (from_ms..to_ms).step_by(50).filter(due).count()
+    };
+    assert_eq!(reads(&mut fallback, 50, 500), 1, "soon after");
+    fallback.read_failed(at(500), interval);
+    assert_eq!(
+        reads(&mut fallback, 500, 6_000),
+        0,
+        "while the store is down"
+    );
+    assert_eq!(reads(&mut fallback, 6_000, 12_000), 1, "in its turn");
+    fallback.read_answered();
+    assert!(reads(&mut fallback, 12_000, 13_000) > 1, "once it answers");
+}
