Hosts leave a relay that is cut off from the leader

Cause: a relay that loses the leader and the store, but not its hosts, goes on answering them with old records.

Change: a host states in its answers that its own reports have had no answer for 3 s. Hosts that report to such a relay leave it out for 10 s if another relay of their data centre is left.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -134,6 +134,7 @@
     observer.acknowledge(shared.now(), &crashes);
     drop(observer);
     crash::evaluate(shared);
+    shared.uplink.record_root(shared.now());
     let mut fallback = shared.fallback.borrow_mut();
     fallback.answer_arrived();
     fallback.set_relays(0);
@@ -225,6 +226,9 @@
         }
         let update: Update = ciborium::from_reader(reply.body.as_ref())
             .context("the host's response can't be decoded")?;
+        if update.is_cut_off && self.peer.is_relay {
+            uplink::leave_relay(shared, host);
+        }
         apply_update(shared, sent, update, known)
     }
 }
--- a/crates/entry/src/relay/answer.rs
+++ b/crates/entry/src/relay/answer.rs
@@ -180,6 +180,7 @@
         rate_limits: notices.rate_limits,
         leaving: notices.leaving,
         is_outage: !shared.failed_topics.borrow().is_empty(),
+        is_cut_off: shared.uplink.is_cut_off(now),
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&update, &mut encoded)?;
--- a/crates/entry/src/relay/message.rs
+++ b/crates/entry/src/relay/message.rs
@@ -102,6 +102,9 @@
     /// Whether the store does not answer the host that makes this answer.
     #[serde(default)]
     pub(super) is_outage: bool,
+    /// Whether the host that makes this answer passes no reports on, since its own get no answers.
+    #[serde(default)]
+    pub(super) is_cut_off: bool,
 }
 
 /// New records of one topic.
--- a/crates/entry/src/uplink.rs
+++ b/crates/entry/src/uplink.rs
@@ -45,6 +45,8 @@
     /// Version of the leader's verdicts that this host has.
     verdicts: Cell<u64>,
     answered_at: Cell<Option<Instant>>,
+    /// When this host last had an answer to its reports, or nobody to report to.
+    connected_at: Cell<Instant>,
     /// Whether the last answer stated that the store does not answer that host either.
     states_outage: Cell<bool>,
     /// Whether this host has read who the other hosts are.
@@ -68,6 +70,7 @@
             lost: RefCell::default(),
             verdicts: Cell::default(),
             answered_at: Cell::default(),
+            connected_at: Cell::new(now),
             states_outage: Cell::default(),
             knows_hosts: Cell::default(),
         }
@@ -92,6 +95,7 @@
     /// verdicts in it.
     pub(crate) fn record_answer(&self, now: Instant, states_outage: bool, verdicts: u64) {
         self.answered_at.set(Some(now));
+        self.connected_at.set(now);
         self.states_outage.set(states_outage);
         self.verdicts.set(verdicts);
     }
@@ -103,6 +107,16 @@
         lost.insert(relay.to_owned(), now + LOST_TIME);
     }
 
+    /// Records that there is no other host to report to.
+    pub(crate) fn record_root(&self, now: Instant) {
+        self.connected_at.set(now);
+    }
+
+    /// Returns whether this host's reports have had no answer for a time.
+    pub(crate) fn is_cut_off(&self, now: Instant) -> bool {
+        now.since(self.connected_at.get()) >= LIVENESS_TTL
+    }
+
     /// Returns the version of the leader's verdicts that this host has.
     pub(crate) fn verdicts(&self) -> u64 {
         self.verdicts.get()
@@ -167,6 +181,18 @@
     })
 }
 
+/// Leaves a relay that is cut off out, if another relay is left. Otherwise, this host stays with it:
+/// all of them are cut off while no host leads.
+pub(crate) fn leave_relay(shared: &Shared, relay: &str) {
+    let now = shared.now();
+    let own = shared.settings.borrow().host.to_string();
+    let is_usable = |other: &str| other != relay && !shared.uplink.is_lost(now, other);
+    if tree(shared).relays_of(&own).any(is_usable) {
+        shared.uplink.record_lost(now, relay);
+        log::info!(host = relay; "relay is cut off from the leader; another one replaces it");
+    }
+}
+
 /// Returns the number of hosts that report to a host.
 pub(crate) fn reporters(shared: &Shared, host: &str) -> usize {
     let is_leader = shared.leader.borrow().as_deref() == Some(host);
--- a/crates/router/src/tree.rs
+++ b/crates/router/src/tree.rs
@@ -152,6 +152,13 @@
         all.map(String::as_str)
     }
 
+    /// Returns the relays of the data centre of a host.
+    pub fn relays_of(&self, host: &str) -> impl Iterator<Item = &str> {
+        let place = self.places.get(host);
+        let relays = place.map_or(&[][..], |place| self.groups[place.group].relays());
+        relays.iter().map(String::as_str)
+    }
+
     /// Returns the host to which a host reports while some do not answer. A host that replaces a relay
     /// reports to a stronger host only, so that no two hosts report to each other.
     pub fn parent(&self, host: &str, is_lost: impl Fn(&str) -> bool) -> Parent<'_> {
