--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -224,8 +224,8 @@
 }
 
 /// Writes all that hosts remember to a store that no leader has written to since it was restored
-/// from a copy, or that has records which can't be decoded. The claim that follows marks it as written. Returns also whether later ranges may be
-/// missing.
+/// from a copy, or that has a range which can't be decoded. The claim that follows marks it as
+/// written. Returns also whether later ranges may be missing.
 async fn recover(
     shared: &Rc<Shared>,
     store: &mut Store,
