--- a/crates/entry/src/uplink.rs
+++ b/crates/entry/src/uplink.rs
@@ -181,7 +181,7 @@
     })
 }
 
-/// Leaves a relay that is cut off out, if another relay is left. Otherwise, this host stays with it:
+/// Leaves out a relay that is cut off, if another relay is left. Otherwise, this host stays with it:
 /// all of them are cut off while no host leads.
 pub(crate) fn leave_relay(shared: &Shared, relay: &str) {
     let now = shared.now();
