Hosts stay with a relay that the store answers while no host reaches the leader

Hosts of a relay with recent records then left it for the other one of their data centre, which might be cut off from the store as well.

Change: hosts leave a relay only if the store does not answer it either.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -226,7 +226,8 @@
         }
         let update: Update = ciborium::from_reader(reply.body.as_ref())
             .context("the host's response can't be decoded")?;
-        if update.is_cut_off && self.peer.is_relay {
+        // While no host reaches the leader, a relay that the store answers has recent records.
+        if update.is_cut_off && update.is_outage && self.peer.is_relay {
             uplink::leave_relay(shared, host);
         }
         apply_update(shared, sent, update, known)
--- a/crates/entry/src/uplink.rs
+++ b/crates/entry/src/uplink.rs
@@ -189,7 +189,7 @@
     let is_usable = |other: &str| other != relay && !shared.uplink.is_lost(now, other);
     if tree(shared).relays_of(&own).any(is_usable) {
         shared.uplink.record_lost(now, relay);
-        log::info!(host = relay; "relay is cut off from the leader; another one replaces it");
+        log::info!(host = relay; "relay is cut off from the leader and the store; another one replaces it");
     }
 }
 
