Review, case 1: an entry of another writer makes two upstreams hold the same keys

An entry whose service no manifest names, with the address of a live upstream and a later start, makes the leader skip the release of that upstream's keys.

--- /dev/null
+++ b/review/standin/orders.rs
@@ -0,0 +1,160 @@
+//! Cases about grants and releases of keys.
+
+use std::{
+    path::Path,
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    record::note,
+    store::Store,
+    system::{self, Consumers, HOST, Host, ZONES},
+    upstream::{Faults, Upstream, Upstreams, wall_ms},
+};
+
+/// Name of the partitioned service.
+const SERVICE: &str = "huvo11a";
+/// Upstreams of the partitioned service.
+const COUNT: usize = 12;
+/// Time that an upstream works on a request.
+const WORK_MS: u64 = 200;
+/// Consumers, and the time between two requests of one.
+const CONSUMERS: u64 = 100;
+const REQUEST_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between two pings of an upstream.
+const PING_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Share of the answers of a faulty upstream that it sends twice.
+const COPIED_SHARE: f64 = 0.03;
+/// Time for which upstreams are faulty.
+const FAULT_TIME: Duration = Duration::from_secs(5);
+/// Time from the first request until the disruption begins.
+const CALM_TIME: Duration = Duration::from_secs(5);
+
+fn manifest() -> String {
+    format!(
+        r#"{{"Version":7,"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"}},"Listeners":[{{"Host":"{HOST}","Rules":[{{"Name":"r-1","RouteType":"safe","TargetLatency":"400ms","Priority":2,"Match":{{"PathPrefix":"/ruta/"}},"Action":{{"Service":"{SERVICE}","Timeout":"1200ms","MaxAttempts":2}}}}]}}],"Clusters":[{{"Name":"{SERVICE}","HealthPath":"/health","MaxConnections":120,"Protocol":"h1","Tls":false,"ColdStart":"3s","ColdPerS":14.0,"Sharded":true,"Warmup":"3s","Grants":"api_call"}}]}}"#
+    )
+}
+
+/// A deployment with one partitioned service.
+struct System {
+    store: Store,
+    all: Upstreams,
+    upstreams: Vec<Upstream>,
+    hosts: Vec<Host>,
+}
+
+impl System {
+    fn start(scratch: &Path) -> Result<Self, String> {
+        let store = Store::start();
+        store.put("keyed.op", "config", &manifest());
+        let all = Upstreams::new();
+        let mut system = Self {
+            store,
+            all,
+            upstreams: Vec::new(),
+            hosts: Vec::new(),
+        };
+        for number in 0..COUNT {
+            system.add_upstream(number);
+        }
+        system.hosts = system::start_hosts(scratch, 3, &system.store)?;
+        let began = Instant::now();
+        while system.all.held(SERVICE) < 1.0 {
+            if began.elapsed() > Duration::from_secs(20) {
+                return Err("the keys are not owned in time".to_owned());
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        note("all keys are held");
+        Ok(system)
+    }
+
+    fn add_upstream(&mut self, number: usize) -> Upstream {
+        let id = format!("i-{number:02}7f3a91");
+        let zone = ZONES[number % ZONES.len()];
+        let upstream = self.all.start(&id, SERVICE, zone, true, WORK_MS);
+        let entry = upstream.entry("ready", 1);
+        self.store.put("keyed.servers", &id, &entry);
+        self.upstreams.push(upstream.clone());
+        upstream
+    }
+
+    fn consumers(&self) -> Consumers {
+        let fronts = self.hosts.iter().map(|host| host.front).collect();
+        Consumers::start(CONSUMERS, REQUEST_INTERVAL, fronts)
+    }
+
+    /// Makes an upstream report that it leaves. It goes on serving.
+    fn drain(&self, upstream: &Upstream) {
+        let entry = upstream.entry("draining", 2);
+        self.store.put("keyed.servers", &upstream.id, &entry);
+    }
+
+    fn end(mut self, consumers: Consumers) -> Result<String, String> {
+        let seen = consumers.end();
+        let served = seen.iter().filter(|seen| seen.status == Some(200)).count();
+        for host in &mut self.hosts {
+            if !host.is_running() {
+                note(format!("{} has ended by itself", host.name));
+            }
+        }
+        let (sent, leader) = (seen.len(), self.store.leader());
+        if served * 2 < sent {
+            return Err(format!("only {served} of {sent} requests were served"));
+        }
+        Ok(format!(
+            "{served} of {sent} requests served, led by {leader:?}"
+        ))
+    }
+}
+
+/// Upstreams send second copies of a part of their answers while some of them leave.
+pub fn copies(scratch: &Path, is_troubled: bool) -> Result<String, String> {
+    let system = System::start(scratch)?;
+    let consumers = system.consumers();
+    thread::sleep(CALM_TIME);
+    let faulty: Vec<Upstream> = system.upstreams[..COUNT / 2].to_vec();
+    let set_faults = |copies, is_repeating| {
+        let faults = Faults {
+            copies,
+            is_repeating,
+        };
+        let troubled = faulty.iter().filter(|_| is_troubled);
+        troubled.for_each(|upstream| system.all.set_faults(&upstream.id, faults));
+    };
+    set_faults(COPIED_SHARE, false);
+    thread::sleep(FAULT_TIME * 65 / 100);
+    set_faults(COPIED_SHARE, true);
+    thread::sleep(FAULT_TIME * 25 / 100);
+    faulty[..COUNT / 4]
+        .iter()
+        .for_each(|leaving| system.drain(leaving));
+    thread::sleep(FAULT_TIME / 10);
+    set_faults(0.0, false);
+    thread::sleep(Duration::from_secs(4));
+    system.end(consumers)
+}
+
+/// Another writer leaves an entry with the address of an upstream and a service that isn't named.
+pub fn foreign_entry(scratch: &Path, is_troubled: bool) -> Result<String, String> {
+    let system = System::start(scratch)?;
+    let consumers = system.consumers();
+    thread::sleep(CALM_TIME);
+    let upstream = system.upstreams[3].clone();
+    if is_troubled {
+        let entry = Upstream {
+            service: "inventory".to_owned(),
+            born: wall_ms(),
+            ..upstream.clone()
+        };
+        system
+            .store
+            .put("keyed.servers", "inventory-3", &entry.entry("ready", 1));
+    }
+    thread::sleep(PING_INTERVAL * 2);
+    system.drain(&upstream);
+    thread::sleep(Duration::from_secs(6));
+    system.end(consumers)
+}
