--- a/review/standin/orders.rs
+++ b/review/standin/orders.rs
@@ -15,6 +15,12 @@
 
 /// Name of the partitioned service.
 const SERVICE: &str = "huvo11a";
+/// Name of another partitioned service.
+const OTHER_SERVICE: &str = "kafi81c";
+/// Consumers of a system with little load, in which no keys move to balance it.
+const FEW_CONSUMERS: u64 = 8;
+/// Time after which a write without an answer is executed.
+const LATE_TIME: Duration = Duration::from_millis(3_000);
 /// Upstreams of the partitioned service.
 const COUNT: usize = 12;
 /// Time that an upstream works on a request.
@@ -31,13 +37,29 @@
 /// Time from the first request until the disruption begins.
 const CALM_TIME: Duration = Duration::from_secs(5);
 
-fn manifest() -> String {
+/// Returns the manifest, with a route to each of some partitioned services.
+fn manifest(services: &[&str]) -> String {
+    let rule = |(number, service): (usize, &&str)| {
+        let prefix = ["ruta", "acopio"][number];
+        format!(
+            r#"{{"Name":"r-{number}","RouteType":"safe","TargetLatency":"400ms","Priority":2,"Match":{{"PathPrefix":"/{prefix}/"}},"Action":{{"Service":"{service}","Timeout":"1200ms","MaxAttempts":2}}}}"#
+        )
+    };
+    let cluster = |service: &&str| {
+        format!(
+            r#"{{"Name":"{service}","HealthPath":"/health","MaxConnections":120,"Protocol":"h1","Tls":false,"ColdStart":"3s","ColdPerS":14.0,"Sharded":true,"Warmup":"3s","Grants":"api_call"}}"#
+        )
+    };
+    let rules: Vec<String> = services.iter().enumerate().map(rule).collect();
+    let clusters: Vec<String> = services.iter().map(cluster).collect();
     format!(
-        r#"{{"Version":7,"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"}},"Listeners":[{{"Host":"{HOST}","Rules":[{{"Name":"r-1","RouteType":"safe","TargetLatency":"400ms","Priority":2,"Match":{{"PathPrefix":"/ruta/"}},"Action":{{"Service":"{SERVICE}","Timeout":"1200ms","MaxAttempts":2}}}}]}}],"Clusters":[{{"Name":"{SERVICE}","HealthPath":"/health","MaxConnections":120,"Protocol":"h1","Tls":false,"ColdStart":"3s","ColdPerS":14.0,"Sharded":true,"Warmup":"3s","Grants":"api_call"}}]}}"#
+        r#"{{"Version":7,"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"}},"Listeners":[{{"Host":"{HOST}","Rules":[{}]}}],"Clusters":[{}]}}"#,
+        rules.join(","),
+        clusters.join(",")
     )
 }
 
-/// A deployment with one partitioned service.
+/// A deployment with partitioned services.
 struct System {
     store: Store,
     all: Upstreams,
@@ -46,9 +68,10 @@
 }
 
 impl System {
-    fn start(scratch: &Path) -> Result<Self, String> {
+    /// Starts a deployment with `COUNT` upstreams of the first service and some of the others.
+    fn start(scratch: &Path, services: &[&str], others: usize) -> Result<Self, String> {
         let store = Store::start();
-        store.put("keyed.op", "config", &manifest());
+        store.put("keyed.op", "config", &manifest(services));
         let all = Upstreams::new();
         let mut system = Self {
             store,
@@ -57,11 +80,19 @@
             hosts: Vec::new(),
         };
         for number in 0..COUNT {
-            system.add_upstream(number);
+            system.add_upstream(number, SERVICE);
+        }
+        for service in &services[1..] {
+            for number in 0..others {
+                system.add_upstream(50 + number, service);
+            }
         }
         system.hosts = system::start_hosts(scratch, 3, &system.store)?;
         let began = Instant::now();
-        while system.all.held(SERVICE) < 1.0 {
+        while services
+            .iter()
+            .any(|service| system.all.held(service) < 1.0)
+        {
             if began.elapsed() > Duration::from_secs(20) {
                 return Err("the keys are not owned in time".to_owned());
             }
@@ -71,19 +102,19 @@
         Ok(system)
     }
 
-    fn add_upstream(&mut self, number: usize) -> Upstream {
+    fn add_upstream(&mut self, number: usize, service: &str) -> Upstream {
         let id = format!("i-{number:02}7f3a91");
         let zone = ZONES[number % ZONES.len()];
-        let upstream = self.all.start(&id, SERVICE, zone, true, WORK_MS);
+        let upstream = self.all.start(&id, service, zone, true, WORK_MS);
         let entry = upstream.entry("ready", 1);
         self.store.put("keyed.servers", &id, &entry);
         self.upstreams.push(upstream.clone());
         upstream
     }
 
-    fn consumers(&self) -> Consumers {
+    fn consumers(&self, count: u64) -> Consumers {
         let fronts = self.hosts.iter().map(|host| host.front).collect();
-        Consumers::start(CONSUMERS, REQUEST_INTERVAL, fronts)
+        Consumers::start(count, REQUEST_INTERVAL, fronts)
     }
 
     /// Makes an upstream report that it leaves. It goes on serving.
@@ -112,8 +143,8 @@
 
 /// Upstreams send second copies of a part of their answers while some of them leave.
 pub fn copies(scratch: &Path, is_troubled: bool) -> Result<String, String> {
-    let system = System::start(scratch)?;
-    let consumers = system.consumers();
+    let system = System::start(scratch, &[SERVICE], 0)?;
+    let consumers = system.consumers(CONSUMERS);
     thread::sleep(CALM_TIME);
     let faulty: Vec<Upstream> = system.upstreams[..COUNT / 2].to_vec();
     let set_faults = |copies, is_repeating| {
@@ -139,8 +170,8 @@
 
 /// Another writer leaves an entry with the address of an upstream and a service that isn't named.
 pub fn foreign_entry(scratch: &Path, is_troubled: bool) -> Result<String, String> {
-    let system = System::start(scratch)?;
-    let consumers = system.consumers();
+    let system = System::start(scratch, &[SERVICE], 0)?;
+    let consumers = system.consumers(CONSUMERS);
     thread::sleep(CALM_TIME);
     let upstream = system.upstreams[3].clone();
     if is_troubled {
@@ -158,3 +189,31 @@
     thread::sleep(Duration::from_secs(6));
     system.end(consumers)
 }
+
+/// A write of the leader is executed late, after the leader has read the key ranges back. Then
+/// upstreams of both services leave, and the leader stops.
+pub fn late_write(scratch: &Path, is_troubled: bool) -> Result<String, String> {
+    let mut system = System::start(scratch, &[SERVICE, OTHER_SERVICE], 4)?;
+    let consumers = system.consumers(FEW_CONSUMERS);
+    thread::sleep(CALM_TIME);
+    if is_troubled {
+        system.store.delay_append("i-997f3a91", LATE_TIME);
+    }
+    let joining = system.add_upstream(99, SERVICE);
+    thread::sleep(Duration::from_millis(600));
+    system.drain(&joining);
+    thread::sleep(LATE_TIME + Duration::from_millis(500));
+    let others = system.upstreams.iter();
+    let other = others.clone().find(|u| u.service == OTHER_SERVICE).cloned();
+    let other = other.ok_or("no upstream of the other service")?;
+    system.drain(&other);
+    thread::sleep(Duration::from_secs(3));
+    let owners: Vec<Upstream> = system.upstreams[..COUNT / 4].to_vec();
+    owners.iter().for_each(|owner| system.drain(owner));
+    thread::sleep(Duration::from_secs(3));
+    let leader = system.store.leader().unwrap_or_default();
+    let leading = system.hosts.iter().find(|host| host.name == leader);
+    leading.ok_or("no host leads")?.signal("TERM");
+    thread::sleep(Duration::from_secs(18));
+    system.end(consumers)
+}
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -25,6 +25,9 @@
     members: BTreeMap<String, Instant>,
     generation: u64,
     leader: Option<String>,
+    /// Text and delay: the next append that contains the text gets no answer, and is executed after
+    /// the delay if its condition still holds.
+    late: Option<(String, Duration)>,
 }
 
 #[derive(Default)]
@@ -72,12 +75,38 @@
         self.shared.state.lock().unwrap().leader.clone()
     }
 
+    /// Makes the next append that contains a text get no answer. It is executed after a time, if its
+    /// condition still holds.
+    pub fn delay_append(&self, text: &str, delay: Duration) {
+        let mut state = self.shared.state.lock().unwrap();
+        state.late = Some((text.to_owned(), delay));
+    }
+
+    /// Takes the delay of an append, if it is to get no answer.
+    fn take_delay(&self, request: &Request) -> Option<Duration> {
+        let mut state = self.shared.state.lock().unwrap();
+        let (text, _) = state.late.as_ref()?;
+        let is_meant = request.path == "/api/log-append" && request.text().contains(text.as_str());
+        let (_, delay) = state.late.take_if(|_| is_meant)?;
+        Some(delay)
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut writer = stream.try_clone().unwrap();
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read_request(&mut reader) {
             thread::sleep(CALL_TIME);
+            if let Some(delay) = self.take_delay(&request) {
+                record::note("store: an append gets no answer");
+                thread::sleep(delay);
+                let wire = self.handle(&request);
+                let head = String::from_utf8_lossy(&wire[..12]).into_owned();
+                record::note(format!("store: the append is executed late: {head}"));
+                // The connection returns nothing further.
+                while let Ok(Some(_)) = http::read_request(&mut reader) {}
+                return;
+            }
             let wire = self.handle(&request);
             if writer.write_all(&wire).is_err() {
                 return;
--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -241,7 +241,7 @@
 ) {
     let mut random =
         Random(0x9e37_79b9_7f4a_7c15 ^ (number + 1).wrapping_mul(0x1234_5678_9abc_def1));
-    let front = fronts[number as usize % fronts.len()];
+    let mut front = number as usize;
     let mut connection: Option<(TcpStream, BufReader<TcpStream>)> = None;
     let mut count = 0;
     while !stop.load(Ordering::SeqCst) {
@@ -255,7 +255,8 @@
         );
         note(format!("consumer: sends {id} key {key}"));
         if connection.is_none() {
-            let opened = TcpStream::connect_timeout(&front, Duration::from_secs(1));
+            let address = fronts[front % fronts.len()];
+            let opened = TcpStream::connect_timeout(&address, Duration::from_secs(1));
             connection = opened.ok().and_then(|stream| {
                 let _ = stream.set_nodelay(true);
                 let _ = stream.set_read_timeout(Some(Duration::from_millis(2_500)));
@@ -270,6 +271,7 @@
         let closes = |answer: &Answer| answer.headers.get("connection") == Some("close");
         if answer.as_ref().is_none_or(closes) {
             connection = None;
+            front += 1;
         }
         let status = answer.map(|answer| answer.status);
         note(format!("consumer: {id} answered {status:?}"));
