Review, case 2: an owner that is granted keys after a write that is executed late

The leader leaves an owner that it has sent no grant out of the previous owners of a range that moves on. If the write gets no answer, the ranges are read back and that owner is granted the keys; once the write is executed, they are granted elsewhere without its release.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,7 +3,7 @@
 # the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/release/ragwortrilld ] || exit 2
-target/review/standin copies review/2
+target/review/standin late-move review/2
 result=$?
 [ "$result" -le 2 ] || result=2
 exit "$result"
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -24,6 +24,7 @@
         "copies" => orders::copies(&scratch, is_troubled),
         "foreign-entry" => orders::foreign_entry(&scratch, is_troubled),
         "late-write" => orders::late_write(&scratch, is_troubled),
+        "late-move" => orders::late_move(&scratch, is_troubled),
         _ => Err(format!("no case {case}")),
     };
     record::write(&PathBuf::from(folder).join("record.txt"));
--- a/review/standin/orders.rs
+++ b/review/standin/orders.rs
@@ -21,6 +21,12 @@
 const FEW_CONSUMERS: u64 = 8;
 /// Time after which a write without an answer is executed.
 const LATE_TIME: Duration = Duration::from_millis(3_000);
+/// The same for a write that is executed sooner.
+const SHORT_LATE_TIME: Duration = Duration::from_millis(2_000);
+/// Time from the first release of the crashed upstream's keys to one at which none is under way.
+const PAUSE_BETWEEN_RELEASES: Duration = Duration::from_millis(450);
+/// Time for which a data centre is evacuated.
+const EVACUATION_TIME: Duration = Duration::from_millis(800);
 /// Upstreams of the partitioned service.
 const COUNT: usize = 12;
 /// Time that an upstream works on a request.
@@ -217,3 +223,45 @@
     thread::sleep(Duration::from_secs(18));
     system.end(consumers)
 }
+
+/// An upstream crashes. While its keys wait for the end of its grant, the data centre of one of their
+/// new owners is evacuated for a moment, and the leader's write about that is executed late.
+pub fn late_move(scratch: &Path, is_troubled: bool) -> Result<String, String> {
+    let system = System::start(scratch, &[SERVICE], 0)?;
+    let consumers = system.consumers(FEW_CONSUMERS);
+    thread::sleep(CALM_TIME);
+    let crashed = system.upstreams[3].clone();
+    system.all.crash(&crashed);
+    let crashed_at = Instant::now();
+    let moving = format!(r#""Moving":[{{"life":{{"id":"{}""#, crashed.id);
+    let began = Instant::now();
+    let record = loop {
+        if let Some(record) = system.store.find("keyed.ownership", &moving).pop() {
+            break record;
+        }
+        if began.elapsed() > Duration::from_secs(10) {
+            return Err("the keys of the crashed upstream do not move".to_owned());
+        }
+        thread::sleep(Duration::from_millis(10));
+    };
+    let receiver = system.upstreams.iter().find(|upstream| {
+        let owner = format!(r#""owner":{{"id":"{}""#, upstream.id);
+        record.contains(&owner)
+    });
+    let zone = receiver.ok_or("the new owner is not known")?.zone.clone();
+    if is_troubled {
+        system.store.delay_append("Moving", SHORT_LATE_TIME);
+    }
+    let evacuation = format!("evacuate/{zone}");
+    // The leader sends the releases of the crashed upstream's keys again each 310 ms. It plans a move
+    // of keys only while none of their releases is under way.
+    thread::sleep(PAUSE_BETWEEN_RELEASES);
+    system.store.put("keyed.op", &evacuation, "{}");
+    thread::sleep(EVACUATION_TIME);
+    system.store.put("keyed.op", &evacuation, "");
+    // The entry lapses after three pings of silence.
+    thread::sleep((PING_INTERVAL * 3).saturating_sub(crashed_at.elapsed()));
+    system.store.put("keyed.servers", &crashed.id, "");
+    thread::sleep(Duration::from_secs(12));
+    system.end(consumers)
+}
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -70,6 +70,14 @@
         self.shared.appended.notify_all();
     }
 
+    /// Returns the values of the records of a topic whose value contains a text, the oldest first.
+    pub fn find(&self, topic: &str, text: &str) -> Vec<String> {
+        let state = self.shared.state.lock().unwrap();
+        let records = state.topics.get(topic).into_iter().flatten();
+        let values = records.map(|(_, value)| String::from_utf8_lossy(value).into_owned());
+        values.filter(|value| value.contains(text)).collect()
+    }
+
     /// Returns the member that the group names as candidate.
     pub fn leader(&self) -> Option<String> {
         self.shared.state.lock().unwrap().leader.clone()
--- a/review/standin/upstream.rs
+++ b/review/standin/upstream.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     io::{BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex, MutexGuard},
     thread,
     time::Duration,
@@ -47,6 +47,7 @@
     service: String,
     is_sharded: bool,
     is_up: bool,
+    connections: Vec<TcpStream>,
     /// Highest epoch seen for each key.
     seen: Vec<u64>,
     /// Highest epoch of a grant for each key.
@@ -58,8 +59,6 @@
     running: BTreeMap<u64, Work>,
     waiting: usize,
     next_run: u64,
-    /// Requests that ran, and how often.
-    runs: BTreeMap<String, u32>,
     faults: Faults,
     /// Answers since the faults began, and how many of them were repeated.
     answers: u64,
@@ -130,6 +129,7 @@
             service: service.to_owned(),
             is_sharded,
             is_up: true,
+            connections: Vec::new(),
             seen: vec![0; KEYS],
             had: vec![0; KEYS],
             until: vec![0; KEYS],
@@ -137,7 +137,6 @@
             running: BTreeMap::new(),
             waiting: 0,
             next_run: 0,
-            runs: BTreeMap::new(),
             faults: Faults::default(),
             answers: 0,
             copies: 0,
@@ -156,6 +155,13 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let upstream = accepting.clone();
+                let mut world = upstream.all.lock();
+                let state = world.upstreams.get_mut(&upstream.id).unwrap();
+                if !state.is_up {
+                    return;
+                }
+                state.connections.extend(stream.try_clone());
+                drop(world);
                 thread::spawn(move || upstream.serve(stream));
             }
         });
@@ -177,16 +183,22 @@
         state.faults = faults;
     }
 
-    /// Returns how often each request ran at any upstream.
-    pub fn runs(&self) -> BTreeMap<String, u32> {
-        let world = self.lock();
-        let mut all = BTreeMap::new();
-        for state in world.upstreams.values() {
-            for (request, count) in &state.runs {
-                *all.entry(request.clone()).or_default() += count;
-            }
+    /// Makes an upstream crash: its connections are closed and new ones are refused.
+    pub fn crash(&self, upstream: &Upstream) {
+        let mut world = self.lock();
+        let state = world.upstreams.get_mut(&upstream.id).unwrap();
+        state.is_up = false;
+        for connection in state.connections.drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
         }
-        all
+        drop(world);
+        note(format!("{}: crashes", upstream.id));
+        // Wakes the task that accepts connections, which ends and closes the listener.
+        let _ = TcpStream::connect(upstream.address);
+    }
+
+    fn is_up(&self, id: &str) -> bool {
+        self.lock().upstreams[id].is_up
     }
 
     /// Returns the part of a service's keys that some upstream holds.
@@ -327,6 +339,9 @@
                 }
             }
             let wire = self.handle(&request);
+            if !self.all.is_up(&self.id) {
+                return;
+            }
             if writer.write_all(&wire).is_err() {
                 return;
             }
@@ -458,7 +473,6 @@
             request: id.clone(),
         };
         state.running.insert(run, work);
-        *state.runs.entry(id.clone()).or_default() += 1;
         let is_sharded = state.is_sharded;
         if is_sharded {
             world.judge_start(&self.id, key);
