Read back all services' ranges after a failed write

Cause: `Leadership::reload` took the end of the topic as of its read, on which the next writes of all services are conditional, but replaced the ranges of the one service whose write had failed. A write for another service that had been executed late stayed unseen, and the next write for it left its records beside those of the late one.

Change: all assignments are replaced. All services' changes are written by one append, and nothing is planned meanwhile: two writes of the same moment had the same condition, so that one always failed. Epochs of a change that was not written are not allocated again.

--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -72,6 +72,9 @@
 /// Largest number of records of one append. A record of a range has up to a few hundred bytes.
 const MAX_DRAFTS_PER_APPEND: usize = 1_000;
 
+/// Changed ranges by service.
+type Changes = BTreeMap<name::Service, Vec<Range>>;
+
 /// State that a host keeps while it leads.
 struct Leadership {
     shared: Rc<Shared>,
@@ -323,8 +326,8 @@
                     Action::Send(order) => {
                         tokio::task::spawn_local(self.clone().send(order, started));
                     }
-                    Action::Write(service, ranges) => {
-                        tokio::task::spawn_local(self.clone().write(service, ranges));
+                    Action::Write(changes) => {
+                        tokio::task::spawn_local(self.clone().write(changes));
                     }
                     Action::Resign => {
                         candidate.withdraw(self.shared.now());
@@ -420,20 +423,21 @@
         })
     }
 
-    async fn write(self: Rc<Self>, service: name::Service, ranges: Vec<Range>) {
+    async fn write(self: Rc<Self>, changes: Changes) {
         let mut store = Store::new(self.shared.clone());
         let sent = self.shared.now();
-        match self.try_write(&mut store, &service, &ranges).await {
+        match self.try_write(&mut store, &changes).await {
             Ok((records, end)) => {
                 self.topic_end.set(end);
                 self.apply_written(records, end, sent);
-                self.log_moves(&service, &ranges);
-                self.leader.borrow_mut().confirm_write(&service);
+                self.log_moves(&changes);
+                self.leader.borrow_mut().confirm_write();
                 self.progress.notify_one();
             }
             Err(error) => {
-                log::warn!(service = service.as_str(), error = format!("{error:#}"); "key assignment not written to the store; reading it back");
-                self.reload(&mut store, &service).await;
+                let services: Vec<&str> = changes.keys().map(name::Service::as_str).collect();
+                log::warn!(services = services.join(" "), at = self.topic_end.get().0, error = format!("{error:#}"); "key assignments not written to the store; reading them back");
+                self.reload(&mut store).await;
             }
         }
     }
@@ -450,8 +454,10 @@
     }
 
     /// Logs each range that moves to a new owner, for the audit trail.
-    fn log_moves(&self, service: &name::Service, ranges: &[Range]) {
-        for range in ranges {
+    fn log_moves(&self, changes: &Changes) {
+        let all = changes.iter();
+        let ranges = all.flat_map(|(service, ranges)| ranges.iter().map(move |r| (service, r)));
+        for (service, range) in ranges {
             let State::Moving(previous) = &range.state else {
                 continue;
             };
@@ -470,15 +476,18 @@
     async fn try_write(
         &self,
         store: &mut Store,
-        service: &name::Service,
-        ranges: &[Range],
+        changes: &Changes,
     ) -> Result<(Vec<Record>, Offset)> {
         if !self.lease.is_valid() {
             bail!("leader lease expired before the write");
         }
         let topic = self.shared.protocol.topics.ownership;
-        let drafts = ranges.iter().map(|range| range_draft(service, range));
-        let mut records: Vec<Draft> = drafts.collect::<Result<_>>()?;
+        let mut records = Vec::new();
+        for (service, ranges) in changes {
+            for range in ranges {
+                records.push(range_draft(service, range)?);
+            }
+        }
         let is_certain = self.shared.now() >= self.lease.earlier_grants_until();
         let settles = self.is_uncertain.get() && is_certain;
         if settles {
@@ -500,38 +509,35 @@
         }
     }
 
-    /// Reads the assignment back after a write that was rejected or whose outcome is unknown.
-    async fn reload(&self, store: &mut Store, service: &name::Service) {
+    /// Reads the assignments back after a write that was rejected or whose outcome is unknown.
+    async fn reload(&self, store: &mut Store) {
         loop {
             sleep(RELOAD_DELAY).await;
             if !self.lease.is_valid() {
                 return;
             }
-            let is_own = |term: &Term| term.is_same(self.lease.term());
-            match read(&self.shared, store).await {
-                // Another leader has claimed the keys. It can't know which moves this host would
-                // continue, so this host stops.
-                Ok(snapshot)
-                    if !snapshot.term.as_ref().is_some_and(is_own) || !self.lease.is_valid() =>
-                {
-                    self.lease.revoke();
-                    return;
-                }
-                // The next leader asks other hosts for the range that can't be decoded.
-                Ok(snapshot) if snapshot.is_damaged => {
-                    self.lease.revoke();
-                    return;
-                }
-                Ok(mut snapshot) => {
-                    self.topic_end.set(snapshot.end);
-                    let assignment = snapshot.assignments.remove(service).unwrap_or_default();
-                    self.leader.borrow_mut().reload(service, assignment);
-                    return;
-                }
+            match self.try_reload(store).await {
+                Ok(()) => return,
                 Err(error) => {
                     log::warn!(error = format!("{error:#}"); "key assignments can't be read from the store; retrying")
                 }
             }
         }
     }
+
+    async fn try_reload(&self, store: &mut Store) -> Result<()> {
+        let is_own = |term: &Term| term.is_same(self.lease.term());
+        let snapshot = read(&self.shared, store).await?;
+        // Another leader has claimed the keys. It can't know which moves this host would continue, so
+        // this host stops. A range that can't be decoded is left to the next leader, which asks other
+        // hosts for it.
+        let is_claimed = snapshot.term.as_ref().is_some_and(is_own);
+        if !is_claimed || snapshot.is_damaged || !self.lease.is_valid() {
+            self.lease.revoke();
+            return Ok(());
+        }
+        self.topic_end.set(snapshot.end);
+        self.leader.borrow_mut().reload(&snapshot.assignments);
+        Ok(())
+    }
 }
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -82,8 +82,8 @@
 /// An effect that the leader requests from its host.
 #[derive(Clone, Debug)]
 pub enum Action {
-    /// Write the changed ranges of a service to the log, atomically.
-    Write(name::Service, Vec<Range>),
+    /// Write the changed ranges of services to the log, atomically.
+    Write(BTreeMap<name::Service, Vec<Range>>),
     /// Send an order to its target.
     Send(Order),
     /// Give up leadership, since most owners of keys do not respond to this host.
@@ -173,24 +173,47 @@
             if partition.is_isolated() {
                 return vec![Action::Resign];
             }
-            partition.tick(service, tick, self.earlier_grants_end, &mut actions);
+            partition.issue_orders(service, tick, self.earlier_grants_end, &mut actions);
+        }
+        let changes = self.plan(tick);
+        if !changes.is_empty() {
+            actions.push(Action::Write(changes));
         }
         actions
     }
 
-    /// Records that the ranges of a service's last [`Action::Write`] are in the log.
-    pub fn confirm_write(&mut self, service: &name::Service) {
-        if let Some(partition) = self.partitions.get_mut(service) {
-            partition.confirm_write();
+    /// Plans the next change of each service. While a change is being written nothing is planned, since
+    /// each write is conditional on the end of the log.
+    fn plan(&mut self, tick: &Tick<'_>) -> BTreeMap<name::Service, Vec<Range>> {
+        let mut changes = BTreeMap::new();
+        if !tick.is_current || self.partitions.values().any(Partition::is_writing) {
+            return changes;
+        }
+        for service in tick.services {
+            let partition = self.partitions.entry(service.clone()).or_default();
+            let changed = partition.draft_change(service, tick, self.earlier_grants_end);
+            if let Some(changed) = changed {
+                changes.insert(service.clone(), changed);
+            }
         }
+        changes
+    }
+
+    /// Records that the ranges of the last [`Action::Write`] are in the log.
+    pub fn confirm_write(&mut self) {
+        self.partitions
+            .values_mut()
+            .for_each(Partition::confirm_write);
     }
 
-    /// Replaces an assignment by the contents of the log, after a write that failed or whose
-    /// outcome is unknown.
-    pub fn reload(&mut self, service: &name::Service, assignment: Assignment) {
-        let partition = self.partitions.entry(service.clone()).or_default();
-        partition.durable = assignment;
-        partition.draft = None;
+    /// Replaces all assignments by the contents of the log, after a write that failed or whose
+    /// outcome is unknown. The write must not be executed any more: the next changes count on the
+    /// orders that were sent by these assignments.
+    pub fn reload(&mut self, assignments: &BTreeMap<name::Service, Assignment>) {
+        for (service, partition) in &mut self.partitions {
+            let assignment = assignments.get(service).cloned().unwrap_or_default();
+            partition.reload(assignment);
+        }
     }
 
     /// Records the response to an order.
--- a/crates/router/src/leader/partition.rs
+++ b/crates/router/src/leader/partition.rs
@@ -67,9 +67,9 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Partition {
     /// Ranges as written to the log.
-    pub(super) durable: Assignment,
+    durable: Assignment,
     /// Ranges with the change that is being written.
-    pub(super) draft: Option<Assignment>,
+    draft: Option<Assignment>,
     moves: BTreeMap<u64, Progress>,
     /// Ranges whose owner refused the grant because it has seen a higher epoch.
     refused: BTreeSet<u64>,
@@ -146,26 +146,26 @@
         owners.len() >= 3 && owners.iter().filter(unresponsive).count() * 2 > owners.len()
     }
 
-    pub(super) fn tick(
+    /// Tells whether a change is being written.
+    pub(super) fn is_writing(&self) -> bool {
+        self.draft.is_some()
+    }
+
+    /// Plans the next change, and returns the ranges to write for it.
+    pub(super) fn draft_change(
         &mut self,
         service: &name::Service,
         tick: &Tick<'_>,
         earlier_grants_end: Instant,
-        actions: &mut Vec<Action>,
-    ) {
-        self.issue_orders(service, tick, earlier_grants_end, actions);
-        if tick.is_current
-            && self.draft.is_none()
-            && let Some(draft) = self.plan(service, tick, earlier_grants_end)
-        {
-            let changes = draft.changes(&self.durable).cloned().collect();
-            actions.push(Action::Write(service.clone(), changes));
-            self.draft = Some(draft);
-        }
+    ) -> Option<Vec<Range>> {
+        let draft = self.plan(service, tick, earlier_grants_end)?;
+        let changes = draft.changes(&self.durable).cloned().collect();
+        self.draft = Some(draft);
+        Some(changes)
     }
 
     /// Sends the orders that the written assignment requires.
-    fn issue_orders(
+    pub(super) fn issue_orders(
         &mut self,
         service: &name::Service,
         tick: &Tick<'_>,
@@ -413,9 +413,21 @@
     }
 
     pub(super) fn confirm_write(&mut self) {
-        let Some(written) = self.draft.take() else {
-            return;
-        };
+        if let Some(written) = self.draft.take() {
+            self.replace(written);
+        }
+    }
+
+    /// Replaces the assignment by the contents of the log. The epochs of a change that was not
+    /// written are not allocated again.
+    pub(super) fn reload(&mut self, mut assignment: Assignment) {
+        let draft = self.draft.take();
+        let allocated = draft.map_or(0, |draft| draft.next_epoch);
+        assignment.raise_epochs(allocated.max(self.durable.next_epoch));
+        self.replace(assignment);
+    }
+
+    fn replace(&mut self, written: Assignment) {
         self.durable = written;
         let epochs: BTreeSet<u64> = self.durable.ranges.iter().map(|r| r.epoch).collect();
         self.moves.retain(|epoch, _| epochs.contains(epoch));
--- a/crates/router/tests/restore.rs
+++ b/crates/router/tests/restore.rs
@@ -323,11 +323,12 @@
         });
         for action in actions {
             match action {
-                Action::Write(service, ranges) => {
-                    ranges
-                        .into_iter()
+                Action::Write(changes) => {
+                    changes
+                        .into_values()
+                        .flatten()
                         .for_each(|range| self.stored.upsert(range));
-                    self.leader.confirm_write(&service);
+                    self.leader.confirm_write();
                 }
                 Action::Send(order) => {
                     let response = self.carry_out(&order);
--- a/crates/router/tests/simulation/mod.rs
+++ b/crates/router/tests/simulation/mod.rs
@@ -134,7 +134,8 @@
         for action in self.tick() {
             match action {
                 Action::Write(..) if self.drops_writes => {}
-                Action::Write(_, ranges) => {
+                Action::Write(mut changes) => {
+                    let ranges = changes.remove(&service()).unwrap_or_default();
                     self.writes.push((self.now + self.write_time, ranges));
                     self.complete_writes();
                 }
@@ -159,7 +160,7 @@
             ranges
                 .into_iter()
                 .for_each(|range| self.durable.upsert(range));
-            self.leader.confirm_write(&service());
+            self.leader.confirm_write();
         }
     }
 
