Preclude a failed write before acting on the ranges read back

Cause: a write without an answer may be executed seconds later if the topic still ends where its condition says. The leader read the ranges back as they were, dropped its change and sent grants by these ranges. The change did not list the owner that was granted the keys after that, so once it was executed the next owner got them at once.

Change: if the topic still ends at the failed write's condition, the leader appends its claim again on that condition. Once that is written the failed write can't be; only then does it act on what it read back.

--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -536,8 +536,32 @@
             self.lease.revoke();
             return Ok(());
         }
-        self.topic_end.set(snapshot.end);
+        let end = match snapshot.end == self.topic_end.get() {
+            true => self.preclude(store, snapshot.end).await?,
+            false => snapshot.end,
+        };
+        self.topic_end.set(end);
         self.leader.borrow_mut().reload(&snapshot.assignments);
         Ok(())
     }
+
+    /// Appends this leader's claim again after a write that is conditional on the end of the topic and
+    /// may still be executed. Returns the new end, at which the write can't be executed any more.
+    async fn preclude(&self, store: &mut Store, end: Offset) -> Result<Offset> {
+        let topic = self.shared.protocol.topics.ownership;
+        let claim = claim(self.lease.term(), self.is_uncertain.get())?;
+        let sent = self.shared.now();
+        match store
+            .append(topic, Some(end), std::slice::from_ref(&claim))
+            .await?
+        {
+            Append::Done(end) => {
+                log::info!(end = end.0; "a write without an answer can't be executed any more");
+                self.apply_written(assign_offsets(vec![claim], end), end, sent);
+                Ok(end)
+            }
+            Append::Conflict(_) => bail!("a record was appended while the ranges were read back"),
+            Append::Refused => bail!("the store rejected the claim"),
+        }
+    }
 }
