Send orders with a request id, so that another process refuses them

Cause: targets of other services had taken over the addresses.

Change: each order carries an id of its own.

--- a/crates/entry/src/leadership/order.rs
+++ b/crates/entry/src/leadership/order.rs
@@ -4,6 +4,7 @@
 
 use ragwortrill_core::time::{Instant, Span};
 use ragwortrill_router::leader::{Operation, Order, Response};
+use rand::RngExt;
 
 use super::Leadership;
 use crate::{
@@ -105,7 +106,8 @@
             Operation::Grant { .. } => GRANT_TIMEOUT,
             Operation::Release => RELEASE_TIMEOUT,
         };
-        let call = (self.shared.protocol.encode_order)(order);
+        let id = self.shared.random.borrow_mut().random();
+        let call = (self.shared.protocol.encode_order)(order, id);
         let outcome = client
             .call_if(&call, limit, || self.may_send(order, planned_at))
             .await;
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -32,8 +32,8 @@
     pub parse_command: fn(&str) -> Option<Command>,
     /// Decodes the load that a target reports in a header.
     pub decode_load: fn(&str) -> Option<Report>,
-    /// Encodes a grant or release as a request to a target.
-    pub encode_order: fn(&Order) -> Call,
+    /// Encodes a grant or release as a request to a target, with an id of the request.
+    pub encode_order: fn(&Order, u64) -> Call,
     /// Returns the address at which this host reaches a target that registered with an address.
     pub dial: fn(SocketAddr) -> SocketAddr,
     /// Returns the handover token in a target's reply to a release.
