Log why a previous owner of keys counts as cleared, and never drop the lines of a move

First grants were logged as routine renewals.

Lines about moves now have a log target of their own that is not limited; their number is bounded by the leader's budget for orders. Each previous owner that is cleared is logged with the evidence for it, each written move with all previous owners and their epochs, and first grants at level info.

No logic is changed.

--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -20,6 +20,9 @@
 const MAX_INFO_LINES: u32 = 40;
 /// Largest number of lines of one message that are written in a window, for warnings and errors.
 const MAX_WARNING_LINES: u32 = 150;
+/// Log target of lines that are never suppressed: the orders by which keys move, whose number the leader
+/// limits itself.
+pub const AUDIT: &str = "ragwortrill_entry::audit";
 /// Length of the window in which the lines of a message are counted.
 const WINDOW_MS: u64 = 1_000;
 /// Interval between two writes, so that many lines share one.
@@ -93,8 +96,12 @@
 }
 
 impl Limiter {
-    /// Counts a line and decides whether it is written. Messages with arguments are not limited.
+    /// Counts a line and decides whether it is written. Lines of the target [`AUDIT`] and messages with
+    /// arguments are not limited.
     pub fn admit(&self, record: &log::Record<'_>) -> Decision {
+        if record.target() == AUDIT {
+            return Decision::Write;
+        }
         let Some(message) = record.args().as_str() else {
             return Decision::Write;
         };
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -23,7 +23,7 @@
 };
 use ragwortrill_router::{
     assignment::{Assignment, Range, State},
-    leader::{Action, Leader, Tick},
+    leader::{Action, Clearance, Leader, Tick},
     pace,
     registration::Incarnation,
 };
@@ -37,6 +37,7 @@
     call::Client,
     candidacy::Candidacy,
     follow::{self, Topic},
+    journal::AUDIT,
     lease::{Lease, TERM_KEY, Term},
     protocol::{Append, Draft, Read, Record},
     rate_limit, reach, recovery,
@@ -265,6 +266,16 @@
     Ok((snapshot, is_uncertain))
 }
 
+fn log_clearance(clearance: &Clearance) {
+    log::info!(
+        target: AUDIT, service = clearance.service.as_str(), first = clearance.first,
+        last = clearance.last, range_epoch = clearance.range_epoch,
+        target = clearance.owner.target.id.as_str(), epoch = clearance.owner.fence,
+        evidence = format!("{:?}", clearance.evidence);
+        "previous owner can't hold the keys any more"
+    );
+}
+
 /// Returns the record by which a leader claims the ownership topic.
 fn claim(term: &Term, is_uncertain: bool) -> Result<Draft> {
     let claim = Term {
@@ -329,6 +340,7 @@
                     Action::Write(changes) => {
                         tokio::task::spawn_local(self.clone().write(changes));
                     }
+                    Action::Log(clearance) => log_clearance(&clearance),
                     Action::Resign => {
                         candidate.withdraw(self.shared.now());
                         bail!("most targets do not answer this host; resigning as leader");
@@ -464,10 +476,14 @@
             let from = previous
                 .last()
                 .map_or("", |previous| previous.target.id.as_str());
+            let previous: Vec<String> = previous
+                .iter()
+                .map(|owner| format!("{}@{}", owner.target.id, owner.fence))
+                .collect();
             log::info!(
-                service = service.as_str(), first = range.first, last = range.last,
-                epoch = range.epoch, from = from, target = range.owner.id.as_str(),
-                term = self.lease.term().number;
+                target: AUDIT, service = service.as_str(), first = range.first, last = range.last,
+                epoch = range.epoch, from = from, previous = previous.join(" "),
+                target = range.owner.id.as_str(), term = self.lease.term().number;
                 "keys move"
             );
         }
--- a/crates/entry/src/leadership/order.rs
+++ b/crates/entry/src/leadership/order.rs
@@ -10,6 +10,7 @@
 use crate::{
     attempt::MISDIRECTED,
     call::{Client, Error, Reply},
+    journal::AUDIT,
     leaving, reach,
     shared::Shared,
 };
@@ -36,27 +37,27 @@
             false => Response::Unsent,
         };
         self.record_order(&order, &answer);
-        let is_routine = matches!(
-            (&order.operation, &answer),
-            (Operation::Grant { .. }, Response::Done(_))
-        );
+        let now = self.shared.now();
+        let is_renewal = is_renewal(&self.shared, &order);
+        let is_routine = is_renewal && matches!(answer, Response::Done(_));
         let level = if is_routine {
             log::Level::Debug
         } else {
             log::Level::Info
         };
         log::log!(
-            level, service = order.service.as_str(), target = order.target.id.as_str(),
-            first = order.first, last = order.last, epoch = order.fence,
-            order = format!("{:?}", order.operation), answer = format!("{answer:?}");
+            target: AUDIT, level, service = order.service.as_str(),
+            target = order.target.id.as_str(), first = order.first, last = order.last,
+            epoch = order.fence, range_epoch = order.range_epoch,
+            order = format!("{:?}", order.operation), answer = format!("{answer:?}"),
+            planned_ms_ago = now.since(planned_at).as_millis();
             "grant or release ended"
         );
-        let now = self.shared.now();
         let is_unanswered = matches!(
             answer,
             Response::Silent | Response::Unreached | Response::Unsent
         );
-        let has_follow_up = !is_unanswered && !is_renewal(&self.shared, &order);
+        let has_follow_up = !is_unanswered && !is_renewal;
         self.leader
             .borrow_mut()
             .record_response(now, &order, answer);
--- a/crates/entry/tests/journal.rs
+++ b/crates/entry/tests/journal.rs
@@ -1,6 +1,6 @@
 //! Limits on the number of log lines.
 
-use ragwortrill_entry::journal::{Decision, Limiter};
+use ragwortrill_entry::journal::{AUDIT, Decision, Limiter};
 
 struct Case {
     name: &'static str,
@@ -63,3 +63,33 @@
         assert_eq!(decision, case.decision, "{}", case.name);
     }
 }
+
+/// Guards against a log of a busy leader that lacks the orders by which keys moved.
+#[test]
+fn lines_about_moves_of_keys_are_never_left_out() {
+    struct Case {
+        target: &'static str,
+        is_limited: bool,
+    }
+    let cases = [
+        Case {
+            target: AUDIT,
+            is_limited: false,
+        },
+        Case {
+            target: "ragwortrill_entry::apply",
+            is_limited: true,
+        },
+    ];
+    let limiter = Limiter::default();
+    for case in cases {
+        let record = log::Record::builder()
+            .target(case.target)
+            .level(log::Level::Info)
+            .args(format_args!("grant or release ended"))
+            .build();
+        let written = (0..1_000).map(|_| limiter.admit(&record));
+        let is_limited = written.into_iter().any(|d| d == Decision::Suppress);
+        assert_eq!(is_limited, case.is_limited, "{}", case.target);
+    }
+}
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -17,7 +17,7 @@
 
 use self::partition::Partition;
 use crate::{
-    assignment::{Assignment, Key, Range},
+    assignment::{Assignment, Key, PreviousOwner, Range},
     fleet::Fleet,
     registration::Incarnation,
     traffic::Traffic,
@@ -79,9 +79,39 @@
     Unsent,
 }
 
+/// Evidence that a previous owner can't hold the keys of a range any more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Evidence {
+    /// It answered the release.
+    Released,
+    /// Another process answered at its address.
+    Ended,
+    /// It does not answer, and its last possible grant has expired.
+    Expired,
+}
+
+/// A previous owner that can't hold the keys of a moving range any more.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Clearance {
+    /// Service that the keys belong to.
+    pub service: name::Service,
+    /// Epoch of the range.
+    pub range_epoch: u64,
+    /// First key of the range.
+    pub first: Key,
+    /// Last key of the range, included.
+    pub last: Key,
+    /// The previous owner.
+    pub owner: PreviousOwner,
+    /// Why it can't hold the keys.
+    pub evidence: Evidence,
+}
+
 /// An effect that the leader requests from its host.
 #[derive(Clone, Debug)]
 pub enum Action {
+    /// Log that a previous owner can't hold the keys of a range any more.
+    Log(Clearance),
     /// Write the changed ranges of services to the log, atomically.
     Write(BTreeMap<name::Service, Vec<Range>>),
     /// Send an order to its target.
@@ -174,6 +204,7 @@
                 return vec![Action::Resign];
             }
             partition.issue_orders(service, tick, self.earlier_grants_end, &mut actions);
+            actions.extend(partition.take_clearances());
         }
         let changes = self.plan(tick);
         if !changes.is_empty() {
--- a/crates/router/src/leader/partition.rs
+++ b/crates/router/src/leader/partition.rs
@@ -8,7 +8,7 @@
     time::{Instant, Span},
 };
 
-use super::{Action, Operation, Order, Response, Tick, expiry};
+use super::{Action, Clearance, Evidence, Operation, Order, Response, Tick, expiry};
 use crate::{
     assignment::{Assignment, Key, PreviousOwner, Range, State},
     fleet::Fleet,
@@ -93,6 +93,8 @@
     balanced_at: Instant,
     /// Orders that may be sent now.
     budget: Bucket,
+    /// Previous owners that were cleared since the last tick.
+    clearances: Vec<Clearance>,
 }
 
 impl Partition {
@@ -195,7 +197,9 @@
             }
             let step = match &range.state {
                 State::Held => self.renew(&range, tick),
-                State::Moving(previous) => self.advance(&range, previous, tick, earlier_grants_end),
+                State::Moving(previous) => {
+                    self.advance(service, &range, previous, tick, earlier_grants_end)
+                }
             };
             let Some((target, fence, operation)) = step else {
                 continue;
@@ -230,6 +234,7 @@
     /// Returns the next order of a move: the release of a previous owner, or the first grant.
     fn advance(
         &mut self,
+        service: &name::Service,
         range: &Range,
         previous: &[PreviousOwner],
         tick: &Tick<'_>,
@@ -241,9 +246,8 @@
             if self.moves.get(&range.epoch).is_some_and(cleared) {
                 continue;
             }
-            if !self.can_hold(target, tick, earlier_grants_end) {
-                let progress = self.moves.entry(range.epoch).or_default();
-                progress.cleared.insert(target.clone());
+            if let Some(evidence) = self.evidence(target, tick, earlier_grants_end) {
+                self.clear(service, range, earlier, evidence);
                 continue;
             }
             let process = self.successor(target, tick).unwrap_or(target);
@@ -261,15 +265,49 @@
         Some((range.owner.clone(), range.epoch, grant(tick.hold, handover)))
     }
 
-    /// Tells whether a previous owner that has not released its keys may still hold them.
-    fn can_hold(&self, target: &Incarnation, tick: &Tick<'_>, earlier_grants_end: Instant) -> bool {
+    /// Returns the evidence that a previous owner that has not released its keys can't hold them any
+    /// more, if there is any.
+    fn evidence(
+        &self,
+        target: &Incarnation,
+        tick: &Tick<'_>,
+        earlier_grants_end: Instant,
+    ) -> Option<Evidence> {
         if self.ended.contains(target) {
-            return false;
+            return Some(Evidence::Ended);
         }
         let end = self.grants_end.get(target).copied().unwrap_or_default();
         // A responsive target is always sent a release: that is faster than waiting for its grant
         // to expire, and returns a handover token.
-        !self.is_unresponsive(target) || tick.now < end.max(earlier_grants_end)
+        let has_expired = self.is_unresponsive(target) && tick.now >= end.max(earlier_grants_end);
+        has_expired.then_some(Evidence::Expired)
+    }
+
+    /// Records that a previous owner can't hold the keys of a range any more.
+    fn clear(
+        &mut self,
+        service: &name::Service,
+        range: &Range,
+        owner: &PreviousOwner,
+        evidence: Evidence,
+    ) {
+        let progress = self.moves.entry(range.epoch).or_default();
+        progress.cleared.insert(owner.target.clone());
+        self.clearances.push(Clearance {
+            service: service.clone(),
+            range_epoch: range.epoch,
+            first: range.first,
+            last: range.last,
+            owner: owner.clone(),
+            evidence,
+        });
+    }
+
+    /// Returns the previous owners that were cleared since the last call.
+    pub(super) fn take_clearances(&mut self) -> impl Iterator<Item = Action> + use<> {
+        std::mem::take(&mut self.clearances)
+            .into_iter()
+            .map(Action::Log)
     }
 
     /// Returns the later incarnation of a target that is registered at another address, unless it
@@ -463,9 +501,9 @@
                 }
             }
             (Response::Done(handover), Operation::Release) => {
-                if let Some(previous) = self.released_owner(order) {
+                if let Some((range, previous)) = self.released_owner(order) {
+                    self.clear(&order.service, &range, &previous, Evidence::Released);
                     let progress = self.moves.entry(order.range_epoch).or_default();
-                    progress.cleared.insert(previous);
                     progress.handover = handover.or(progress.handover.take());
                 }
             }
@@ -479,15 +517,16 @@
 }
 
 impl Partition {
-    /// Returns the previous owner that a release concerns, which its successor may have answered.
-    fn released_owner(&self, order: &Order) -> Option<Incarnation> {
+    /// Returns the range and the previous owner that a release concerns, which its successor may have
+    /// answered.
+    fn released_owner(&self, order: &Order) -> Option<(Range, PreviousOwner)> {
         let mut ranges = self.durable.ranges.iter();
         let range = ranges.find(|range| range.epoch == order.range_epoch)?;
         let State::Moving(previous) = &range.state else {
             return None;
         };
         let released = previous.iter().find(|owner| owner.fence == order.fence)?;
-        Some(released.target.clone())
+        Some((range.clone(), released.clone()))
     }
 
     /// Tells whether an order matches a range of the written assignment.
--- a/crates/router/tests/restore.rs
+++ b/crates/router/tests/restore.rs
@@ -334,7 +334,7 @@
                     let response = self.carry_out(&order);
                     self.leader.record_response(self.now, &order, response);
                 }
-                Action::Resign => {}
+                Action::Log(_) | Action::Resign => {}
             }
         }
     }
--- a/crates/router/tests/simulation/mod.rs
+++ b/crates/router/tests/simulation/mod.rs
@@ -144,6 +144,7 @@
                     self.leader.record_response(self.now, &order, response);
                     self.orders.push(order);
                 }
+                Action::Log(_) => {}
                 Action::Resign => return true,
             }
         }
