Keep the progress of a move by grant, not by target

Cause: a range that returns to a target before its earlier move has ended lists it twice among its previous owners, with two release epochs. The leader kept those that can't hold the keys any more as a set of targets, so the answer to the release with the lower epoch cleared both entries. The other release was never sent, and a grant with an epoch between the two was carried out after the keys had been granted elsewhere.

Each release has an epoch of its own, which names the grants that it fences. So the progress holds these epochs, and an entry counts as cleared only by the evidence for it.

--- a/crates/router/src/leader/partition.rs
+++ b/crates/router/src/leader/partition.rs
@@ -45,8 +45,9 @@
 /// Progress of the move of one range.
 #[derive(Clone, Debug, Default)]
 struct Progress {
-    /// Previous owners that can't hold the keys any more.
-    cleared: BTreeSet<Incarnation>,
+    /// Epochs of the releases of previous owners that can't hold the keys any more. They are not
+    /// kept by target, since keys may return to one before the move has ended.
+    cleared: BTreeSet<u64>,
     /// Token from the last release; with it, the keys are not cold.
     handover: Option<String>,
     /// Whether a grant may have been sent to the new owner.
@@ -242,7 +243,7 @@
     ) -> Option<(Incarnation, u64, Operation)> {
         for earlier in previous {
             let target = &earlier.target;
-            let cleared = |progress: &Progress| progress.cleared.contains(target);
+            let cleared = |progress: &Progress| progress.cleared.contains(&earlier.fence);
             if self.moves.get(&range.epoch).is_some_and(cleared) {
                 continue;
             }
@@ -292,7 +293,7 @@
         evidence: Evidence,
     ) {
         let progress = self.moves.entry(range.epoch).or_default();
-        progress.cleared.insert(owner.target.clone());
+        progress.cleared.insert(owner.fence);
         self.clearances.push(Clearance {
             service: service.clone(),
             range_epoch: range.epoch,
@@ -403,7 +404,7 @@
             if let State::Moving(previous) = &mut range.state {
                 previous.retain(|earlier| match earlier.target == old.owner {
                     true => progress.is_granted,
-                    false => !progress.cleared.contains(&earlier.target),
+                    false => !progress.cleared.contains(&earlier.fence),
                 });
             }
         }
--- a/crates/router/tests/simulation/mod.rs
+++ b/crates/router/tests/simulation/mod.rs
@@ -1,5 +1,7 @@
 //! Simulation of targets that carry out orders or don't respond, and of the leader of their keys.
 
+#![allow(dead_code)]
+
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use ragwortrill_core::{
@@ -40,6 +42,22 @@
     /// Writes in progress, with the times at which they complete.
     pub writes: Vec<(Instant, Vec<Range>)>,
     pub orders: Vec<Order>,
+    /// Decides what becomes of an order that reaches its target.
+    pub fate: Box<dyn FnMut(&Order) -> Fate>,
+    /// Orders that got no response and are carried out later, with their arrival and that time.
+    pub late: Vec<(Instant, Instant, Order)>,
+    /// Epochs by which targets had keys: target, first key, last key and epoch.
+    pub had: Vec<(String, u16, u16, u64)>,
+}
+
+/// What becomes of an order that reaches its target.
+pub enum Fate {
+    /// It is carried out and answered.
+    Answered,
+    /// It gets no response and is not carried out.
+    Lost,
+    /// It gets no response and is carried out after a time.
+    Late(Span),
 }
 
 pub fn service() -> name::Service {
@@ -84,6 +102,9 @@
             write_time: Span::ZERO,
             writes: Vec::new(),
             orders: Vec::new(),
+            fate: Box::new(|_| Fate::Answered),
+            late: Vec::new(),
+            had: Vec::new(),
         };
         for id in targets {
             sim.register(registration(id, 1));
@@ -108,13 +129,30 @@
     }
 
     pub fn drain(&mut self, id: &str) {
-        let mut registration = registration(id, 1);
+        self.drain_since(id, 1);
+    }
+
+    /// Lets the run of a target that started at a time drain.
+    pub fn drain_since(&mut self, id: &str, start_ms: u64) {
+        let mut registration = registration(id, start_ms);
         registration.is_draining = true;
         self.register(registration);
     }
 
-    /// Starts a new leader that knows only the log, while the old one's lease may last for `lease`.
+    /// Restarts a target under its id: it holds and knows nothing of before, and orders that it has
+    /// not carried out are gone.
+    pub fn restart(&mut self, id: &str, start_ms: u64) {
+        self.grants.retain(|(target, ..), _| target != id);
+        self.seen.retain(|(target, ..)| target != id);
+        self.late
+            .retain(|(.., order)| order.target.id.as_str() != id);
+        self.register(registration(id, start_ms));
+    }
+
+    /// Starts a new leader that knows only the log, while the old one's lease may last for `lease`. Its
+    /// claim keeps writes in progress from being executed.
     pub fn replace_leader(&mut self, lease: Span) {
+        self.writes.clear();
         let assignments = BTreeMap::from([(service(), self.durable.clone())]);
         let until = ragwortrill_router::leader::expiry(self.now + lease, MAX_HOLD);
         self.leader = Leader::new(&assignments, until);
@@ -131,6 +169,7 @@
     /// Carries out the actions of one tick. Returns whether the leader resigns.
     pub fn step(&mut self) -> bool {
         self.complete_writes();
+        self.carry_out_late();
         for action in self.tick() {
             match action {
                 Action::Write(..) if self.drops_writes => {}
@@ -165,6 +204,12 @@
         }
     }
 
+    /// Executes the writes in progress at once.
+    pub fn execute_writes(&mut self) {
+        self.writes.iter_mut().for_each(|(at, _)| *at = self.now);
+        self.complete_writes();
+    }
+
     pub fn tick(&mut self) -> Vec<Action> {
         self.leader.tick(&Tick {
             now: self.now,
@@ -190,6 +235,31 @@
             self.accept_late(id, order);
             return Response::Silent;
         }
+        match (self.fate)(order) {
+            Fate::Answered => self.execute(order, self.now),
+            Fate::Lost => Response::Silent,
+            Fate::Late(delay) => {
+                let due = self.now + delay;
+                self.late.push((self.now, due, order.clone()));
+                Response::Silent
+            }
+        }
+    }
+
+    /// Carries out the late orders that are due.
+    pub fn carry_out_late(&mut self) {
+        let late = std::mem::take(&mut self.late);
+        let (due, later) = late.into_iter().partition(|(_, due, _)| *due <= self.now);
+        self.late = later;
+        let due: Vec<(Instant, Instant, Order)> = due;
+        for (arrived, _, order) in due {
+            self.execute(&order, arrived);
+        }
+    }
+
+    /// Carries out an order that arrived at a time at its target.
+    fn execute(&mut self, order: &Order, arrived: Instant) -> Response {
+        let id = order.target.id.to_string();
         if order.operation != Operation::Release && self.has_seen_higher(&id, order) {
             return Response::Refused;
         }
@@ -198,15 +268,23 @@
         let key = (id, order.first, order.last);
         match &order.operation {
             Operation::Grant { hold, .. } => {
-                self.check_sole_owner(order);
-                self.grants.insert(key, (order.fence, self.now + *hold));
+                let end = arrived + *hold;
+                if end > self.now {
+                    self.check_sole_owner(order);
+                    self.check_epoch(order);
+                    self.had
+                        .push((key.0.clone(), order.first, order.last, order.fence));
+                    self.grants.insert(key, (order.fence, end));
+                }
                 Response::Done(None)
             }
             Operation::Release => {
                 let id = order.target.id.as_str();
                 let overlaps =
                     |k: &(String, u16, u16)| k.0 == id && k.1 <= order.last && k.2 >= order.first;
-                self.grants.retain(|k, _| !overlaps(k));
+                let is_released = |epoch: u64| epoch < order.fence;
+                self.grants
+                    .retain(|k, (epoch, _)| !overlaps(k) || !is_released(*epoch));
                 Response::Done(Some("token".to_owned()))
             }
         }
@@ -246,6 +324,16 @@
         }
     }
 
+    /// Fails if another target had a key of the granted range by an epoch that is not below the grant's.
+    pub fn check_epoch(&self, order: &Order) {
+        let id = order.target.id.as_str();
+        let mut others = self.had.iter().filter(|(target, ..)| target != id);
+        let higher = others.find(|(_, first, last, epoch)| {
+            *first <= order.last && *last >= order.first && *epoch >= order.fence
+        });
+        assert!(higher.is_none(), "{higher:?} came before {order:?}");
+    }
+
     pub fn owners(&self) -> Vec<&str> {
         let mut owners: Vec<&str> = self
             .durable
