Keep an earlier grant's owner in the list when its latest grant was not sent

Cause: when a move is replaced before it ends, the latest owner is dropped from the previous owners if it got no grant in this move. The plan compared owners: if the target was also an earlier owner whose release was still open, that entry was dropped with it, and the keys were granted elsewhere while it held them.

The plan now asks the partition for the previous owners that may still hold a range and whether its owner may have been granted it, and adds the owner only then; nothing is taken from the list afterwards. A target that is added replaces its own earlier entry, since the release of its latest grant also fences the earlier ones, so the list holds each run of a target once.

--- a/crates/router/src/leader/partition.rs
+++ b/crates/router/src/leader/partition.rs
@@ -242,11 +242,10 @@
         earlier_grants_end: Instant,
     ) -> Option<(Incarnation, u64, Operation)> {
         for earlier in previous {
-            let target = &earlier.target;
-            let cleared = |progress: &Progress| progress.cleared.contains(&earlier.fence);
-            if self.moves.get(&range.epoch).is_some_and(cleared) {
+            if self.is_cleared(range, earlier) {
                 continue;
             }
+            let target = &earlier.target;
             if let Some(evidence) = self.evidence(target, tick, earlier_grants_end) {
                 self.clear(service, range, earlier, evidence);
                 continue;
@@ -369,12 +368,12 @@
                     && !self.in_flight.contains(&range.epoch)
                     && !self.unconfirmed.contains(&range.epoch)
             },
+            is_granted: &|range| self.is_granted(range),
+            previous_owners: &|range| self.previous_owners(range),
             may_fill: self.unconfirmed.is_empty(),
             may_balance: may_balance && self.unconfirmed.is_empty(),
         };
-        let mut planned = plan::next(&self.durable, &input)?;
-        self.drop_cleared_owners(&mut planned);
-        Some(planned)
+        plan::next(&self.durable, &input)
     }
 
     /// Tells whether the first assignment waits for more targets to register.
@@ -392,22 +391,25 @@
         now.since(discovery.grown_at) < DISCOVERY_IDLE && now.since(discovery.since) < MAX_DISCOVERY
     }
 
-    /// Drops previous owners that can't hold the keys any more, and the latest one if no grant was
-    /// sent to it.
-    fn drop_cleared_owners(&self, planned: &mut Assignment) {
-        for range in &mut planned.ranges {
-            let old = self.durable.range(range.first);
-            let Some(old) = old.filter(|old| old.epoch != range.epoch && !old.is_held()) else {
-                continue;
-            };
-            let progress = self.moves.get(&old.epoch).cloned().unwrap_or_default();
-            if let State::Moving(previous) = &mut range.state {
-                previous.retain(|earlier| match earlier.target == old.owner {
-                    true => progress.is_granted,
-                    false => !progress.cleared.contains(&earlier.fence),
-                });
-            }
-        }
+    /// Tells whether a previous owner of a range can't hold its keys any more.
+    fn is_cleared(&self, range: &Range, owner: &PreviousOwner) -> bool {
+        let progress = self.moves.get(&range.epoch);
+        progress.is_some_and(|progress| progress.cleared.contains(&owner.fence))
+    }
+
+    /// Tells whether a grant may have been sent to the owner of a range.
+    fn is_granted(&self, range: &Range) -> bool {
+        let progress = self.moves.get(&range.epoch);
+        range.is_held() || progress.is_some_and(|progress| progress.is_granted)
+    }
+
+    /// Returns the previous owners of a range that may still hold its keys.
+    fn previous_owners(&self, range: &Range) -> Vec<PreviousOwner> {
+        let State::Moving(previous) = &range.state else {
+            return Vec::new();
+        };
+        let may_hold = |owner: &&PreviousOwner| !self.is_cleared(range, owner);
+        previous.iter().filter(may_hold).cloned().collect()
     }
 
     /// Returns the assignment with the confirmed moves completed, if there are any.
--- a/crates/router/src/plan.rs
+++ b/crates/router/src/plan.rs
@@ -52,6 +52,10 @@
     pub work_time: &'a dyn Fn(&Incarnation) -> f64,
     /// Tells whether the owner of a range must release it.
     pub must_leave: &'a dyn Fn(&Range) -> bool,
+    /// Tells whether the owner of a range may have been granted its keys.
+    pub is_granted: &'a dyn Fn(&Range) -> bool,
+    /// Returns the previous owners of a range that may still hold its keys.
+    pub previous_owners: &'a dyn Fn(&Range) -> Vec<PreviousOwner>,
     /// Whether ranges may move to targets without keys.
     pub may_fill: bool,
     /// Whether ranges may move to balance the load.
@@ -69,12 +73,12 @@
     }
     let limited = input.owners.iter().filter(|owner| owner.is_limited);
     let limited = limited.map(|owner| owner.target.clone()).collect();
-    let mut plan = Plan::new(assignment.clone(), receivers, limited);
-    if plan.reassign(input.must_leave) {
+    let mut plan = Plan::new(assignment.clone(), receivers, limited, input);
+    if plan.reassign() {
         return Some(plan.assignment);
     }
     let is_settled = assignment.ranges.iter().all(Range::is_held);
-    if input.may_fill && is_settled && plan.fill() || input.may_balance && plan.balance(input) {
+    if input.may_fill && is_settled && plan.fill() || input.may_balance && plan.balance() {
         return Some(plan.assignment);
     }
     None
@@ -113,18 +117,20 @@
     divided
 }
 
-struct Plan {
+struct Plan<'a> {
     assignment: Assignment,
     widths: BTreeMap<Incarnation, u32>,
     /// Targets that limit the rate of their requests.
     limited: BTreeSet<Incarnation>,
+    input: &'a Input<'a>,
 }
 
-impl Plan {
+impl<'a> Plan<'a> {
     fn new(
         assignment: Assignment,
         receivers: Vec<Incarnation>,
         limited: BTreeSet<Incarnation>,
+        input: &'a Input<'a>,
     ) -> Self {
         let mut widths: BTreeMap<Incarnation, u32> =
             receivers.into_iter().map(|l| (l, 0)).collect();
@@ -137,13 +143,15 @@
             assignment,
             widths,
             limited,
+            input,
         }
     }
 
     /// Divides the ranges of leaving owners among the targets with the fewest keys.
-    fn reassign(&mut self, must_leave: &dyn Fn(&Range) -> bool) -> bool {
+    fn reassign(&mut self) -> bool {
         let ranges = self.assignment.ranges.iter();
-        let leaving: Vec<Range> = ranges.filter(|range| must_leave(range)).cloned().collect();
+        let leaving = ranges.filter(|range| (self.input.must_leave)(range));
+        let leaving: Vec<Range> = leaving.cloned().collect();
         for range in &leaving {
             let fair = KEY_COUNT / self.widths.len().max(1) as u32;
             let parts = (range.width() * MAX_RECEIVERS)
@@ -175,11 +183,12 @@
         if let Some(width) = self.widths.get_mut(&owner) {
             *width += u32::from(last) - u32::from(first) + 1;
         }
-        let mut previous = match &range.state {
-            State::Held => Vec::new(),
-            State::Moving(previous) => previous.clone(),
-        };
-        previous.push(PreviousOwner { target, fence });
+        let mut previous = (self.input.previous_owners)(range);
+        if (self.input.is_granted)(range) {
+            // The release of the latest grant also fences the earlier ones of the same target.
+            previous.retain(|earlier| earlier.target != target);
+            previous.push(PreviousOwner { target, fence });
+        }
         Range {
             first,
             last,
@@ -244,15 +253,15 @@
     }
 
     /// Moves busy keys from the owners with the highest load to those with the lowest.
-    fn balance(&mut self, input: &Input<'_>) -> bool {
+    fn balance(&mut self) -> bool {
         let max_moves = (self.widths.len() / OWNERS_PER_MOVE).clamp(MIN_MOVES, MAX_MOVES);
-        let moves = (0..max_moves).take_while(|_| self.relieve_busiest(input));
+        let moves = (0..max_moves).take_while(|_| self.relieve_busiest());
         moves.count() > 0
     }
 
     /// Moves keys from the busiest owner for which a useful move exists.
-    fn relieve_busiest(&mut self, input: &Input<'_>) -> bool {
-        let mut loads = self.loads(input);
+    fn relieve_busiest(&mut self) -> bool {
+        let mut loads = self.loads();
         let total: f64 = loads.iter().map(|load| load.requests).sum();
         let mean = loads.iter().map(|load| load.work).sum::<f64>() / loads.len().max(1) as f64;
         loads.sort_by(|a, b| b.work.total_cmp(&a.work));
@@ -265,7 +274,7 @@
             .iter()
             .take_while(|load| load.work > mean * (1.0 + SURPLUS_THRESHOLD));
         for load in busy.filter(|load| load.is_significant(mean)) {
-            if let Some((range, segment)) = self.best_segment(input, load, idlest, mean) {
+            if let Some((range, segment)) = self.best_segment(load, idlest, mean) {
                 let receiver = idlest.target.clone();
                 self.move_segment(&range, segment, &receiver);
                 return true;
@@ -274,7 +283,8 @@
         false
     }
 
-    fn loads(&self, input: &Input<'_>) -> Vec<Load> {
+    fn loads(&self) -> Vec<Load> {
+        let input = self.input;
         let mut by_owner: BTreeMap<&Incarnation, f64> =
             self.widths.keys().map(|l| (l, 0.0)).collect();
         for range in &self.assignment.ranges {
@@ -292,13 +302,8 @@
 
     /// Returns the part of a busy owner's keys whose move comes closest to equalizing the two
     /// loads, or to lowering the busy one to the mean if that takes fewer requests.
-    fn best_segment(
-        &self,
-        input: &Input<'_>,
-        busy: &Load,
-        idle: &Load,
-        mean: f64,
-    ) -> Option<(Range, Segment)> {
+    fn best_segment(&self, busy: &Load, idle: &Load, mean: f64) -> Option<(Range, Segment)> {
+        let input = self.input;
         let work_time = (input.work_time)(&busy.target);
         let surplus = ((busy.work - idle.work) / 2.0).min(busy.work - mean) / work_time;
         let max_requests = (busy.work - idle.work) / (input.work_time)(&idle.target).max(work_time)
--- a/crates/router/tests/plan.rs
+++ b/crates/router/tests/plan.rs
@@ -65,6 +65,8 @@
             traffic,
             work_time: work,
             must_leave: &|_| false,
+            is_granted: &|_| true,
+            previous_owners: &|_| Vec::new(),
             may_fill: true,
             may_balance: true,
         };
--- a/crates/router/tests/returning.rs
+++ b/crates/router/tests/returning.rs
@@ -5,8 +5,20 @@
 
 use ragwortrill_core::time::Span;
 use ragwortrill_router::leader::{Operation, Order};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use simulation::{Fate, Simulation, registration};
 
+/// Targets of the runs with drawn events.
+const TARGETS: [&str; 4] = ["a", "b", "c", "d"];
+/// Time between two drawn events.
+const EVENT_INTERVAL: Span = Span::from_millis(100);
+/// Number of drawn events of a run.
+const EVENTS: u32 = 250;
+/// Number of runs with drawn events.
+const SEEDS: u64 = 40;
+/// Longest time after which a late order is carried out.
+const MAX_DELAY_MS: u64 = 3_500;
+
 fn is_grant_to(order: &Order, id: &str) -> bool {
     order.target.id.as_str() == id && order.operation != Operation::Release
 }
@@ -55,3 +67,100 @@
     assert!(sim.late.iter().any(|(.., order)| is_grant_to(order, "a")));
     move_on_to_c(&mut sim);
 }
+
+/// Guards against a previous owner that is dropped without its release since it is also the latest owner
+/// and got no grant as such: it still held the keys by its earlier grant.
+#[test]
+fn earlier_grant_of_the_latest_owner_is_released() {
+    let mut sim = return_to_a();
+    sim.step();
+    sim.fate = Box::new(|_| Fate::Answered);
+    move_on_to_c(&mut sim);
+}
+
+/// A target's state in a run with drawn events.
+#[derive(Clone, Copy)]
+struct Member {
+    start_ms: u64,
+    is_draining: bool,
+}
+
+/// Runs the simulation, with another leader as soon as one resigns.
+fn run_led(sim: &mut Simulation, span: Span) {
+    let end = sim.now + span;
+    while sim.now < end {
+        if sim.step() {
+            sim.replace_leader(Span::from_secs(3));
+        }
+        sim.now = sim.now + Span::from_millis(50);
+    }
+}
+
+/// Plays drawn events: targets drain, return, restart under their ids or answer late, the leader is
+/// replaced, and writes take time.
+fn play(seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut sim = Simulation::new(&TARGETS);
+    sim.run(Span::from_secs(3));
+    let silent_percent = random.random_range(20..70);
+    let mut fates = StdRng::seed_from_u64(seed + 1);
+    sim.fate = Box::new(move |_| {
+        if fates.random_range(0..100) >= silent_percent {
+            return Fate::Answered;
+        }
+        match fates.random_range(0..5) {
+            0 => Fate::Lost,
+            _ => Fate::Late(Span::from_millis(fates.random_range(0..MAX_DELAY_MS))),
+        }
+    });
+    let mut members = [Member {
+        start_ms: 1,
+        is_draining: false,
+    }; 4];
+    for _ in 0..EVENTS {
+        let index = random.random_range(0..TARGETS.len());
+        let (id, member) = (TARGETS[index], &mut members[index]);
+        match random.random_range(0..20) {
+            0..8 => {
+                member.is_draining = !member.is_draining;
+                match member.is_draining {
+                    true => sim.drain_since(id, member.start_ms),
+                    false => sim.register(registration(id, member.start_ms)),
+                }
+            }
+            8 => {
+                *member = Member {
+                    start_ms: member.start_ms + 1,
+                    is_draining: false,
+                };
+                sim.restart(id, member.start_ms);
+            }
+            9 => {
+                // A write in progress is executed before the new leader's claim, or never.
+                if random.random_bool(0.5) {
+                    sim.execute_writes();
+                }
+                sim.replace_leader(Span::from_secs(3));
+            }
+            10 => sim.write_time = Span::from_millis(random.random_range(0..300)),
+            _ => {}
+        }
+        run_led(&mut sim, EVENT_INTERVAL);
+    }
+    sim.fate = Box::new(|_| Fate::Answered);
+    for (id, member) in TARGETS.into_iter().zip(members) {
+        sim.register(registration(id, member.start_ms));
+    }
+    run_led(&mut sim, Span::from_secs(25));
+    assert!(sim.is_settled(), "seed {seed}: {:?}", sim.durable);
+}
+
+/// Guards against a target that takes keys by an epoch that is not above all by which others had them,
+/// when orders are carried out late and keys return to targets before their moves have ended.
+#[test]
+fn late_orders_give_no_target_keys_below_the_epoch_of_another() {
+    for seed in 0..SEEDS {
+        println!("seed {seed}");
+        play(seed);
+    }
+}
