Take an answer for an order's only if it names the order, or nothing else used the connection

The keys were granted elsewhere while their owner worked on them.

Orders carry a request id, but answers were not compared with it. Now the answer must name the order; answers to other orders are skipped, and their connection is not used again. A target that names none in its answers gets a connection for each order, on which no other answer can be due. An answer that can't be attributed counts as none, and not as silence of the target.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -52,6 +52,10 @@
     /// The response is malformed; the call may have been executed.
     #[error("the response is not an HTTP/1.1 message: {0}")]
     Message(#[from] message::Error),
+    /// The answer names no call, and an earlier one used the connection; the call may have been
+    /// executed.
+    #[error("the answer names no call, and another call used the connection before")]
+    Unattributed,
     /// The call was not sent, since it was not valid any more when its bytes could leave.
     #[error("the call was not valid any more when it could be sent")]
     Expired,
@@ -60,6 +64,17 @@
     Timeout(Duration),
 }
 
+/// Which call a response answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Subject {
+    /// The call for which it was read.
+    Own,
+    /// Another call.
+    Other,
+    /// The response does not say.
+    Unnamed,
+}
+
 impl From<connection::Error> for Error {
     fn from(error: connection::Error) -> Self {
         match error {
@@ -101,12 +116,36 @@
         limit: Duration,
         is_valid: impl Fn() -> bool,
     ) -> Result<Reply, Error> {
-        let mut connection = self.connect(limit).await?;
+        self.call_named(call, limit, is_valid, |_| Subject::Own)
+            .await
+    }
+
+    /// As [`Self::call_if`], to a peer that may send a response once more, late. Responses to other
+    /// calls are skipped. One that names no call counts only on a connection that no other call has
+    /// used, which is then closed.
+    pub async fn call_named(
+        &mut self,
+        call: &Call,
+        limit: Duration,
+        is_valid: impl Fn() -> bool,
+        subject: impl Fn(&Reply) -> Subject,
+    ) -> Result<Reply, Error> {
+        let (mut connection, is_kept) = self.connect(limit).await?;
         let wire = encode(call, self.address);
         let received = Cell::new(0);
         let exchange = async {
             send(&mut connection, &wire, is_valid).await?;
-            receive(&mut connection, self.max_body_bytes, &received).await
+            let mut is_clean = true;
+            loop {
+                let (reply, keeps_alive) =
+                    receive(&mut connection, self.max_body_bytes, &received).await?;
+                match subject(&reply) {
+                    Subject::Own => return Ok((reply, keeps_alive && is_clean)),
+                    Subject::Other => is_clean = false,
+                    Subject::Unnamed if is_kept || !is_clean => return Err(Error::Unattributed),
+                    Subject::Unnamed => return Ok((reply, false)),
+                }
+            }
         };
         match timeout(limit, exchange).await {
             Ok(Ok((reply, keeps_alive))) => {
@@ -127,13 +166,13 @@
 }
 
 impl Client {
-    /// Returns the idle connection, or opens one.
-    async fn connect(&mut self, limit: Duration) -> Result<Connection, Error> {
+    /// Returns the idle connection, or opens one. Returns also whether it was kept from another call.
+    async fn connect(&mut self, limit: Duration) -> Result<(Connection, bool), Error> {
         match self.connection.take().filter(Connection::is_idle) {
-            Some(connection) => Ok(connection),
+            Some(connection) => Ok((connection, true)),
             None => {
                 let opened = Connection::open(self.address, CONNECT_TIMEOUT.min(limit)).await;
-                opened.map_err(Error::Connect)
+                Ok((opened.map_err(Error::Connect)?, false))
             }
         }
     }
@@ -147,7 +186,7 @@
         idle: Duration,
         total: Duration,
     ) -> Result<Reply, Error> {
-        let mut connection = self.connect(idle).await?;
+        let (mut connection, _) = self.connect(idle).await?;
         let wire = encode(call, self.address);
         let received = Cell::new(0);
         let exchange = async {
--- a/crates/entry/src/leadership/order.rs
+++ b/crates/entry/src/leadership/order.rs
@@ -55,7 +55,7 @@
         );
         let is_unanswered = matches!(
             answer,
-            Response::Silent | Response::Unreached | Response::Unsent
+            Response::Silent | Response::Unattributed | Response::Unreached | Response::Unsent
         );
         let has_follow_up = !is_unanswered && !is_renewal;
         self.leader
@@ -77,6 +77,7 @@
             Response::Misdirected => "misdirected",
             Response::Silent => "silent",
             Response::Unreached => "unreached",
+            Response::Unattributed => "unattributed",
             Response::Unsent => "unsent",
         };
         self.shared.metrics.record_order(operation, answer);
@@ -109,16 +110,16 @@
         };
         let id = self.shared.random.borrow_mut().random();
         let call = (self.shared.protocol.encode_order)(order, id);
-        let outcome = client
-            .call_if(&call, limit, || self.may_send(order, planned_at))
-            .await;
+        let is_valid = || self.may_send(order, planned_at);
+        let subject = |reply: &Reply| (self.shared.protocol.order_subject)(reply, id);
+        let outcome = client.call_named(&call, limit, is_valid, subject).await;
         self.clients
             .borrow_mut()
             .entry(order.target.clone())
             .or_default()
             .push(client);
         match &outcome {
-            Ok(_) | Err(Error::Expired) => {}
+            Ok(_) | Err(Error::Expired | Error::Unattributed) => {}
             Err(error) => self.check_link(order, error).await,
         }
         self.interpret(order, outcome)
@@ -159,6 +160,7 @@
                 }
             },
             Err(Error::Expired) => Response::Unsent,
+            Err(Error::Unattributed) => Response::Unattributed,
             Err(error) => {
                 log::info!(target = order.target.id.as_str(), error = error.to_string(); "target did not answer a grant or release");
                 match reach::may_be_lost(&self.shared, &order.service, &order.target) {
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -11,7 +11,7 @@
 };
 use ragwortrill_router::{config::Config, leader::Order, load::Report, registration::Registration};
 
-use crate::call::{Call, Reply};
+use crate::call::{Call, Reply, Subject};
 
 /// Everything that differs between platforms.
 #[derive(Clone, Copy, Debug)]
@@ -34,6 +34,8 @@
     pub decode_load: fn(&str) -> Option<Report>,
     /// Encodes a grant or release as a request to a target, with an id of the request.
     pub encode_order: fn(&Order, u64) -> Call,
+    /// Returns which order a target's reply to the order with an id answers.
+    pub order_subject: fn(&Reply, u64) -> Subject,
     /// Returns the address at which this host reaches a target that registered with an address.
     pub dial: fn(SocketAddr) -> SocketAddr,
     /// Returns the handover token in a target's reply to a release.
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -73,6 +73,8 @@
     Misdirected,
     /// No response arrived. The target may still carry out the order later.
     Silent,
+    /// A response arrived that may answer another order. The target may still carry out this one.
+    Unattributed,
     /// No response arrived, since this host has lost its link to the target. Other hosts reach it.
     Unreached,
     /// The order was not sent, since it was too old or this host did not lead any more.
--- a/crates/router/src/leader/partition.rs
+++ b/crates/router/src/leader/partition.rs
@@ -480,7 +480,7 @@
         self.in_flight.remove(&order.range_epoch);
         match &response {
             Response::Silent => *self.unanswered.entry(order.target.clone()).or_default() += 1,
-            Response::Unreached | Response::Unsent => {}
+            Response::Unattributed | Response::Unreached | Response::Unsent => {}
             _ => {
                 self.unanswered.remove(&order.target);
             }
