Let renewals share connections with targets that name no order in their answers

An answer to a renewal moves no key, so a late copy that is taken for it does no harm; one order later the answer that is due makes the connection unfit for another use. First grants, grants that have to confirm a recovered range, and releases keep a connection of their own. The leader learns from its answers which targets name the order, and keeps at most one idle connection more for orders of their own.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -121,8 +121,8 @@
     }
 
     /// As [`Self::call_if`], to a peer that may send a response once more, late. Responses to other
-    /// calls are skipped. One that names no call counts only on a connection that no other call has
-    /// used, which is then closed.
+    /// calls are skipped, and the connection is not kept. A response that names no call counts only on
+    /// a connection that no other call has used.
     pub async fn call_named(
         &mut self,
         call: &Call,
@@ -143,7 +143,7 @@
                     Subject::Own => return Ok((reply, keeps_alive && is_clean)),
                     Subject::Other => is_clean = false,
                     Subject::Unnamed if is_kept || !is_clean => return Err(Error::Unattributed),
-                    Subject::Unnamed => return Ok((reply, false)),
+                    Subject::Unnamed => return Ok((reply, keeps_alive)),
                 }
             }
         };
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -8,7 +8,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::Duration,
 };
@@ -86,7 +86,10 @@
     topic_end: Cell<Offset>,
     /// Whether the claim in the store states that ranges may be missing.
     is_uncertain: Cell<bool>,
+    /// Clients that no order uses.
     clients: RefCell<BTreeMap<Incarnation, Vec<Client>>>,
+    /// Targets whose answers name the order that they answer.
+    naming: RefCell<BTreeSet<Incarnation>>,
     is_writing_quarantine: Cell<bool>,
     /// When this host began to lead.
     began_at: Instant,
@@ -132,6 +135,7 @@
         topic_end: Cell::new(end),
         is_uncertain: Cell::new(is_uncertain),
         clients: RefCell::default(),
+        naming: RefCell::default(),
         is_writing_quarantine: Cell::new(false),
         began_at: shared.now(),
         progress: Notify::new(),
--- a/crates/entry/src/leadership/order.rs
+++ b/crates/entry/src/leadership/order.rs
@@ -9,10 +9,9 @@
 use super::Leadership;
 use crate::{
     attempt::MISDIRECTED,
-    call::{Client, Error, Reply},
+    call::{Client, Error, Reply, Subject},
     journal::AUDIT,
     leaving, reach,
-    shared::Shared,
 };
 
 /// Timeout of a grant request to a target.
@@ -38,8 +37,7 @@
         };
         self.record_order(&order, &answer);
         let now = self.shared.now();
-        let is_renewal = is_renewal(&self.shared, &order);
-        let is_routine = is_renewal && matches!(answer, Response::Done(_));
+        let is_routine = order.is_renewal && matches!(answer, Response::Done(_));
         let level = if is_routine {
             log::Level::Debug
         } else {
@@ -57,7 +55,7 @@
             answer,
             Response::Silent | Response::Unattributed | Response::Unreached | Response::Unsent
         );
-        let has_follow_up = !is_unanswered && !is_renewal;
+        let has_follow_up = !is_unanswered && !order.is_renewal;
         self.leader
             .borrow_mut()
             .record_response(now, &order, answer);
@@ -94,16 +92,7 @@
     }
 
     async fn call(&self, order: &Order, planned_at: Instant) -> Response {
-        let idle = self
-            .clients
-            .borrow_mut()
-            .entry(order.target.clone())
-            .or_default()
-            .pop();
-        let mut client = idle.unwrap_or_else(|| {
-            let address = (self.shared.protocol.dial)(order.address());
-            Client::new(address, MAX_ANSWER_BYTES)
-        });
+        let mut client = self.take_client(order);
         let limit = match order.operation {
             Operation::Grant { .. } => GRANT_TIMEOUT,
             Operation::Release => RELEASE_TIMEOUT,
@@ -111,13 +100,16 @@
         let id = self.shared.random.borrow_mut().random();
         let call = (self.shared.protocol.encode_order)(order, id);
         let is_valid = || self.may_send(order, planned_at);
-        let subject = |reply: &Reply| (self.shared.protocol.order_subject)(reply, id);
+        let subject = |reply: &Reply| match (self.shared.protocol.order_subject)(reply, id) {
+            Subject::Unnamed if order.is_renewal => Subject::Own,
+            Subject::Own => {
+                self.naming.borrow_mut().insert(order.target.clone());
+                Subject::Own
+            }
+            subject => subject,
+        };
         let outcome = client.call_named(&call, limit, is_valid, subject).await;
-        self.clients
-            .borrow_mut()
-            .entry(order.target.clone())
-            .or_default()
-            .push(client);
+        self.return_client(order, client);
         match &outcome {
             Ok(_) | Err(Error::Expired | Error::Unattributed) => {}
             Err(error) => self.check_link(order, error).await,
@@ -125,6 +117,30 @@
         self.interpret(order, outcome)
     }
 
+    /// Returns a client for an order. If the target does not name orders in its answers, only a renewal
+    /// may use a connection that another order has used: a late copy of an answer can't be told from
+    /// its own, but moves no key.
+    fn take_client(&self, order: &Order) -> Client {
+        let may_share = order.is_renewal || self.naming.borrow().contains(&order.target);
+        let mut clients = self.clients.borrow_mut();
+        let idle = clients.entry(order.target.clone()).or_default();
+        idle.pop_if(|_| may_share).unwrap_or_else(|| {
+            let address = (self.shared.protocol.dial)(order.address());
+            Client::new(address, MAX_ANSWER_BYTES)
+        })
+    }
+
+    /// Keeps the client of an order that has ended for others. Orders that need connections of their own
+    /// must not add up to more and more idle ones.
+    fn return_client(&self, order: &Order, client: Client) {
+        let is_shared = order.is_renewal || self.naming.borrow().contains(&order.target);
+        let mut clients = self.clients.borrow_mut();
+        let idle = clients.entry(order.target.clone()).or_default();
+        if is_shared || idle.is_empty() {
+            idle.push(client);
+        }
+    }
+
     /// Finds out whether the target of an unanswered order or this host's link to it is lost.
     async fn check_link(&self, order: &Order, error: &Error) {
         let cause = match error {
@@ -171,12 +187,3 @@
         }
     }
 }
-
-/// Returns whether an order only renews a grant, so that its answer makes no further step due.
-fn is_renewal(shared: &Shared, order: &Order) -> bool {
-    let assignments = shared.assignments.borrow();
-    let range = assignments
-        .get(&order.service)
-        .and_then(|a| a.range(order.first));
-    range.is_some_and(|range| range.epoch == order.fence && range.is_held())
-}
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -60,6 +60,8 @@
     pub fence: u64,
     /// Whether the keys are granted or released.
     pub operation: Operation,
+    /// Whether it renews a grant that the target has confirmed, so that its answer moves no key.
+    pub is_renewal: bool,
 }
 
 /// A target's response to an order.
--- a/crates/router/src/leader/partition.rs
+++ b/crates/router/src/leader/partition.rs
@@ -211,6 +211,7 @@
             }
             self.budget.take(tick.now, rate, ORDER_BURST);
             self.in_flight.insert(range.epoch);
+            let is_renewal = range.is_held() && !self.unconfirmed.contains(&range.epoch);
             actions.push(Action::Send(Order {
                 service: service.clone(),
                 range_epoch: range.epoch,
@@ -219,6 +220,7 @@
                 last: range.last,
                 fence,
                 operation,
+                is_renewal,
             }));
         }
     }
