Separate ranges that overlap in the log before a leader grants them

A new leader granted them as they were, so their common keys had two owners for good.

A new leader now divides such ranges before its claim. Common keys get a range of their own with a new epoch, which waits for the release or the end of the grants of all their owners and goes to the one with the highest epoch. Parts of a range behind an overlap get new epochs, after a release, since a range is identified by its epoch. The new ranges are written before any order is sent by them.

--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -106,9 +106,12 @@
     let earlier = earlier.filter(|term| term.timeline == lease.term().timeline);
     let is_first = earlier.is_none();
     let mut is_uncertain = earlier.is_some_and(|term| term.is_uncertain);
+    let separated = separate(&mut snapshot, min_epoch(lease.term().timeline))?;
     let must_recover = is_first || snapshot.is_damaged;
     if must_recover {
         (snapshot, is_uncertain) = recover(shared, &mut store, &lease, snapshot).await?;
+    } else if !separated.is_empty() {
+        write_again(shared, &mut store, &lease, &mut snapshot, &separated).await?;
     }
     let claim = claim(lease.term(), is_uncertain)?;
     // Earlier leaders append on condition of the topic's end, which this record moves, so none of
@@ -255,6 +258,28 @@
     }
     let quarantined = shared.crash_observer.borrow().quarantined(shared.now());
     drafts.extend(quarantined.into_iter().map(quarantine_draft));
+    write_again(shared, store, lease, &mut snapshot, &drafts).await?;
+    Ok((snapshot, is_uncertain))
+}
+
+fn log_clearance(clearance: &Clearance) {
+    log::info!(
+        target: AUDIT, service = clearance.service.as_str(), first = clearance.first,
+        last = clearance.last, range_epoch = clearance.range_epoch,
+        target = clearance.owner.target.id.as_str(), epoch = clearance.owner.fence,
+        evidence = format!("{:?}", clearance.evidence);
+        "previous owner can't hold the keys any more"
+    );
+}
+
+/// Writes records that a new leader must have written before its claim.
+async fn write_again(
+    shared: &Rc<Shared>,
+    store: &mut Store,
+    lease: &Lease,
+    snapshot: &mut Snapshot,
+    drafts: &[Draft],
+) -> Result<()> {
     let topic = shared.protocol.topics.ownership;
     for part in drafts.chunks(MAX_DRAFTS_PER_APPEND) {
         if !lease.is_valid() {
@@ -267,17 +292,23 @@
         let records = assign_offsets(part.to_vec(), end);
         apply::apply_changes(shared, Topic::Ownership, records);
     }
-    Ok((snapshot, is_uncertain))
+    Ok(())
 }
 
-fn log_clearance(clearance: &Clearance) {
-    log::info!(
-        target: AUDIT, service = clearance.service.as_str(), first = clearance.first,
-        last = clearance.last, range_epoch = clearance.range_epoch,
-        target = clearance.owner.target.id.as_str(), epoch = clearance.owner.fence,
-        evidence = format!("{:?}", clearance.evidence);
-        "previous owner can't hold the keys any more"
-    );
+/// Separates ranges that have keys in common, and returns the records of all ranges of their services.
+/// Nothing may be sent by them until they are written.
+fn separate(snapshot: &mut Snapshot, min_epoch: u64) -> Result<Vec<Draft>> {
+    let mut drafts = Vec::new();
+    for (service, assignment) in &mut snapshot.assignments {
+        if !assignment.separate(min_epoch) {
+            continue;
+        }
+        log::warn!(service = service.as_str(), ranges = assignment.ranges.len(); "key ranges in the store overlap; common keys wait for all of their owners");
+        for range in &assignment.ranges {
+            drafts.push(range_draft(service, range)?);
+        }
+    }
+    Ok(drafts)
 }
 
 /// Returns the record by which a leader claims the ownership topic.
--- a/crates/router/src/assignment.rs
+++ b/crates/router/src/assignment.rs
@@ -113,6 +113,67 @@
         merged
     }
 
+    /// Separates ranges that have keys in common, which an earlier release may have left in the log, and
+    /// returns whether there were any. Epochs are allocated from at least `min_epoch` on.
+    ///
+    /// Common keys go to the owner with the highest epoch, by a new one, once none of their owners can
+    /// hold them any more. Of the other parts of a range, the first keeps its epoch. The owner of the
+    /// others gets them again by new epochs.
+    pub fn separate(&mut self, min_epoch: u64) -> bool {
+        if !self.has_overlap() {
+            return false;
+        }
+        self.raise_epochs(min_epoch);
+        let parts = parts(&self.ranges);
+        let mut used = BTreeSet::new();
+        self.ranges = Vec::new();
+        for (first, last, owners) in parts {
+            let sole = owners.first().filter(|_| owners.len() == 1);
+            let range = match sole.filter(|range| used.insert(range.epoch)) {
+                Some(range) => Range {
+                    first,
+                    last,
+                    ..range.clone()
+                },
+                None => self.regrant(first, last, &owners),
+            };
+            self.ranges.push(range);
+        }
+        true
+    }
+
+    /// Tells whether ranges have keys in common.
+    fn has_overlap(&self) -> bool {
+        let neighbours = self.ranges.windows(2);
+        neighbours
+            .into_iter()
+            .any(|pair| pair[0].last >= pair[1].first)
+    }
+
+    /// Returns a range whose keys several ranges have, in the order of their epochs: the last one's owner
+    /// is granted them once none of the owners can hold them any more.
+    fn regrant(&mut self, first: Key, last: Key, ranges: &[Range]) -> Range {
+        let mut previous: Vec<PreviousOwner> = Vec::new();
+        for range in ranges {
+            if let State::Moving(earlier) = &range.state {
+                previous.extend(earlier.iter().cloned());
+            }
+        }
+        for range in ranges {
+            let target = range.owner.clone();
+            let fence = self.allocate_epoch();
+            previous.retain(|earlier| earlier.target != target);
+            previous.push(PreviousOwner { target, fence });
+        }
+        Range {
+            first,
+            last,
+            epoch: self.allocate_epoch(),
+            owner: previous[previous.len() - 1].target.clone(),
+            state: State::Moving(previous),
+        }
+    }
+
     /// Replaces the keys of a range, and keeps the other keys of the ranges that it overlaps.
     fn overlay(&mut self, range: Range) {
         self.next_epoch = self.next_epoch.max(range.epoch + 1);
@@ -180,3 +241,21 @@
         }
     }
 }
+
+/// Divides ranges into parts whose keys the same ranges have. Returns the first and last key of each part
+/// and its ranges, in the order of their epochs.
+fn parts(ranges: &[Range]) -> Vec<(Key, Key, Vec<Range>)> {
+    let firsts = ranges.iter().map(|range| u32::from(range.first));
+    let ends = ranges.iter().map(|range| u32::from(range.last) + 1);
+    let bounds: BTreeSet<u32> = firsts.chain(ends).collect();
+    let bounds: Vec<u32> = bounds.into_iter().collect();
+    let part = |bound: &[u32]| {
+        let (first, last) = (bound[0] as Key, (bound[1] - 1) as Key);
+        let has_keys = |range: &&Range| range.first <= first && last <= range.last;
+        let mut owners: Vec<Range> = ranges.iter().filter(has_keys).cloned().collect();
+        owners.sort_by_key(|range| range.epoch);
+        (first, last, owners)
+    };
+    let parts = bounds.windows(2).map(part);
+    parts.filter(|(_, _, owners)| !owners.is_empty()).collect()
+}
--- a/crates/router/tests/merge.rs
+++ b/crates/router/tests/merge.rs
@@ -1,7 +1,7 @@
 //! Merging of key ranges that several hosts remember.
 
 use ragwortrill_router::{
-    assignment::{Assignment, Range, State},
+    assignment::{Assignment, PreviousOwner, Range, State},
     registration::Incarnation,
 };
 
@@ -134,3 +134,74 @@
         assert_eq!(outdated, case.outdated, "{}", case.name);
     }
 }
+
+/// Returns a range that waits for previous owners, each with the epoch of its release.
+fn waiting(first: u16, last: u16, epoch: u64, previous: &[(&str, u64)]) -> Range {
+    let (owner, _) = previous[previous.len() - 1];
+    let previous = previous.iter().map(|(target, fence)| PreviousOwner {
+        target: range(0, 0, 0, target, true).owner,
+        fence: *fence,
+    });
+    Range {
+        state: State::Moving(previous.collect()),
+        ..range(first, last, epoch, owner, false)
+    }
+}
+
+/// Guards against keys of overlapping ranges, as an earlier release left them in a log, that a new leader
+/// renews at two targets.
+#[test]
+fn overlapping_ranges_are_separated() {
+    let all = range(0, u16::MAX, 1, "a", true);
+    let cases = [
+        Case {
+            name: "no overlap",
+            ranges: vec![
+                range(0, 99, 3, "b", true),
+                range(100, u16::MAX, 1, "a", true),
+            ],
+            merged: vec![
+                range(0, 99, 3, "b", true),
+                range(100, u16::MAX, 1, "a", true),
+            ],
+        },
+        Case {
+            name: "later range within an earlier one",
+            ranges: vec![all.clone(), range(100, 199, 3, "b", true)],
+            merged: vec![
+                range(0, 99, 1, "a", true),
+                waiting(100, 199, 22, &[("a", 20), ("b", 21)]),
+                waiting(200, u16::MAX, 24, &[("a", 23)]),
+            ],
+        },
+        Case {
+            name: "later range that begins within an earlier one",
+            ranges: vec![range(0, 199, 5, "a", true), range(100, 299, 3, "b", true)],
+            merged: vec![
+                range(0, 99, 5, "a", true),
+                waiting(100, 199, 22, &[("b", 20), ("a", 21)]),
+                range(200, 299, 3, "b", true),
+            ],
+        },
+        Case {
+            name: "owner that another range waits for",
+            ranges: vec![
+                waiting(0, 199, 5, &[("c", 4)]),
+                range(100, 199, 7, "c", true),
+            ],
+            merged: vec![
+                waiting(0, 99, 5, &[("c", 4)]),
+                waiting(100, 199, 22, &[("c", 21)]),
+            ],
+        },
+    ];
+    for case in cases {
+        let mut assignment = Assignment::default();
+        let is_separate = case.ranges == case.merged;
+        case.ranges
+            .into_iter()
+            .for_each(|range| assignment.upsert(range));
+        assert_eq!(assignment.separate(20), !is_separate, "{}", case.name);
+        assert_eq!(assignment.ranges, case.merged, "{}", case.name);
+    }
+}
