Bound the answers to other orders that are skipped; wording from the review

After four of them the order counts as one whose answer can't be attributed.

The pages no longer say that lines about moves are never left out: they are not limited in number, but the queue of the log still is.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -16,6 +16,9 @@
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Largest number of responses to other calls that are skipped before the response to a call.
+const MAX_SKIPPED: u32 = 4;
+
 /// A request of the control path.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Call {
@@ -52,9 +55,8 @@
     /// The response is malformed; the call may have been executed.
     #[error("the response is not an HTTP/1.1 message: {0}")]
     Message(#[from] message::Error),
-    /// The answer names no call, and an earlier one used the connection; the call may have been
-    /// executed.
-    #[error("the answer names no call, and another call used the connection before")]
+    /// The answers on the connection may be those to other calls; the call may have been executed.
+    #[error("the answers on the connection may be those to other calls")]
     Unattributed,
     /// The call was not sent, since it was not valid any more when its bytes could leave.
     #[error("the call was not valid any more when it could be sent")]
@@ -135,15 +137,17 @@
         let received = Cell::new(0);
         let exchange = async {
             send(&mut connection, &wire, is_valid).await?;
-            let mut is_clean = true;
+            let mut skipped = 0;
             loop {
                 let (reply, keeps_alive) =
                     receive(&mut connection, self.max_body_bytes, &received).await?;
                 match subject(&reply) {
-                    Subject::Own => return Ok((reply, keeps_alive && is_clean)),
-                    Subject::Other => is_clean = false,
-                    Subject::Unnamed if is_kept || !is_clean => return Err(Error::Unattributed),
-                    Subject::Unnamed => return Ok((reply, keeps_alive)),
+                    Subject::Own => return Ok((reply, keeps_alive && skipped == 0)),
+                    Subject::Other if skipped < MAX_SKIPPED => skipped += 1,
+                    Subject::Unnamed if !is_kept && skipped == 0 => {
+                        return Ok((reply, keeps_alive));
+                    }
+                    Subject::Other | Subject::Unnamed => return Err(Error::Unattributed),
                 }
             }
         };
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -20,8 +20,8 @@
 const MAX_INFO_LINES: u32 = 40;
 /// Largest number of lines of one message that are written in a window, for warnings and errors.
 const MAX_WARNING_LINES: u32 = 150;
-/// Log target of lines that are never suppressed: the orders by which keys move, whose number the leader
-/// limits itself.
+/// Log target of lines whose number is not limited: those about moves of keys, of which none may be missing
+/// when an owner is looked for.
 pub const AUDIT: &str = "ragwortrill_entry::audit";
 /// Length of the window in which the lines of a message are counted.
 const WINDOW_MS: u64 = 1_000;
--- a/crates/entry/tests/copies.rs
+++ b/crates/entry/tests/copies.rs
@@ -95,9 +95,7 @@
     serving.join().unwrap();
 }
 
-/// Guards against a late copy of a response that is taken for the response to the next call on its
-/// connection: the copy of a grant's answer released keys that their owner still worked on (OWNER in
-/// review/3).
+/// Guards against a late copy of a response that is taken for the response to the next call.
 #[test]
 fn late_copy_of_a_response_does_not_answer_the_next_call() {
     static CASES: [Case; 4] = [
