Ask for a connection of their own only for orders that may move keys on

With targets that name no order in their answers, each first grant took a connection of its own. A late copy that is taken for its answer gives the keys to no other target: the leader counts the grant as sent either way, and renews it a second later. Only the answer to a release, or to a grant that confirms a recovered range, lets keys move on, so only these orders need proof of whose answer it is.

--- a/crates/entry/src/leadership/order.rs
+++ b/crates/entry/src/leadership/order.rs
@@ -101,7 +101,7 @@
         let call = (self.shared.protocol.encode_order)(order, id);
         let is_valid = || self.may_send(order, planned_at);
         let subject = |reply: &Reply| match (self.shared.protocol.order_subject)(reply, id) {
-            Subject::Unnamed if order.is_renewal => Subject::Own,
+            Subject::Unnamed if !order.is_decisive => Subject::Own,
             Subject::Own => {
                 self.naming.borrow_mut().insert(order.target.clone());
                 Subject::Own
@@ -117,11 +117,11 @@
         self.interpret(order, outcome)
     }
 
-    /// Returns a client for an order. If the target does not name orders in its answers, only a renewal
-    /// may use a connection that another order has used: a late copy of an answer can't be told from
-    /// its own, but moves no key.
+    /// Returns a client for an order. If the target does not name orders in its answers, a decisive order
+    /// must not use a connection that another order has used: a late copy of an answer could not be told
+    /// from its own.
     fn take_client(&self, order: &Order) -> Client {
-        let may_share = order.is_renewal || self.naming.borrow().contains(&order.target);
+        let may_share = !order.is_decisive || self.naming.borrow().contains(&order.target);
         let mut clients = self.clients.borrow_mut();
         let idle = clients.entry(order.target.clone()).or_default();
         idle.pop_if(|_| may_share).unwrap_or_else(|| {
@@ -133,7 +133,7 @@
     /// Keeps the client of an order that has ended for others. Orders that need connections of their own
     /// must not add up to more and more idle ones.
     fn return_client(&self, order: &Order, client: Client) {
-        let is_shared = order.is_renewal || self.naming.borrow().contains(&order.target);
+        let is_shared = !order.is_decisive || self.naming.borrow().contains(&order.target);
         let mut clients = self.clients.borrow_mut();
         let idle = clients.entry(order.target.clone()).or_default();
         if is_shared || idle.is_empty() {
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -60,8 +60,11 @@
     pub fence: u64,
     /// Whether the keys are granted or released.
     pub operation: Operation,
-    /// Whether it renews a grant that the target has confirmed, so that its answer moves no key.
+    /// Whether it renews a grant that the target has confirmed.
     pub is_renewal: bool,
+    /// Whether keys may move to another target because of its answer: a release, or a grant that confirms
+    /// a recovered range.
+    pub is_decisive: bool,
 }
 
 /// A target's response to an order.
--- a/crates/router/src/leader/partition.rs
+++ b/crates/router/src/leader/partition.rs
@@ -211,7 +211,8 @@
             }
             self.budget.take(tick.now, rate, ORDER_BURST);
             self.in_flight.insert(range.epoch);
-            let is_renewal = range.is_held() && !self.unconfirmed.contains(&range.epoch);
+            let is_confirmed = !self.unconfirmed.contains(&range.epoch);
+            let is_decisive = operation == Operation::Release || !is_confirmed;
             actions.push(Action::Send(Order {
                 service: service.clone(),
                 range_epoch: range.epoch,
@@ -220,7 +221,8 @@
                 last: range.last,
                 fence,
                 operation,
-                is_renewal,
+                is_renewal: range.is_held() && is_confirmed,
+                is_decisive,
             }));
         }
     }
