Give each control call to a target a connection of its own

A holder that takes a refused grant for an accepted one sends requests to a target that another process owns.

Cause: the control client kept its connections, and answers name no call. Each call now asks the target to close its connection, which ntex does not keep then, so no answer to another call can be due on it. Calls are few (a probe each 250 ms and a grant each 500 ms for each target), and opening a connection takes about 1 ms.

--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -6,7 +6,7 @@
 use ragwortrill_core::{name, time::Span};
 use serde::{Deserialize, Serialize};
 
-use crate::http::Http;
+use crate::http::{Http, Reuse};
 
 pub use crate::error::Error;
 
@@ -46,7 +46,7 @@
 impl Client {
     /// Creates a client. It must be used on the ntex thread that created it.
     pub async fn new(address: SocketAddr, timeout: Span) -> Self {
-        Self(Http::new(address, timeout, MAX_RESPONSE_BYTES).await)
+        Self(Http::new(address, timeout, MAX_RESPONSE_BYTES, Reuse::Keep).await)
     }
 
     /// Fetches the host list.
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -29,17 +29,32 @@
     pub(crate) bytes: Vec<u8>,
 }
 
-/// Pooled connections to one service.
+/// Connections to one service.
 #[derive(Clone)]
 pub(crate) struct Http {
     address: SocketAddr,
     client: client::Client,
     limit: usize,
+    reuse: Reuse,
     timeout: Span,
 }
 
+/// Whether connections are kept between requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Reuse {
+    /// Connections are kept.
+    Keep,
+    /// Each request has its own connection, on which no response to another one can arrive.
+    Never,
+}
+
 impl Http {
-    pub(crate) async fn new(address: SocketAddr, timeout: Span, limit: usize) -> Self {
+    pub(crate) async fn new(
+        address: SocketAddr,
+        timeout: Span,
+        limit: usize,
+        reuse: Reuse,
+    ) -> Self {
         // The connect timeout is shorter than the timeout of the whole exchange: only a connect
         // error proves that nothing was sent, so it must be reported before the exchange times out.
         let io = IoConfig::new().set_connect_timeout(millis(timeout.scale(1, 2)));
@@ -55,6 +70,7 @@
             address,
             client,
             limit,
+            reuse,
             timeout,
         }
     }
@@ -74,7 +90,12 @@
     ) -> Result<Response, Error> {
         let timeout = self.timeout + hold;
         let url = format!("http://{}{path}", self.address);
-        let response = self.receive(self.client.request(method, url), content);
+        let request = self.client.request(method, url);
+        let request = match self.reuse {
+            Reuse::Keep => request,
+            Reuse::Never => request.force_close(),
+        };
+        let response = self.receive(request, content);
         match ntex::time::timeout(millis(timeout), response).await {
             Ok(response) => self.check_status(response?),
             Err(()) => Err(Error::TimedOut {
--- a/crates/platform/src/log/client.rs
+++ b/crates/platform/src/log/client.rs
@@ -7,7 +7,7 @@
     Batch, Bounds, Condition, Error, MAX_BATCH_BYTES, MAX_RESPONSE_BYTES, MEDIA_TYPE, PATH, Page,
     Query, Receipt,
 };
-use crate::http::{Content, Http, Response};
+use crate::http::{Content, Http, Response, Reuse};
 
 /// Client of the log service.
 #[derive(Clone)]
@@ -18,7 +18,7 @@
     ///
     /// `timeout` bounds each request; the wait time of a read is added to it.
     pub async fn new(address: SocketAddr, timeout: Span) -> Self {
-        Self(Http::new(address, timeout, MAX_RESPONSE_BYTES).await)
+        Self(Http::new(address, timeout, MAX_RESPONSE_BYTES, Reuse::Keep).await)
     }
 
     /// Appends a batch: all of its entries or none.
--- a/crates/platform/src/target/client.rs
+++ b/crates/platform/src/target/client.rs
@@ -7,16 +7,17 @@
     CANCEL_PATH, Cancellation, Error, GRANT_PATH, Grant, HEALTH_PATH, LOAD_PATH, Load,
     MAX_RESPONSE_BYTES, StaleEpoch,
 };
-use crate::http::{Content, Http, Response};
+use crate::http::{Content, Http, Response, Reuse};
 
-/// Client of a target's control interface.
+/// Client of a target's control interface. Each call has its own connection, so that a late copy of
+/// the response to an earlier call can't be taken for its response.
 #[derive(Clone)]
 pub struct Client(Http);
 
 impl Client {
     /// Creates a client. It must be used on the ntex thread that created it.
     pub async fn new(address: SocketAddr, timeout: Span) -> Self {
-        Self(Http::new(address, timeout, MAX_RESPONSE_BYTES).await)
+        Self(Http::new(address, timeout, MAX_RESPONSE_BYTES, Reuse::Never).await)
     }
 
     /// Grants the target the right to serve for a time.
