Run one copy of a suspected request at a time at all hosts together

Cause: docs/decisions/quarantine.md says that a suspect runs alone on its target. The hosts on the users' platform had the list of suspects 3 s before the copies were sent, and used it only to report their answers. While the key had no owner, copies waited at all hosts, and all of them left when it had one.

The quarantine follows the second end by 0.9 s, as designed, so it is not what is late.

Fix: a host that is about to send a suspect of a single target's end asks the leader (POST /trial between hosts), which lets one copy run until that is answered, did not run, or 1.5 s are over. An answer clears the suspicion at once. Others wait without a place at the target and ask again, at most 100 times a second for one request. Requests that are not suspected, and those of a loss of many targets, ask nobody. Without an answer of the leader within 0.2 s, or from one of an earlier release, one copy runs at each host.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -182,7 +182,7 @@
 
 /// Returns the time that a request is assumed to need at a target. A request stops waiting when it
 /// has less than this left.
-fn min_service_time(job: &Job) -> Span {
+pub(crate) fn min_service_time(job: &Job) -> Span {
     job.rule.objective.scale(1, 3)
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -53,6 +53,7 @@
 mod store;
 mod survey;
 pub mod tally;
+mod trial;
 mod uplink;
 
 pub use run::{run, run_until};
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -16,6 +16,7 @@
     search,
     shared::Shared,
     stop::Phase,
+    trial,
 };
 
 /// Serves a request. A request that is not idempotent is completed even if its caller leaves.
@@ -81,10 +82,25 @@
         if let Some(problem) = crash::refusal(shared, job.fingerprint) {
             return fail(shared, &job, problem);
         }
+        let trial = match trial::begin(shared, job.fingerprint).await {
+            trial::Place::Free => None,
+            trial::Place::Taken(trial) => Some(trial),
+            trial::Place::Busy => {
+                // Others use the target meanwhile.
+                drop(permit);
+                if let Err(problem) = trial::wait(shared, &job).await {
+                    return fail(shared, &job, problem);
+                }
+                continue;
+            }
+        };
         let epoch = job
             .key
             .and_then(|key| search::epoch(shared, &job.service, key));
         let attempt = attempt::send(shared, &job, &target, permit).await;
+        if let Some(trial) = trial {
+            trial.end(attempt.outcome, attempt.status);
+        }
         attempts += u32::from(attempt.outcome != Outcome::NotSent);
         if let (Outcome::Misdirected, Some(epoch)) = (attempt.outcome, epoch) {
             job.misdirected = Some((epoch, shared.now()));
--- a/crates/entry/src/ready.rs
+++ b/crates/entry/src/ready.rs
@@ -7,6 +7,7 @@
     reply::{Problem, Reply},
     service::Request,
     shared::Shared,
+    trial,
 };
 
 /// Path of the metrics, on the port for other hosts.
@@ -45,6 +46,12 @@
             Err(_) => Reply::problem(Problem::new(400, "the question can't be read"), None),
         };
     }
+    if request.path == trial::PATH {
+        return match trial::handle_question(shared, &request.body) {
+            Ok(permission) => Reply::content("application/cbor", Bytes::from(permission)),
+            Err(_) => Reply::problem(Problem::new(400, "the trial can't be decided here"), None),
+        };
+    }
     if request.path != relay::PATH {
         return Reply::problem(Problem::new(404, "no such path"), None);
     }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -13,6 +13,7 @@
     number::{Offset, Timeline},
     pause::Pause,
     rate_limit::Limit,
+    request::Fingerprint,
     retry::Budget,
     time::{Instant, Span},
 };
@@ -111,6 +112,8 @@
     pub(crate) crash_observer: RefCell<Observer>,
     /// The observed crashes of all hosts, from which the leader quarantines requests.
     pub(crate) crash_aggregator: RefCell<Aggregator>,
+    /// Fingerprints of which a request asks for a trial at this host, or runs in one.
+    pub(crate) trials: RefCell<BTreeSet<Fingerprint>>,
     /// Lost links of this host to targets.
     pub(crate) links: RefCell<Links>,
     /// Notified when a link is lost or found again.
@@ -267,6 +270,7 @@
             traffic: RefCell::default(),
             crash_observer: RefCell::default(),
             crash_aggregator: RefCell::default(),
+            trials: RefCell::default(),
             links: RefCell::default(),
             links_changed: Notify::new(),
             surveys: RefCell::default(),
--- a/crates/entry/src/uplink.rs
+++ b/crates/entry/src/uplink.rs
@@ -181,6 +181,15 @@
     })
 }
 
+/// Returns the address of the leader, if another host leads.
+pub(crate) fn leader_address(shared: &Shared) -> Option<SocketAddr> {
+    let leader = shared.leader.borrow().clone()?;
+    let is_own = leader == shared.settings.borrow().host.to_string();
+    let hosts = shared.hosts.borrow();
+    let leader = hosts.get(&leader).filter(|_| !is_own);
+    leader.and_then(|known| known.address)
+}
+
 /// Leaves out a relay that is cut off, if another relay is left. Otherwise, this host stays with it:
 /// all of them are cut off while no host leads.
 pub(crate) fn leave_relay(shared: &Shared, relay: &str) {
--- a/crates/router/src/crash.rs
+++ b/crates/router/src/crash.rs
@@ -7,6 +7,7 @@
 
 mod aggregator;
 mod ends;
+mod trial;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -21,6 +22,7 @@
         Aggregator, EVALUATION_INTERVAL, Evaluated, MAX_EVALUATION_STEPS, MAX_PENDING, MAX_SUSPECTS,
     },
     ends::MAX_ENDS,
+    trial::Permission,
 };
 use crate::registration::Incarnation;
 
@@ -328,6 +330,12 @@
         entry.is_some_and(|entry| now.since(entry.since) < QUARANTINE_TIME)
     }
 
+    /// Tells whether a request has to ask the leader before it runs, since it is suspected. After a
+    /// loss of many targets there are too many suspects to ask for, and most are harmless.
+    pub fn needs_trial(&self, fingerprint: Fingerprint) -> bool {
+        !self.is_mass_loss && self.verdicts.suspects.contains(&fingerprint)
+    }
+
     /// Tells whether requests with a fingerprint are to be refused until the leader has evaluated
     /// the crashes at which they were in flight. In a loss of many targets this host's own crashes
     /// that the leader has not acknowledged are no reason.
--- a/crates/router/src/crash/aggregator.rs
+++ b/crates/router/src/crash/aggregator.rs
@@ -19,6 +19,7 @@
 use super::{
     Crash, HELD_CRASHES, MASS_LOSS_WINDOW, MAX_IN_FLIGHT, QUARANTINE_TIME, REPORT_WINDOW, Verdicts,
     ends::{Ends, Loss},
+    trial::{Permission, Trials},
 };
 use crate::registration::Incarnation;
 
@@ -45,6 +46,7 @@
     due: VecDeque<(Instant, u64)>,
     /// Number of pairs of a target and a fingerprint that wait.
     pending: usize,
+    trials: Trials,
     evaluated_at: Option<Instant>,
     is_changed: bool,
     /// Crashes of the last evaluation.
@@ -166,6 +168,36 @@
         self.is_changed |= self.suspicions.remove(&fingerprint).is_some();
     }
 
+    /// Decides whether a request may run now. One that is suspected because of the end of a single
+    /// target runs while no other one with its fingerprint does, at any host.
+    pub fn begin_trial(&mut self, now: Instant, fingerprint: Fingerprint) -> Permission {
+        let is_refused = self.quarantine.status(fingerprint) == Status::Quarantined
+            || self.verdicts.held.contains(&fingerprint);
+        match is_refused {
+            true => Permission::Wait,
+            false if self.is_suspected_alone(fingerprint) => self.trials.begin(now, fingerprint),
+            false => Permission::Free,
+        }
+    }
+
+    /// Ends a trial whose request did not crash its target.
+    pub fn end_trial(&mut self, fingerprint: Fingerprint, is_answered: bool) {
+        self.trials.end(fingerprint);
+        if is_answered {
+            self.clear_suspect(fingerprint);
+        }
+    }
+
+    /// Returns whether a request was in flight at an end that belongs to no loss of many targets.
+    fn is_suspected_alone(&self, fingerprint: Fingerprint) -> bool {
+        let is_single = |number: &u64| {
+            let at = self.ends.at(*number);
+            at.is_some_and(|at| !self.ends.loss(at).is_mass())
+        };
+        let suspicion = self.suspicions.get(&fingerprint);
+        suspicion.is_some_and(|suspicion| suspicion.ends.iter().any(is_single))
+    }
+
     /// Forgets the reported crashes and all suspicions, since another host leads: it gets the crashes
     /// again and the answers from now on.
     pub fn forget_reports(&mut self) {
@@ -173,6 +205,7 @@
         self.crashes.clear();
         self.suspicions.clear();
         self.due.clear();
+        self.trials.clear();
         self.pending = 0;
         self.is_changed = true;
     }
@@ -285,6 +318,7 @@
         }
         self.is_changed |= self.suspicions.len() < before;
         self.quarantine.expire(now);
+        self.trials.expire(now);
     }
 
     /// Returns the suspected fingerprints, those with the most crashes first, and of these the newest.
--- a/crates/router/tests/crash.rs
+++ b/crates/router/tests/crash.rs
@@ -7,7 +7,7 @@
     time::{Instant, Span},
 };
 use ragwortrill_router::{
-    crash::{Aggregator, Crash, Observer, Report},
+    crash::{Aggregator, Crash, Observer, Permission, Report},
     registration::Incarnation,
 };
 
@@ -326,3 +326,107 @@
     aggregator.clear_suspect(Fingerprint(7));
     assert!(aggregator.decide(at(0) + VERDICT).is_empty());
 }
+
+/// A step of a suspected request.
+#[derive(Clone, Copy)]
+enum Step {
+    /// A target ends with the request in flight, and the crash is reported.
+    Crash(u16),
+    /// Many targets end together, all but one without the request.
+    Loss,
+    /// A copy of the request asks whether it may run.
+    Begin(Permission),
+    /// A trial ends, with an answer or without.
+    End(bool),
+}
+
+struct Course {
+    name: &'static str,
+    /// Steps with their times in milliseconds.
+    steps: &'static [(u64, Step)],
+}
+
+/// Guards against copies of a crashing request that are sent to the next target together, and against
+/// harmless requests that wait for each other after one of them has been answered.
+#[test]
+fn suspected_request_runs_one_copy_at_a_time() {
+    use Permission::{Alone, Free, Wait};
+    use Step::{Begin, Crash, End, Loss};
+    let cases = [
+        Course {
+            name: "not suspected",
+            steps: &[(0, Begin(Free)), (10, Begin(Free))],
+        },
+        Course {
+            name: "at the end of one target",
+            steps: &[(0, Crash(1)), (1_000, Begin(Alone)), (1_010, Begin(Wait))],
+        },
+        Course {
+            name: "a trial that was not run",
+            steps: &[
+                (0, Crash(1)),
+                (1_000, Begin(Alone)),
+                (1_050, End(false)),
+                (1_060, Begin(Alone)),
+                (1_070, Begin(Wait)),
+            ],
+        },
+        Course {
+            name: "a trial that was answered",
+            steps: &[
+                (0, Crash(1)),
+                (1_000, Begin(Alone)),
+                (1_050, End(true)),
+                (1_060, Begin(Free)),
+                (1_070, Begin(Free)),
+            ],
+        },
+        Course {
+            name: "a trial whose end is not told",
+            steps: &[
+                (0, Crash(1)),
+                (1_000, Begin(Alone)),
+                (2_400, Begin(Wait)),
+                (2_600, Begin(Alone)),
+            ],
+        },
+        Course {
+            name: "a trial that ends its target",
+            steps: &[
+                (0, Crash(1)),
+                (1_000, Begin(Alone)),
+                (1_300, Crash(2)),
+                (1_900, Begin(Wait)),
+                (3_000, Begin(Wait)),
+                (60_000, Begin(Wait)),
+            ],
+        },
+        Course {
+            name: "in a loss of many targets",
+            steps: &[
+                (0, Loss),
+                (0, Crash(1)),
+                (1_000, Begin(Free)),
+                (1_010, Begin(Free)),
+            ],
+        },
+    ];
+    for case in cases {
+        let mut aggregator = Aggregator::default();
+        let mut steps = case.steps.iter().peekable();
+        for millis in 0..=60_000 {
+            while let Some((_, step)) = steps.next_if(|(due, _)| *due <= millis) {
+                match step {
+                    Crash(number) => aggregator.add(at(millis), crash(*number, &[7])),
+                    Loss => (11..17).for_each(|n| aggregator.record_loss(at(millis), &target(n))),
+                    Begin(expected) => {
+                        let permission = aggregator.begin_trial(at(millis), Fingerprint(7));
+                        assert_eq!(permission, *expected, "{} at {millis} ms", case.name);
+                    }
+                    End(is_answered) => aggregator.end_trial(Fingerprint(7), *is_answered),
+                }
+            }
+            aggregator.decide(at(millis));
+        }
+    }
+}
