Give up no request on a lost link during a planned stop

Cause: a lost link ends idempotent attempts at any time, also in a planned stop, which starts no further attempt after its first 2.5 s. The open connection may still bring the answer.

During a planned stop a lost link now ends no attempt, as the attempt's timeout does not either. A connection whose other end is gone is closed by the kernel, and the phases of the stop bound the wait.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -120,7 +120,7 @@
         biased;
         outcome = exchanging => outcome,
         // A request that may run only once has to be waited for: its bytes may have arrived.
-        () = reach::lost(shared, &job.service, incarnation, sent), if is_idempotent => {
+        () = link_lost(shared, job, incarnation, sent), if is_idempotent => {
             Err(Unanswered::Unreachable)
         }
         never = giving_up, if !is_idempotent => never,
@@ -220,6 +220,17 @@
     Stop,
 }
 
+/// Completes when a request is given up since the link to its target is lost. During a planned stop no
+/// running attempt is given up: the answer may still come on the open connection, which the kernel
+/// closes if the target is not there any more, and little time is left for another attempt.
+async fn link_lost(shared: &Rc<Shared>, job: &Job, incarnation: &Incarnation, sent: Instant) {
+    reach::lost(shared, &job.service, incarnation, sent).await;
+    if shared.stop.has_reached(Phase::Stopping) {
+        log::info!(request = job.id.as_str(), target = incarnation.id.as_str(); "request goes on during the planned stop, although the link to its target is lost");
+        std::future::pending().await
+    }
+}
+
 /// Sends a request and reads its response, unless a planned stop of the host ends first.
 pub(crate) async fn exchange(
     shared: &Shared,
