Suspect a request whose connection broke, whatever timed out before it

Requests in flight at the third one got no answer, and its keys waited for another owner.

Cause: of the requests that a target leaves unanswered, a host suspected those sent within 1 s of the first one. Later ones counted as sent to a target that had fallen silent before. At the host that sent the only copy, another request had timed out at that target 3.4 s earlier, and no answer on a connection that was older had come since.

Evidence: the copy is sent at 10.373 and breaks at 10.575; its host reports the end with the earlier request alone, and no host reports the copy. The leader counts its second crash only at 14.292.

Fix: a broken connection shows that the target had not fallen silent, so its request is always among the suspects. Timeouts are treated as before.

Test: request_whose_connection_breaks_is_suspected_after_an_earlier_timeout (router). With record_break reduced to record_unanswered it fails: the crash has Fingerprint(8) alone in place of 7 and 8. crash and crash_storm of the router, and crash, acquittal and trial of the platform pass.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -164,7 +164,7 @@
                 shared.with_endpoint(incarnation, |endpoint| {
                     endpoint.restart_detector.record_break(now)
                 });
-                crash::record_unanswered(shared, incarnation, job.fingerprint, sent);
+                crash::record_break(shared, incarnation, job.fingerprint, sent);
                 reach::check(shared, &job.service, incarnation, reach::Cause::Break).await;
             }
             Attempt::failed(Outcome::Unknown, error.to_string())
--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -30,6 +30,19 @@
     }
 }
 
+/// Records a request during which the connection to its target broke, if its end would be a crash.
+pub(crate) fn record_break(
+    shared: &Shared,
+    target: &Incarnation,
+    fingerprint: Fingerprint,
+    sent_at: Instant,
+) {
+    if is_serving(shared, target) {
+        let mut observer = shared.crash_observer.borrow_mut();
+        observer.record_break(target, fingerprint, sent_at);
+    }
+}
+
 /// Records that a target ended without having drained.
 pub(crate) fn record_end(shared: &Shared, target: &Incarnation) {
     let now = shared.now();
--- a/crates/router/src/crash.rs
+++ b/crates/router/src/crash.rs
@@ -78,12 +78,25 @@
 }
 
 /// A request that was sent and got no answer.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Unanswered {
     sent_at: Instant,
     fingerprint: Fingerprint,
 }
 
+impl Silence {
+    /// Adds a request, unless it is there already or there are too many.
+    fn add(&mut self, fingerprint: Fingerprint, sent_at: Instant) {
+        let request = Unanswered {
+            sent_at,
+            fingerprint,
+        };
+        if self.unanswered.len() < MAX_IN_FLIGHT && !self.unanswered.contains(&request) {
+            self.unanswered.push(request);
+        }
+    }
+}
+
 /// A quarantined fingerprint.
 #[derive(Clone, Copy, Debug)]
 struct Entry {
@@ -156,12 +169,23 @@
             silence.since = sent_at;
             silence.unanswered.clear();
         }
-        let has_room = silence.unanswered.len() < MAX_IN_FLIGHT;
-        if has_room && sent_at.since(silence.since) < CAUSE_WINDOW {
-            silence.unanswered.push(Unanswered {
-                sent_at,
-                fingerprint,
-            });
+        if sent_at.since(silence.since) < CAUSE_WINDOW {
+            silence.add(fingerprint, sent_at);
+        }
+    }
+
+    /// Records that the connection to a target broke while it worked on a request that was sent at
+    /// `sent_at`. The target has not been silent until then, so requests without an answer before
+    /// do not exclude this one.
+    pub fn record_break(
+        &mut self,
+        target: &Incarnation,
+        fingerprint: Fingerprint,
+        sent_at: Instant,
+    ) {
+        self.record_unanswered(target, fingerprint, sent_at);
+        if let Some(silence) = self.silences.get_mut(target) {
+            silence.add(fingerprint, sent_at);
         }
     }
 
--- a/crates/router/tests/crash.rs
+++ b/crates/router/tests/crash.rs
@@ -194,6 +194,17 @@
     assert_eq!(ended, Some(crash(1, &[7])));
 }
 
+/// Guards against a request that ends its target and is not suspected, since another one had no answer
+/// of the target in time long before.
+#[test]
+fn request_whose_connection_breaks_is_suspected_after_an_earlier_timeout() {
+    let mut observer = Observer::default();
+    observer.record_unanswered(&target(1), Fingerprint(8), at(0));
+    observer.record_break(&target(1), Fingerprint(7), at(5_100));
+    let ended = observer.record_end(at(5_300), &target(1));
+    assert_eq!(ended, Some(crash(1, &[7, 8])));
+}
+
 /// A series of crashes, each with the milliseconds at which it is reported, and its verdict.
 struct Series {
     name: &'static str,
