Count only listed owners to tell whether the leader is isolated

Cause: a leader resigns if more than half of at least three owners do not respond. Owners that have ended, and previous owners of moving keys, counted too. If most owners end at once, each leader resigns after three unanswered orders, about 2 s, and before the grants of the earlier leader have expired, so no host ever moves the keys of those that have ended.

The new test fails on the code before (the keys are not settled after 8 s).

An owner without an entry may have ended, and no other host would reach it. While the list is not up to date, all owners count as before.

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -85,6 +85,11 @@
         all.filter(move |t| &t.registration.service == service && self.is_serving(t))
     }
 
+    /// Tells whether an incarnation has an entry.
+    pub fn lists(&self, incarnation: &Incarnation) -> bool {
+        is_listed(&self.targets, incarnation)
+    }
+
     /// Tells whether a target accepts requests: it neither drains nor is evacuated.
     pub fn is_serving(&self, target: &Target) -> bool {
         let data_centre = &target.registration.data_centre;
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -202,7 +202,7 @@
         }
         for service in tick.services {
             let partition = self.partitions.entry(service.clone()).or_default();
-            if partition.is_isolated() {
+            if partition.is_isolated(tick) {
                 return vec![Action::Resign];
             }
             partition.issue_orders(service, tick, self.earlier_grants_end, &mut actions);
--- a/crates/router/src/leader/partition.rs
+++ b/crates/router/src/leader/partition.rs
@@ -128,8 +128,9 @@
     }
 
     /// Tells whether more than half of at least three owners do not respond, which suggests that
-    /// this host's own network is cut off.
-    pub(super) fn is_isolated(&self) -> bool {
+    /// this host's own network is cut off. Owners without an entry may have ended, and no other host
+    /// would reach them.
+    pub(super) fn is_isolated(&self, tick: &Tick<'_>) -> bool {
         let mut owners: BTreeSet<&Incarnation> =
             self.durable.ranges.iter().map(|r| &r.owner).collect();
         let moving = self
@@ -141,6 +142,9 @@
                 State::Moving(previous) => Some(previous),
             });
         owners.extend(moving.flatten().map(|previous| &previous.target));
+        if tick.is_current {
+            owners.retain(|owner| tick.fleet.lists(owner));
+        }
         let unresponsive = |target: &&&Incarnation| {
             self.unanswered
                 .get(**target)
--- a/crates/router/tests/leader.rs
+++ b/crates/router/tests/leader.rs
@@ -382,6 +382,22 @@
     assert!(resigned);
 }
 
+/// Guards against leaders that resign one after another, so that keys stay without owners, since most
+/// owners have ended and no host reaches them.
+#[test]
+fn keys_of_most_owners_move_after_they_have_ended() {
+    let mut sim = Simulation::new(&["a", "b", "c"]);
+    sim.run(Span::from_secs(3));
+    for id in ["a", "b"] {
+        sim.processes.retain(|_, process| process != id);
+        sim.fleet.apply(sim.now, &id.parse().unwrap(), None);
+    }
+    // Every grant is checked against the grants of other targets.
+    sim.run(Span::from_secs(8));
+    assert!(sim.is_settled());
+    assert_eq!(sim.owners(), ["c"]);
+}
+
 /// Guards against a late refusal of a renewal for a range that has since been divided: the leader
 /// assumed that its owner had lost the keys, and moved them.
 #[test]
