Try targets again if no target of a service responds

Cause: a target that has not responded to three orders in a row gets no keys and no renewals. Only an answer ends that, and none can come without an order. If all targets of a service count as unresponsive and it has fewer than three owners, the leader sends no order any more, and the keys have no owner until another host leads. One target that stalls for 2 s is enough for a service that has no other.

The new test fails on the code before with one target.

While no serving target responds, those that do not keep their keys and get orders. When a previous owner counts as cleared does not change.

--- a/crates/router/src/leader/partition.rs
+++ b/crates/router/src/leader/partition.rs
@@ -82,6 +82,8 @@
     grants_end: BTreeMap<Incarnation, Instant>,
     /// Consecutive orders that got no response, by target.
     unanswered: BTreeMap<Incarnation, u32>,
+    /// Whether no serving target responds, so that those that do not are tried again.
+    retries_unresponsive: bool,
     /// Targets that have ended: another target responded at their address.
     ended: BTreeSet<Incarnation>,
     discovery: Option<Discovery>,
@@ -179,6 +181,10 @@
         earlier_grants_end: Instant,
         actions: &mut Vec<Action>,
     ) {
+        self.retries_unresponsive = !tick.fleet.serving(service).any(|target| {
+            let target = &target.registration.incarnation;
+            !self.is_unresponsive(target) && !self.ended.contains(target)
+        });
         let draft = self.draft.as_ref();
         let kept = draft.map(|draft| draft.ranges.iter().map(|range| range.epoch).collect());
         let kept: Option<BTreeSet<u64>> = kept;
@@ -446,9 +452,11 @@
         !serves || !self.may_own(owner) || self.refused.contains(&range.epoch)
     }
 
-    /// Tells whether a target may get keys: it has neither ended nor stopped responding.
+    /// Tells whether a target may get keys: it has neither ended nor stopped responding. If no target
+    /// responds, the others get orders too, since only an answer shows that they respond again.
     fn may_own(&self, target: &Incarnation) -> bool {
-        !self.is_unresponsive(target) && !self.ended.contains(target)
+        let may_respond = self.retries_unresponsive || !self.is_unresponsive(target);
+        may_respond && !self.ended.contains(target)
     }
 
     fn is_unresponsive(&self, target: &Incarnation) -> bool {
--- a/crates/router/tests/leader.rs
+++ b/crates/router/tests/leader.rs
@@ -398,6 +398,27 @@
     assert_eq!(sim.owners(), ["c"]);
 }
 
+/// Guards against keys without owners until the leader changes, after no target has responded for a
+/// while: a target is known to respond again only from an order.
+#[test]
+fn targets_are_tried_again_if_none_responds() {
+    let cases: [&[&str]; 2] = [&["a"], &["a", "b"]];
+    for ids in cases {
+        let mut sim = Simulation::new(ids);
+        sim.run(Span::from_secs(3));
+        sim.unresponsive = ids.iter().map(|id| (*id).to_owned()).collect();
+        sim.run(Span::from_secs(7));
+        sim.unresponsive.clear();
+        sim.run(Span::from_secs(2));
+        let mut ranges = sim.durable.ranges.iter();
+        let is_granted = ranges.all(|range| {
+            let key = (range.owner.id.to_string(), range.first, range.last);
+            sim.grants.get(&key).is_some_and(|(_, end)| *end > sim.now)
+        });
+        assert!(sim.is_settled() && is_granted, "{ids:?}");
+    }
+}
+
 /// Guards against a late refusal of a renewal for a range that has since been divided: the leader
 /// assumed that its owner had lost the keys, and moved them.
 #[test]
