Add a model check of the platform leader's protocol

tests/protocol plays schedules of faults with the leader's decision code that ships and checks four invariants after each order: one owner at a time, epochs above those of other targets, no grant while another target may still hold the keys, and an owner for each key within 20 s after the faults have ended. All schedules of up to four events are searched breadth-first; longer ones are drawn and reduced by proptest.

--- /dev/null
+++ b/crates/router/tests/protocol/event.rs
@@ -0,0 +1,176 @@
+//! Events that the model draws.
+
+use proptest::{collection::vec, prelude::*};
+
+/// Longest schedule.
+const MAX_EVENTS: usize = 60;
+/// Number of targets.
+pub const TARGETS: usize = 3;
+
+/// What becomes of the orders that are sent to a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+    /// They are carried out and answered at once.
+    Answered,
+    /// They are carried out at once, and the answers arrive shortly before the timeout.
+    AnsweredLate,
+    /// They are carried out, and the answers are lost.
+    AnswerLost,
+    /// They do not arrive.
+    Lost,
+    /// They do not arrive, and the host knows that its own link is lost.
+    Unreached,
+    /// They arrive as late as a connection allows, are carried out then, and the answers are lost.
+    Slow,
+    /// They arrive as above, get no answers, and are carried out at any later time.
+    Pending,
+    /// As above, but a copy of an earlier answer arrives.
+    Unattributed,
+}
+
+/// What becomes of the writes to the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Write {
+    /// They are executed and answered at once.
+    Answered,
+    /// They are executed and answered after some time.
+    Slow,
+    /// They are executed, and the answers are lost.
+    AnswerLost,
+    /// They get no answers and are executed at any later time, if their condition still holds.
+    Late,
+}
+
+/// One event of a schedule.
+#[derive(Clone, Copy, Debug)]
+pub enum Event {
+    /// A target drains.
+    Drain(usize),
+    /// A target takes its draining back.
+    Serve(usize),
+    /// The entry of a target is removed, while it goes on.
+    Leave(usize),
+    /// A target ends; its entry stays for a time.
+    End(usize),
+    /// A target restarts under its id and at its address.
+    Restart(usize),
+    /// As above, and its entry follows with its next change.
+    RestartUnlisted(usize),
+    /// A target restarts under its id at another address.
+    Move(usize),
+    /// A process with another id starts at the address of a target, whose entry is left.
+    Replace(usize),
+    /// The fate of the orders to a target from now on.
+    Orders(usize, Fate),
+    /// A target carries out its newest pending order, or its oldest one.
+    CarryOut(usize, bool),
+    /// A data centre is evacuated.
+    Evacuate(usize),
+    /// The evacuation is taken back.
+    TakeBack(usize),
+    /// The fate of the writes from now on.
+    Writes(Write),
+    /// A late write is executed if its condition still holds.
+    Execute,
+    /// Another host leads, which knows only the log.
+    NewLeader,
+    /// Whether the leader's list of targets is up to date.
+    IsCurrent(bool),
+    /// Whether some keys are busy.
+    IsBusy(bool),
+}
+
+/// An event and the time until the next one.
+#[derive(Clone, Copy, Debug)]
+pub struct Step {
+    pub event: Event,
+    pub pause_ms: u64,
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        4 => Just(Fate::Answered),
+        1 => Just(Fate::AnsweredLate),
+        1 => Just(Fate::AnswerLost),
+        2 => Just(Fate::Lost),
+        1 => Just(Fate::Unreached),
+        1 => Just(Fate::Slow),
+        4 => Just(Fate::Pending),
+        1 => Just(Fate::Unattributed),
+    ]
+}
+
+fn write() -> impl Strategy<Value = Write> {
+    prop_oneof![
+        3 => Just(Write::Answered),
+        1 => Just(Write::Slow),
+        1 => Just(Write::AnswerLost),
+        2 => Just(Write::Late),
+    ]
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let target = || 0..TARGETS;
+    prop_oneof![
+        6 => target().prop_map(Event::Drain),
+        6 => target().prop_map(Event::Serve),
+        1 => target().prop_map(Event::Leave),
+        1 => target().prop_map(Event::End),
+        1 => target().prop_map(Event::Restart),
+        1 => target().prop_map(Event::RestartUnlisted),
+        1 => target().prop_map(Event::Move),
+        1 => target().prop_map(Event::Replace),
+        9 => (target(), fate()).prop_map(|(target, fate)| Event::Orders(target, fate)),
+        5 => (target(), any::<bool>()).prop_map(|(target, newest)| Event::CarryOut(target, newest)),
+        1 => (0..2_usize).prop_map(Event::Evacuate),
+        1 => (0..2_usize).prop_map(Event::TakeBack),
+        3 => write().prop_map(Event::Writes),
+        2 => Just(Event::Execute),
+        2 => Just(Event::NewLeader),
+        1 => any::<bool>().prop_map(Event::IsCurrent),
+        1 => any::<bool>().prop_map(Event::IsBusy),
+    ]
+}
+
+fn pause_ms() -> impl Strategy<Value = u64> {
+    prop_oneof![
+        4 => Just(0),
+        4 => Just(100),
+        3 => Just(400),
+        2 => Just(1_000),
+        2 => Just(3_000),
+        1 => Just(6_000),
+    ]
+}
+
+impl Event {
+    /// Returns the number of the event's kind.
+    fn kind(self) -> u32 {
+        match self {
+            Self::Drain(_) | Self::Serve(_) => 0,
+            Self::Leave(_) => 1,
+            Self::End(_) => 2,
+            Self::Restart(_) => 3,
+            Self::RestartUnlisted(_) => 4,
+            Self::Move(_) => 5,
+            Self::Replace(_) => 6,
+            Self::Orders(..) => 7,
+            Self::CarryOut(..) => 8,
+            Self::Evacuate(_) | Self::TakeBack(_) => 9,
+            Self::Writes(_) | Self::Execute => 10,
+            Self::NewLeader => 11,
+            Self::IsCurrent(_) => 12,
+            Self::IsBusy(_) => 13,
+        }
+    }
+}
+
+/// Returns the schedules that are drawn. Each has some kinds of events only, since a rare sequence of a
+/// few kinds is hardly ever drawn among all of them.
+pub fn schedules() -> impl Strategy<Value = Vec<Step>> {
+    let step = (event(), pause_ms()).prop_map(|(event, pause_ms)| Step { event, pause_ms });
+    (any::<u32>(), vec(step, 1..=MAX_EVENTS)).prop_map(|(kinds, mut steps)| {
+        steps.retain(|step| kinds >> step.event.kind() & 1 == 1);
+        steps
+    })
+}
