--- a/crates/router/tests/leader.rs
+++ b/crates/router/tests/leader.rs
@@ -382,6 +382,43 @@
     assert!(resigned);
 }
 
+/// Guards against leaders that resign one after another, so that keys stay without owners, since most
+/// owners have ended and no host reaches them.
+#[test]
+fn keys_of_most_owners_move_after_they_have_ended() {
+    let mut sim = Simulation::new(&["a", "b", "c"]);
+    sim.run(Span::from_secs(3));
+    for id in ["a", "b"] {
+        sim.processes.retain(|_, process| process != id);
+        sim.fleet.apply(sim.now, &id.parse().unwrap(), None);
+    }
+    // Every grant is checked against the grants of other targets.
+    sim.run(Span::from_secs(8));
+    assert!(sim.is_settled());
+    assert_eq!(sim.owners(), ["c"]);
+}
+
+/// Guards against keys without owners until the leader changes, after no target has responded for a
+/// while: a target is known to respond again only from an order.
+#[test]
+fn targets_are_tried_again_if_none_responds() {
+    let cases: [&[&str]; 2] = [&["a"], &["a", "b"]];
+    for ids in cases {
+        let mut sim = Simulation::new(ids);
+        sim.run(Span::from_secs(3));
+        sim.unresponsive = ids.iter().map(|id| (*id).to_owned()).collect();
+        sim.run(Span::from_secs(7));
+        sim.unresponsive.clear();
+        sim.run(Span::from_secs(2));
+        let mut ranges = sim.durable.ranges.iter();
+        let is_granted = ranges.all(|range| {
+            let key = (range.owner.id.to_string(), range.first, range.last);
+            sim.grants.get(&key).is_some_and(|(_, end)| *end > sim.now)
+        });
+        assert!(sim.is_settled() && is_granted, "{ids:?}");
+    }
+}
+
 /// Guards against a late refusal of a renewal for a range that has since been divided: the leader
 /// assumed that its owner had lost the keys, and moved them.
 #[test]
