Close idle connections of callers before descriptors run out

Cause: callers that retry open connections and keep them; nothing bounded them. On the last host of ten, 3,570 to 3,634 of 3,900 descriptors were connections of callers, of which 43 to 261 had a request, and `accept` failed from 20 s to 33 s. Connections waited unread, and the host took their requests for as new as the accepted connection: one sent at 20.394 whose caller left at 20.591 reached its target at 21.156.

Callers' connections take at most half of the descriptors: from three quarters of that on, idle ones are closed and replies close theirs; beyond it requests are refused at once with 503, Retry-After and Connection: close; a quarter beyond, connections are closed unread. The line on a failed accept has the numbers of connections.

--- a/crates/entry/src/arrivals.rs
+++ b/crates/entry/src/arrivals.rs
@@ -15,6 +15,8 @@
     buffered: usize,
     /// Time before which the next bytes can't have arrived.
     not_before: Instant,
+    /// Whether the next bytes may have lain unread since then.
+    may_lie_unread: bool,
 }
 
 #[derive(Debug)]
@@ -30,6 +32,16 @@
             reads: VecDeque::new(),
             buffered: 0,
             not_before: since,
+            may_lie_unread: false,
+        }
+    }
+
+    /// Creates the arrivals of a connection that was established at `since` or later and was
+    /// accepted with bytes to read, which may have lain there since then.
+    pub fn of_waiting(since: Instant) -> Self {
+        Self {
+            may_lie_unread: true,
+            ..Self::new(since)
         }
     }
 
@@ -37,7 +49,10 @@
     /// took all bytes that were there. Bytes can have lain unread for as long as the event loop is
     /// late, but not since before the previous read.
     pub fn record(&mut self, now: Instant, lag: Span, buffered: usize, is_drained: bool) {
-        let at = (now - lag).max(self.not_before);
+        let at = match std::mem::take(&mut self.may_lie_unread) {
+            true => self.not_before,
+            false => (now - lag).max(self.not_before),
+        };
         self.not_before = if is_drained { now } else { at };
         let length = buffered.saturating_sub(self.buffered);
         self.buffered = buffered;
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -5,6 +5,7 @@
 
 use bytes::BytesMut;
 use futures_util::StreamExt;
+use ragwortrill_core::time::{Instant, Span};
 use tokio::{
     net::{TcpListener, TcpStream},
     time::{sleep_until, timeout},
@@ -13,60 +14,113 @@
 use crate::{
     connection::{self, Connection},
     delivery::{self, Response},
-    session::Session,
+    occupancy::Level,
+    session::{Origin, Session},
     shared::Shared,
     stop::Phase,
 };
 
 /// Longest time for which a closed connection waits for the caller to close it too.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Shortest interval at which idle connections are closed while there are many connections.
+const CROWDED_INTERVAL: Span = Span::from_millis(500);
+/// Time after a connection that could not be accepted until the next is tried.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Accepts connections of callers until a planned stop closes idle connections.
 ///
 /// `is_forwarded` tells whether other hosts forward their callers' requests on them.
 pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener, is_forwarded: bool) {
+    // Since when connections may wait in the listener's queue because none can be accepted.
+    let mut blocked_since = None;
     while !shared.stop.has_reached(Phase::Closing) {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = shared.stop.reached(Phase::Closing) => break,
         };
         match accepted {
-            Ok((stream, _)) => start(&shared, stream, is_forwarded),
+            Ok((stream, _)) => {
+                start(&shared, stream, is_forwarded, blocked_since);
+                blocked_since = blocked_since.filter(|_| connection::is_readable(&listener));
+            }
             Err(error) => {
-                log::warn!(error = error.to_string(); "connection of a caller can't be accepted");
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                let now = shared.now();
+                blocked_since.get_or_insert(now - shared.lag.current(now));
+                log_failure(&shared, &error);
+                tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
             }
         }
     }
-    if let Err(error) = accept_waiting(&shared, listener, is_forwarded) {
+    if let Err(error) = accept_waiting(&shared, listener, is_forwarded, blocked_since) {
         log::warn!(error = error.to_string(); "connection of a caller can't be accepted");
     }
 }
 
+fn log_failure(shared: &Shared, error: &io::Error) {
+    let endpoints = shared.endpoints.borrow();
+    let to_targets: u32 = endpoints.values().map(|e| e.pool.open_count()).sum();
+    let idle: usize = endpoints.values().map(|e| e.pool.idle_count()).sum();
+    log::warn!(
+        error = error.to_string(), callers = shared.caller_connections.get(),
+        requests = shared.active_requests.len(), to_targets = to_targets, idle_to_targets = idle;
+        "connection of a caller can't be accepted"
+    );
+}
+
 /// Accepts the connections that wait in the listener's queue, since closing the listener resets
 /// them. The event loop may not have reported them yet, so this asks the kernel.
 fn accept_waiting(
     shared: &Rc<Shared>,
     listener: TcpListener,
     is_forwarded: bool,
+    blocked_since: Option<Instant>,
 ) -> io::Result<()> {
     let listener = listener.into_std()?;
     for stream in listener.incoming().map_while(Result::ok) {
         stream.set_nonblocking(true)?;
-        start(shared, TcpStream::from_std(stream)?, is_forwarded);
+        let stream = TcpStream::from_std(stream)?;
+        start(shared, stream, is_forwarded, blocked_since);
     }
     Ok(())
 }
 
-/// Starts a task that serves a connection.
-fn start(shared: &Rc<Shared>, stream: TcpStream, is_forwarded: bool) {
+/// Starts a task that serves a connection, unless there are too many. It may have waited since
+/// `blocked_since`.
+fn start(
+    shared: &Rc<Shared>,
+    stream: TcpStream,
+    is_forwarded: bool,
+    blocked_since: Option<Instant>,
+) {
+    let level = shared.occupancy();
+    if level >= Level::Crowded {
+        close_idle(shared);
+    }
+    if level >= Level::Exhausted {
+        log::warn!(callers = shared.caller_connections.get(); "connection of a caller closed unread: there are too many");
+        return;
+    }
+    let origin = Origin {
+        is_forwarded,
+        blocked_since,
+        is_refused: level >= Level::Full,
+    };
     // Counted before the task first runs, since a planned stop waits until the count is 0.
     let guard = CountGuard::new(shared.clone());
     tokio::task::spawn_local(async move {
-        serve(guard.0.clone(), stream, is_forwarded).await;
+        serve(guard.0.clone(), stream, origin).await;
     });
 }
 
+/// Lets idle connections of callers close, at intervals.
+fn close_idle(shared: &Shared) {
+    let now = shared.now();
+    if now.since(shared.crowded_at.get()) >= CROWDED_INTERVAL {
+        shared.crowded_at.set(now);
+        shared.crowded.notify_waiters();
+    }
+}
+
 /// Counts a connection as open until it is dropped.
 struct CountGuard(Rc<Shared>);
 
@@ -85,9 +139,9 @@
     }
 }
 
-async fn serve(shared: Rc<Shared>, stream: TcpStream, is_forwarded: bool) {
+async fn serve(shared: Rc<Shared>, stream: TcpStream, origin: Origin) {
     let stream = Rc::new(Connection::new(stream).into_stream());
-    let mut session = Session::new(shared.clone(), stream.clone(), is_forwarded);
+    let mut session = Session::new(shared.clone(), stream.clone(), origin);
     // Reply that became ready while an earlier one was written.
     let mut next = None;
     loop {
@@ -126,6 +180,7 @@
                 Ok(true) => session.record_read(),
             },
             () = shared.stop.reached(Phase::Closing), if !shared.stop.has_reached(Phase::Closing) => {}
+            () = shared.crowded.notified() => {}
             () = sleep_until(wakes_at) => session.handle_timeout(),
         }
     }
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -12,7 +12,7 @@
 use socket2::{SockRef, Socket, TcpKeepalive};
 use tokio::{
     io::{AsyncReadExt, Interest},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     time::timeout,
 };
 
@@ -177,6 +177,12 @@
     poll(&mut polled, Some(&Timespec::default())).is_ok() && polled[0].revents().intersects(ends)
 }
 
+/// Returns whether a listener has connections to accept. Asks the kernel.
+pub(crate) fn is_readable(listener: &TcpListener) -> bool {
+    let mut polled = [PollFd::new(listener, PollFlags::IN)];
+    poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
+}
+
 /// Reads bytes into a buffer. Returns false at the end of the stream.
 pub(crate) async fn read(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<bool> {
     loop {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod message;
 mod metrics;
 pub mod notice;
+pub mod occupancy;
 mod pause;
 mod pool;
 mod presence;
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -98,6 +98,11 @@
         self.open = self.open.saturating_sub(1);
     }
 
+    /// Returns the number of idle connections.
+    pub(crate) fn idle_count(&self) -> usize {
+        self.idle.len()
+    }
+
     /// Returns the number of connections, idle or in use.
     pub(crate) fn open_count(&self) -> u32 {
         self.open
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -4,7 +4,7 @@
 
 use bytes::BytesMut;
 use futures_util::stream::FuturesOrdered;
-use ragwortrill_core::time::Instant;
+use ragwortrill_core::time::{Instant, Span};
 use ragwortrill_router::config::Limits;
 use tokio::net::TcpStream;
 
@@ -16,6 +16,7 @@
     delivery::Response,
     job::Incoming,
     message::{self, Decoder, Framing, Request},
+    occupancy::{self, Level},
     presence::Presence,
     proxy,
     reply::{Problem, RETRY_AFTER_BUSY_MS, Reply},
@@ -26,11 +27,25 @@
 
 /// Bytes that are buffered behind the running requests before reading stops.
 const MAX_READ_AHEAD_BYTES: usize = 256 * 1024;
+/// Time for which a connection stays open without a request although there are many connections: its
+/// caller may just have connected, or got a reply.
+const MIN_IDLE_TIME: Span = Span::from_millis(500);
 /// Largest number of requests of one connection that run concurrently.
 const MAX_PIPELINED_REQUESTS: usize = 16;
 
 type Pending = FuturesOrdered<Pin<Box<dyn Future<Output = Response>>>>;
 
+/// How a connection was accepted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Origin {
+    /// Whether another host forwards requests on the connection.
+    pub(crate) is_forwarded: bool,
+    /// Since when it may have waited to be accepted, if it had to.
+    pub(crate) blocked_since: Option<Instant>,
+    /// Whether its requests are refused, since it is beyond the limit.
+    pub(crate) is_refused: bool,
+}
+
 /// State of a caller's connection.
 pub(crate) struct Session {
     pub(crate) shared: Rc<Shared>,
@@ -39,6 +54,8 @@
     caller: Presence,
     /// Whether another host forwards requests on the connection.
     is_forwarded: bool,
+    /// Whether requests are refused, since the connection is beyond the limit.
+    is_refused: bool,
     /// Bytes that were read and belong to no request yet.
     pub(crate) buffer: BytesMut,
     /// When the bytes in the buffer arrived.
@@ -65,17 +82,23 @@
 
 impl Session {
     /// Creates the session of an accepted connection.
-    pub(crate) fn new(shared: Rc<Shared>, stream: Rc<TcpStream>, is_forwarded: bool) -> Self {
+    pub(crate) fn new(shared: Rc<Shared>, stream: Rc<TcpStream>, origin: Origin) -> Self {
         let number = shared.accepted_connections.get() + 1;
         shared.accepted_connections.set(number);
         let now = shared.now();
         let established = now - shared.lag.current(now);
+        // Asks the kernel: a caller may also have connected early and sent nothing yet.
+        let waiting = origin
+            .blocked_since
+            .filter(|_| connection::has_unread_bytes(&stream));
+        let arrivals = waiting.map_or(Arrivals::new(established), Arrivals::of_waiting);
         Self {
             number,
             caller: Presence::new(stream),
-            is_forwarded,
+            is_forwarded: origin.is_forwarded,
+            is_refused: origin.is_refused,
             buffer: BytesMut::new(),
-            arrivals: Arrivals::new(established),
+            arrivals,
             pending: FuturesOrdered::new(),
             partial: None,
             head_since: None,
@@ -130,6 +153,7 @@
         let max_bytes = limits.header_bytes.saturating_add(added_bytes);
         let head = message::take_request(&mut self.buffer, max_bytes);
         match head {
+            Ok(Some(_)) if self.is_refused => Err(occupancy::FULL),
             Ok(Some(head)) => {
                 self.head_since = None;
                 let mut partial = Partial {
@@ -244,7 +268,9 @@
     /// while others are pending leaves that to the last of them: those requests are at targets.
     pub(crate) fn closes_after(&mut self, response: &Response) -> bool {
         self.is_closed |= response.reply.closes || !response.keeps_alive;
-        let is_closing = self.is_closed || self.shared.stop.has_reached(Phase::Stopping);
+        let is_closing = self.is_closed
+            || self.shared.stop.has_reached(Phase::Stopping)
+            || self.shared.occupancy() >= Level::Crowded;
         is_closing && self.pending.is_empty()
     }
 
@@ -270,12 +296,13 @@
         self.pending.is_empty() && self.partial.is_none()
     }
 
-    /// Returns whether the connection is closed because it is idle: in a planned stop, or for longer
-    /// than allowed.
+    /// Returns whether the connection is closed because it is idle: in a planned stop, for longer than
+    /// allowed, or since there are many connections.
     pub(crate) fn closes_idle(&self, stream: &TcpStream) -> bool {
         let idle_time = self.shared.now().since(self.idle_since);
-        let is_due =
-            self.shared.stop.has_reached(Phase::Closing) || idle_time >= self.limits().idle_timeout;
+        let is_due = self.shared.stop.has_reached(Phase::Closing)
+            || idle_time >= self.limits().idle_timeout
+            || idle_time >= MIN_IDLE_TIME && self.shared.occupancy() >= Level::Crowded;
         let is_idle = self.is_idle() && self.buffer.is_empty();
         is_due && is_idle && !connection::has_unread_bytes(stream)
     }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -48,7 +48,7 @@
     pub processor_percent: u32,
     /// Available memory in megabytes; 0 if it is unknown.
     pub memory_mb: u64,
-    /// Largest number of open file descriptors.
+    /// Largest number of open file descriptors for connections.
     pub descriptors: u64,
     /// Bandwidth of the host's link in megabits a second; 0 if it is unknown.
     pub link_mbps: u32,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -47,6 +47,7 @@
     lag::Lag,
     lease::Rank,
     metrics::Metrics,
+    occupancy::{self, Level},
     pool::Pool,
     probe::Probe,
     protocol::{Protocol, Record},
@@ -156,6 +157,10 @@
     pub(crate) has_listed_targets: Cell<bool>,
     /// Open connections of callers.
     pub(crate) caller_connections: Cell<u32>,
+    /// Notified when idle connections of callers are to be closed, since there are many.
+    pub(crate) crowded: Notify,
+    /// When that was notified last.
+    pub(crate) crowded_at: Cell<Instant>,
     /// Connections of callers since the host started, open and closed.
     pub(crate) accepted_connections: Cell<u64>,
     /// Bytes that are reserved for the bodies of requests.
@@ -290,6 +295,8 @@
             stop: Progress::default(),
             has_listed_targets: Cell::new(false),
             caller_connections: Cell::new(0),
+            crowded: Notify::new(),
+            crowded_at: Cell::default(),
             accepted_connections: Cell::new(0),
             body_bytes: Cell::new(0),
             opened_connections: Cell::new(0),
@@ -302,6 +309,12 @@
         self.clock.now()
     }
 
+    /// Returns the level of the connections of callers.
+    pub(crate) fn occupancy(&self) -> Level {
+        let descriptors = self.settings.borrow().limits.descriptors;
+        occupancy::level(u64::from(self.caller_connections.get()), descriptors)
+    }
+
     /// Returns how late this host's event loop was at most in the recent past.
     pub(crate) fn recent_lag(&self) -> Span {
         self.lag.recent(self.now())
