Pass on a target's answer only if it names the request, or nothing else used the connection

Cause: requests carry an id, but answers were not compared with it. Now an answer that names another request is discarded, its connection is closed, and the outcome is as after a broken connection. An answer without a name counts only on a connection that nothing else has used, so connections are kept only for targets that name requests, and never after a refusal. The pool of an ntex client doesn't tell whether a connection was used before, so a kept connection is a client of its own. Those clients share one configuration: ntex never frees what a client reads from its own.

--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -5,6 +5,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
+    task::Poll,
 };
 
 use futures_util::{StreamExt, stream};
@@ -59,23 +60,101 @@
 const CONTROL_CONNECTIONS: usize = 4;
 
 thread_local! {
-    /// Clients of this thread. An ntex client belongs to its thread.
+    /// Connections of this thread.
     static POOLS: RefCell<BTreeMap<SocketAddr, Rc<Pool>>> = const { RefCell::new(BTreeMap::new()) };
+    /// Configuration of the clients of this thread. ntex 3.12 never frees what a client reads from a
+    /// configuration of its own.
+    static CONFIGURATION: SharedCfg = SharedCfg::new("targets")
+        .add(IoConfig::new().set_connect_timeout(CONNECT_TIMEOUT))
+        .into();
 }
 
 /// Connections of this thread to a target.
 struct Pool {
-    client: RefCell<Client>,
+    /// Client for connections that are closed with their request.
+    client: Client,
+    /// Clients with a connection that is used again, one each. The pool of an ntex client doesn't
+    /// tell whether a connection was used before.
+    idle: RefCell<Vec<Client>>,
     /// Number of requests of this thread that the target runs.
     running: Cell<usize>,
+    /// Whether the target's latest response named its request. If not, connections are not kept.
+    is_naming: Cell<bool>,
+}
+
+/// Connection for one request.
+struct Connection {
+    client: Client,
+    /// Whether another request may have used it.
+    is_used: bool,
+    /// Whether it may be used again.
+    is_kept: bool,
 }
 
 impl Pool {
-    /// Closes the idle connections. ntex keeps one as idle after a response that it takes for
-    /// complete, and bytes that arrive later must not be taken for the response to another request.
-    async fn close_connections(&self) {
-        if let Ok(client) = client().await {
-            self.client.replace(client);
+    async fn new() -> Result<Self, Finish> {
+        Ok(Self {
+            client: client().await?,
+            idle: RefCell::default(),
+            running: Cell::default(),
+            is_naming: Cell::default(),
+        })
+    }
+
+    /// Returns a connection for a request. `max_idle` is the number of connections that may be kept.
+    async fn connect(&self, max_idle: usize) -> Result<Connection, Finish> {
+        let is_kept = self.is_naming.get() && self.running.get() < max_idle;
+        let idle = match is_kept {
+            true => self.idle.borrow_mut().pop(),
+            false => None,
+        };
+        Ok(Connection {
+            is_used: idle.is_some(),
+            is_kept,
+            client: match idle {
+                Some(client) => client,
+                None if is_kept => client().await?,
+                None => self.client.clone(),
+            },
+        })
+    }
+
+    /// Makes a connection idle whose response has been read to its end.
+    fn put_back(&self, client: Client) {
+        if self.is_naming.get() {
+            self.idle.borrow_mut().push(client);
+        }
+    }
+
+    /// Records whether the target's latest response named its request. If not, the idle connections
+    /// are closed, since a response without a name counts only on a new one.
+    fn set_naming(&self, is_naming: bool) {
+        self.is_naming.set(is_naming);
+        if !is_naming {
+            self.idle.borrow_mut().clear();
+        }
+    }
+}
+
+/// Which request a response answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Subject {
+    /// The request for which it was read.
+    Own,
+    /// Another request.
+    Other,
+    /// The response does not say.
+    Unnamed,
+}
+
+impl Subject {
+    fn of(response: &ClientResponse, request: &Request) -> Self {
+        let named = response.headers().get(target::REQUEST_HEADER);
+        let own = request.head.request.to_string();
+        match named {
+            Some(named) if named.as_bytes().trim_ascii() == own.as_bytes() => Self::Own,
+            Some(_) => Self::Other,
+            None => Self::Unnamed,
         }
     }
 }
@@ -142,22 +221,18 @@
     if let Some(pool) = POOLS.with_borrow(|pools| pools.get(&address).cloned()) {
         return Ok(pool);
     }
-    let pool = Rc::new(Pool {
-        client: RefCell::new(client().await?),
-        running: Cell::new(0),
-    });
+    let pool = Rc::new(Pool::new().await?);
     // Another request may have created a pool while this one waited.
     Ok(POOLS.with_borrow_mut(|pools| pools.entry(address).or_insert(pool).clone()))
 }
 
 async fn client() -> Result<Client, Finish> {
-    let io = IoConfig::new().set_connect_timeout(CONNECT_TIMEOUT);
     Client::builder()
         .disable_redirects()
         .disable_timeout()
         .no_default_headers()
         .connector::<Connector>(Connector::new().limit(POOL_LIMIT))
-        .build(SharedCfg::new("targets").add(io))
+        .build(CONFIGURATION.with(SharedCfg::clone))
         .await
         .map_err(|_| Finish::Unsent { lapsed: false })
 }
@@ -173,8 +248,10 @@
     let method = method.map_err(|_| Finish::Unsent { lapsed: false })?;
     let url = format!("http://{}{}", dispatch.address, request.path);
     let now = shared.clock.now();
-    let client = pool.client.borrow().clone();
-    let mut call = client
+    let max_idle = max_idle_connections(shared, request);
+    let connection = pool.connect(max_idle).await?;
+    let mut call = connection
+        .client
         .request(method, url)
         .address(dispatch.address)
         .no_decompress()
@@ -187,7 +264,7 @@
     for header in &request.headers {
         call = call.header(header.name.as_str(), header.value.as_slice());
     }
-    if pool.running.get() >= max_idle_connections(shared, request) {
+    if !connection.is_kept {
         call = call.force_close();
     }
     // The lease may have ended since the node dispatched the request, so it is checked right before
@@ -217,29 +294,44 @@
         return Err(Finish::Broken);
     };
     if let Ok(response) = &sent {
+        let subject = Subject::of(response, request);
+        running.pool.set_naming(subject != Subject::Unnamed);
+        let is_own = subject == Subject::Own || subject == Subject::Unnamed && !connection.is_used;
+        if !is_own {
+            log::warn!(target = dispatch.target.as_str(), request = request.head.request.to_string(); "response of a target may answer another request; it is discarded");
+            return Err(Finish::Broken);
+        }
         report_rate_limit(shared, dispatch, response, now);
         report_leaving(shared, dispatch, response);
         report_pause(shared, dispatch, response);
     }
+    // Only a connection whose response was read to its end is used again. After a refusal it is not,
+    // since the target may write the refusal once more, and the request may be sent again.
     match sent {
         Ok(response) if response.headers().contains_key(target::REFUSED_HEADER) => {
-            // The target may write the refusal once more, and responses name no request. A
-            // response whose body is not read closes its connection.
-            if is_empty(&response, request) {
-                running.pool.close_connections().await;
-            }
             running.finish();
             Err(Finish::Shed)
         }
         Ok(response) if response.status().is_informational() || !has_end(&response, request) => {
-            running.pool.close_connections().await;
             running.finish();
             Err(Finish::Broken)
         }
         Ok(response) => {
             let now = shared.clock.now();
             let left = (dispatch.deadline.max(now) + LATE_BODY_LIMIT).since(now);
-            Ok(into_response(response, running, left))
+            let is_own = Subject::of(&response, request) == Subject::Own;
+            let client = (connection.is_kept && is_own).then_some(connection.client);
+            let body = response.take_payload();
+            let body: Body = Box::pin(body.map(|part| part.map_err(|_| Error::Broken)));
+            let body = match client {
+                Some(client) if is_empty(&response, request) => {
+                    running.pool.put_back(client);
+                    body
+                }
+                Some(client) => keep_at_end(body, running.pool.clone(), client),
+                None => body,
+            };
+            Ok(into_response(response, body, running, left))
         }
         Err(error) => {
             running.finish();
@@ -344,8 +436,30 @@
     has_no_body(response, request) || length.is_some_and(|length| length.as_bytes() == b"0")
 }
 
+/// Puts a connection back once a body has been read from it to its end.
+fn keep_at_end(mut body: Body, pool: Rc<Pool>, client: Client) -> Body {
+    let mut client = Some(client);
+    Box::pin(stream::poll_fn(move |cx| {
+        let next = body.as_mut().poll_next(cx);
+        match &next {
+            Poll::Ready(Some(Err(_))) => drop(client.take()),
+            Poll::Ready(None) => client
+                .take()
+                .into_iter()
+                .for_each(|client| pool.put_back(client)),
+            _ => {}
+        }
+        next
+    }))
+}
+
 /// Converts a response whose body must end within a time.
-fn into_response(response: ClientResponse, running: RunningRequest, left: Span) -> Response {
+fn into_response(
+    response: ClientResponse,
+    body: Body,
+    running: RunningRequest,
+    left: Span,
+) -> Response {
     let headers: Vec<Header> = response
         .headers()
         .iter()
@@ -357,11 +471,6 @@
         .collect();
     let length = response.headers().get("content-length");
     let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
-    let body: Body = Box::pin(
-        response
-            .take_payload()
-            .map(|part| part.map_err(|_| Error::Broken)),
-    );
     Response {
         status: response.status().as_u16(),
         headers,
--- a/crates/daemon/tests/harness/scripted.rs
+++ b/crates/daemon/tests/harness/scripted.rs
@@ -57,6 +57,15 @@
             ..Self::default()
         }
     }
+
+    /// Names the request in the head of the response.
+    pub fn named(mut self, request: &str) -> Self {
+        let name = format!("\r\nRagwortrill-Request: {request}\r\n");
+        if let Some(end) = self.bytes.windows(2).position(|part| part == b"\r\n") {
+            self.bytes.splice(end..end + 2, name.into_bytes());
+        }
+        self
+    }
 }
 
 impl Server {
--- a/crates/standin/src/target/handler.rs
+++ b/crates/standin/src/target/handler.rs
@@ -7,7 +7,7 @@
 use ragwortrill_core::name;
 use ragwortrill_platform::{
     headers::RETRY_AFTER,
-    target::{CANCEL_PATH, IS_LEAVING, LEAVING_HEADER, RATE_LIMIT_HEADER},
+    target::{CANCEL_PATH, IS_LEAVING, LEAVING_HEADER, RATE_LIMIT_HEADER, REQUEST_HEADER},
 };
 
 use super::{
@@ -16,7 +16,7 @@
     state::State,
     stream, work,
 };
-use crate::{server, watched::Watched};
+use crate::{reply, server, watched::Watched};
 
 /// Function of a test that returns the recorded owner of a key.
 pub(crate) type Owner = Arc<dyn Fn(&str) -> Option<name::Target> + Send + Sync>;
@@ -101,10 +101,15 @@
         if path.starts_with("/control/") {
             return control::answer(&self, request).await;
         }
+        let id = reply::header(&request, REQUEST_HEADER);
         let mut response = match path.starts_with(stream::PATH) {
             true => stream::answer(&self, request).await,
             false => work::answer(&self, request).await,
         };
+        if let Some(id) = id {
+            let headers = response.headers_mut();
+            headers.insert(call::name(REQUEST_HEADER), call::value(id));
+        }
         self.add_statements(&mut response);
         response
     }
