--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -327,19 +327,19 @@
 
     /// Returns whether a lost target can no longer serve any request that was sent to it.
     fn has_ended(&self, now: Instant, target: &name::Target, state: &TargetState) -> bool {
+        let times = &self.config.times;
         match self.checks_epoch(target) {
-            true => now >= state.grant_end() && now >= self.earliest_move(target, state),
+            true => now >= state.grant_end(times),
             false => now >= state.last_deadline && now >= self.earliest_move(target, state),
         }
     }
 
-    /// Returns when shares may move at the earliest: at a target that checks epochs, once the grants of
-    /// the previous holder have expired, which end with its lease; at another one, once its requests
-    /// have ended.
+    /// Returns when shares may move at the earliest: at a target that does not check epochs, once
+    /// the previous holder's requests have ended.
     fn earliest_move(&self, target: &name::Target, state: &TargetState) -> Instant {
         let row = self.ledger.table().target(target);
         match self.checks_epoch(target) {
-            true => state.held_since + self.config.times.short_wait(),
+            true => state.held_since,
             false => state.held_since + row.map(|(_, row, _)| row.deadline).unwrap_or(Span::ZERO),
         }
     }
--- a/crates/core/src/target_state.rs
+++ b/crates/core/src/target_state.rs
@@ -57,8 +57,6 @@
     last_decay: Instant,
     last_probe: Option<Instant>,
     last_grant: Option<Instant>,
-    /// Latest time at which a grant that was sent may expire.
-    grant_end: Instant,
     start_id: Option<u64>,
     clock_ms: u64,
 }
@@ -109,7 +107,6 @@
             last_decay: now,
             last_probe: None,
             last_grant: None,
-            grant_end: Instant::default(),
             start_id: None,
             clock_ms: 0,
         }
@@ -136,29 +133,16 @@
         self.last_probe = None;
     }
 
-    /// Returns the duration of a grant if one is due, and records it as sent. A grant ends with the
-    /// lease of this process, so that the next holder's wait covers it.
+    /// Returns whether a grant is due, and if so records it as sent.
     ///
     /// A target that does not answer probes gets no new grant, so that its last one expires before
     /// its slices move.
-    pub(crate) fn take_due_grant(
-        &mut self,
-        now: Instant,
-        lease_end: Instant,
-        times: &Times,
-    ) -> Option<Span> {
-        // A grant that a short lease has shortened must not expire before its renewal.
-        let interval = match self.grant_end.since(now) < times.outlast(times.grant_renewal) {
-            true => times.probe.min(times.grant_renewal),
-            false => times.grant_renewal,
-        };
-        if !self.is_responding() || !is_due(self.last_grant, now, interval) {
-            return None;
+    pub(crate) fn take_due_grant(&mut self, now: Instant, times: &Times) -> bool {
+        let due = self.is_responding() && is_due(self.last_grant, now, times.grant_renewal);
+        if due {
+            self.last_grant = Some(now);
         }
-        let ttl = times.grant.min(lease_end.since(now));
-        self.last_grant = Some(now);
-        self.grant_end = self.grant_end.max(now + times.outlast(ttl));
-        Some(ttl)
+        due
     }
 
     /// Returns whether the target answered the last probe.
@@ -226,10 +210,11 @@
         matches!(self.health.state(), State::Frozen | State::Lost)
     }
 
-    /// Returns when all grants that this process has sent to the target have expired, also those to
-    /// its earlier runs, which the current one may have received.
-    pub(crate) fn grant_end(&self) -> Instant {
-        self.grant_end
+    /// Returns when all grants that were sent to the target have expired.
+    pub(crate) fn grant_end(&self, times: &Times) -> Instant {
+        self.last_grant
+            .map(|sent| sent + times.outlast(times.grant))
+            .unwrap_or_default()
     }
 
     /// Adds the busy time of a request to the load of its slice and key.
