Wait for the grants of earlier holders unless the target refuses them

Cause: a holder counted only the grants that it sent itself, and to the current run of the target. A new holder knows of none, so the keys of a target that answered nobody moved 1 s after a release, while the earlier holder's last grant lasted 1.5 s and more. After a restart of the target the time of the last grant was forgotten with the reason to renew it.

A grant now ends with the lease of its sender at the latest, so all grants of earlier holders have expired one lease wait after the claim was read, and no key moves before. A target that has accepted a grant of the new epoch, and has not restarted since, refuses the earlier grants: its keys need not wait. The end of the sent grants is kept over restarts. A grant that a short lease has shortened is renewed after 250 ms.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -151,10 +151,15 @@
                 let target = target.clone();
                 actions.push(Action::Probe { target, address });
             }
-            if row.checks_epoch && active && state.take_due_grant(now, times) {
+            let lease_end = self.ownership.lease_end(&target, times);
+            if row.checks_epoch
+                && active
+                && let Some(lease_end) = lease_end
+                && let Some(ttl) = state.take_due_grant(now, lease_end, times)
+            {
                 let grant = Grant {
                     epoch: state.epoch,
-                    ttl: times.grant,
+                    ttl,
                     from_ms: state.clock_ms(),
                 };
                 actions.push(Action::Grant {
--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -327,21 +327,23 @@
 
     /// Returns whether a lost target can no longer serve any request that was sent to it.
     fn has_ended(&self, now: Instant, target: &name::Target, state: &TargetState) -> bool {
-        let times = &self.config.times;
         match self.checks_epoch(target) {
-            true => now >= state.grant_end(times),
+            true => now >= state.grant_end() && now >= self.earliest_move(target, state),
             false => now >= state.last_deadline && now >= self.earliest_move(target, state),
         }
     }
 
-    /// Returns when shares may move at the earliest: at a target that does not check epochs, once
-    /// the previous holder's requests have ended.
+    /// Returns when shares may move at the earliest. At a target that checks epochs, the grants of the
+    /// previous holder must have expired, which end with its lease, unless the target refuses them.
+    /// At another one, the previous holder's requests must have ended.
     fn earliest_move(&self, target: &name::Target, state: &TargetState) -> Instant {
         let row = self.ledger.table().target(target);
-        match self.checks_epoch(target) {
-            true => state.held_since,
-            false => state.held_since + row.map(|(_, row, _)| row.deadline).unwrap_or(Span::ZERO),
-        }
+        let wait = match self.checks_epoch(target) {
+            true if state.refuses_earlier_grants() => Span::ZERO,
+            true => self.config.times.short_wait(),
+            false => row.map_or(Span::ZERO, |(_, row, _)| row.deadline),
+        };
+        state.held_since + wait
     }
 
     fn checks_epoch(&self, target: &name::Target) -> bool {
--- a/crates/core/src/target_state.rs
+++ b/crates/core/src/target_state.rs
@@ -57,7 +57,12 @@
     last_decay: Instant,
     last_probe: Option<Instant>,
     last_grant: Option<Instant>,
+    /// Latest time at which a grant that was sent may expire.
+    grant_end: Instant,
     start_id: Option<u64>,
+    /// Whether the target has restarted since this process holds it, so that it may have forgotten
+    /// the epochs that it accepted.
+    has_restarted: bool,
     clock_ms: u64,
 }
 
@@ -107,7 +112,9 @@
             last_decay: now,
             last_probe: None,
             last_grant: None,
+            grant_end: Instant::default(),
             start_id: None,
+            has_restarted: false,
             clock_ms: 0,
         }
     }
@@ -133,16 +140,29 @@
         self.last_probe = None;
     }
 
-    /// Returns whether a grant is due, and if so records it as sent.
+    /// Returns the duration of a grant if one is due, and records it as sent. A grant ends with the
+    /// lease of this process, so that the next holder's wait covers it.
     ///
     /// A target that does not answer probes gets no new grant, so that its last one expires before
     /// its slices move.
-    pub(crate) fn take_due_grant(&mut self, now: Instant, times: &Times) -> bool {
-        let due = self.is_responding() && is_due(self.last_grant, now, times.grant_renewal);
-        if due {
-            self.last_grant = Some(now);
+    pub(crate) fn take_due_grant(
+        &mut self,
+        now: Instant,
+        lease_end: Instant,
+        times: &Times,
+    ) -> Option<Span> {
+        // A grant that a short lease has shortened must not expire before its renewal.
+        let interval = match self.grant_end.since(now) < times.outlast(times.grant_renewal) {
+            true => times.probe.min(times.grant_renewal),
+            false => times.grant_renewal,
+        };
+        if !self.is_responding() || !is_due(self.last_grant, now, interval) {
+            return None;
         }
-        due
+        let ttl = times.grant.min(lease_end.since(now));
+        self.last_grant = Some(now);
+        self.grant_end = self.grant_end.max(now + times.outlast(ttl));
+        Some(ttl)
     }
 
     /// Returns whether the target answered the last probe.
@@ -168,6 +188,7 @@
         // refused says nothing about it.
         if self.start_id.is_some_and(|known| known != start_id) {
             self.last_grant = None;
+            self.has_restarted = true;
             self.queue.end_pause();
         }
         self.start_id = Some(start_id);
@@ -210,11 +231,16 @@
         matches!(self.health.state(), State::Frozen | State::Lost)
     }
 
-    /// Returns when all grants that were sent to the target have expired.
-    pub(crate) fn grant_end(&self, times: &Times) -> Instant {
-        self.last_grant
-            .map(|sent| sent + times.outlast(times.grant))
-            .unwrap_or_default()
+    /// Returns when all grants that this process has sent to the target have expired, also those to
+    /// its earlier runs, which the current one may have received.
+    pub(crate) fn grant_end(&self) -> Instant {
+        self.grant_end
+    }
+
+    /// Returns whether the target refuses the grants of earlier holders, since it has accepted one of
+    /// a later epoch.
+    pub(crate) fn refuses_earlier_grants(&self) -> bool {
+        self.grant_accepted && !self.has_restarted
     }
 
     /// Adds the busy time of a request to the load of its slice and key.
