Grant moving keys by new epochs after the store was restored

Cause: a recovered range that was moving kept its epoch. If that move had been replaced since, by one that nobody remembers, the leader granted the keys by an epoch below that of the later move. The releases of its previous owners had old epochs, too. The end of a range behind an overlap got a new epoch without a release, so its owner accepted it even if it had released the keys, and that counted as its confirmation.

`Assignment::recover` releases all owners of such a range by epochs of the new timeline and then grants a new one, as `separate` does for overlapping ranges. Held ranges keep their epoch: an owner that has released the keys refuses it.

restore.rs now also starts from a copy with a move that was replaced before its target got the keys, and counts each accepted grant.

--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -251,7 +251,7 @@
     };
     let mut drafts = Vec::new();
     for (service, assignment) in &mut snapshot.assignments {
-        assignment.renumber(min_epoch(lease.term().timeline));
+        assignment.recover(min_epoch(lease.term().timeline));
         for range in &assignment.ranges {
             drafts.push(range_draft(service, range)?);
         }
--- a/crates/router/src/assignment.rs
+++ b/crates/router/src/assignment.rs
@@ -103,7 +103,7 @@
     /// the latest. Under one epoch a move completes, and a range gets shorter.
     ///
     /// If a later range lies within an earlier one, the end of the earlier one has the epoch of
-    /// its beginning, until it gets one of its own by [`Self::renumber`].
+    /// its beginning, until [`Self::recover`] gives it one of its own.
     pub fn merge(mut ranges: Vec<Range>) -> Self {
         ranges.sort_by_key(|range| (range.epoch, range.is_held(), Reverse(range.last)));
         let mut merged = Self::default();
@@ -150,9 +150,10 @@
             .any(|pair| pair[0].last >= pair[1].first)
     }
 
-    /// Returns a range whose keys several ranges have, in the order of their epochs: the last one's owner
-    /// is granted them once none of the owners can hold them any more.
+    /// Returns a range for keys that one or several ranges have, in the order of their epochs: the last
+    /// one's owner is granted them once none of the owners can hold them any more.
     fn regrant(&mut self, first: Key, last: Key, ranges: &[Range]) -> Range {
+        let first_new = self.next_epoch;
         let mut previous: Vec<PreviousOwner> = Vec::new();
         for range in ranges {
             if let State::Moving(earlier) = &range.state {
@@ -165,6 +166,9 @@
             previous.retain(|earlier| earlier.target != target);
             previous.push(PreviousOwner { target, fence });
         }
+        // Their releases must end grants of moves that nobody remembers, too.
+        let earlier = previous.iter_mut().filter(|owner| owner.fence < first_new);
+        earlier.for_each(|owner| owner.fence = self.allocate_epoch());
         Range {
             first,
             last,
@@ -199,15 +203,22 @@
         self.ranges = kept;
     }
 
-    /// Allocates epochs from at least `min_epoch` on, and gives new ones to all but the first of the
-    /// ranges that share an epoch.
-    pub fn renumber(&mut self, min_epoch: u64) {
+    /// Prepares merged ranges for a leader that may not know the latest ones. Epochs are allocated from
+    /// at least `min_epoch` on.
+    ///
+    /// A held range is renewed by its epoch, which its owner refuses if it has released the keys since.
+    /// Keys of a moving range, and of all but the first of the ranges that share an epoch, may have
+    /// moved on by an epoch that nobody remembers. Their owner releases them and gets a new epoch.
+    pub fn recover(&mut self, min_epoch: u64) {
         self.raise_epochs(min_epoch);
         let mut used = BTreeSet::new();
-        for index in 0..self.ranges.len() {
-            if !used.insert(self.ranges[index].epoch) {
-                self.ranges[index].epoch = self.allocate_epoch();
-            }
+        for range in std::mem::take(&mut self.ranges) {
+            let is_kept = range.is_held() && used.insert(range.epoch);
+            let recovered = match is_kept {
+                true => range,
+                false => self.regrant(range.first, range.last, &[range]),
+            };
+            self.ranges.push(recovered);
         }
     }
 
--- a/crates/router/tests/merge.rs
+++ b/crates/router/tests/merge.rs
@@ -58,9 +58,17 @@
             merged: vec![
                 range(0, 99, 1, "a", true),
                 range(100, 199, 3, "b", true),
-                range(200, u16::MAX, 10, "a", true),
+                waiting(200, u16::MAX, 11, &[("a", 10)]),
             ],
         },
+        Case {
+            name: "move whose end nobody remembers",
+            ranges: vec![Range {
+                owner: range(0, 0, 0, "b", true).owner,
+                ..waiting(0, u16::MAX, 3, &[("a", 2)])
+            }],
+            merged: vec![waiting(0, u16::MAX, 12, &[("a", 11), ("b", 10)])],
+        },
         Case {
             name: "move completed since",
             ranges: vec![
@@ -73,7 +81,7 @@
     ];
     for case in cases {
         let mut merged = Assignment::merge(case.ranges);
-        merged.renumber(10);
+        merged.recover(10);
         assert_eq!(merged.ranges, case.merged, "{}", case.name);
         assert!(merged.next_epoch >= 10, "{}", case.name);
     }
--- a/crates/router/tests/restore.rs
+++ b/crates/router/tests/restore.rs
@@ -53,6 +53,8 @@
     /// The leader acts for a while, or until every earlier grant has ended.
     Run,
     RunLong,
+    /// The leader acts until its next change is written, and not on that change.
+    Write,
     /// A target drains, or serves again.
     Drain(usize),
     Return(usize),
@@ -71,9 +73,10 @@
     Replace,
 }
 
-const STEPS: [Step; 13] = [
+const STEPS: [Step; 14] = [
     Step::Run,
     Step::RunLong,
+    Step::Write,
     Step::Drain(0),
     Step::Drain(1),
     Step::Return(0),
@@ -101,6 +104,8 @@
     start_ms: u64,
     held: Vec<Grant>,
     seen: Vec<Grant>,
+    /// Grants that any run of the target has accepted.
+    accepted: Vec<Grant>,
 }
 
 #[derive(Clone, Debug)]
@@ -201,6 +206,18 @@
         world
     }
 
+    /// Creates a world whose copy has a move that was replaced since, before its target got the keys.
+    fn with_replaced_move(rule: Rule) -> Self {
+        let mut world = Self::new(rule);
+        for step in [Step::Drain(0), Step::Write, Step::Copy, Step::Follow] {
+            world.step(step);
+        }
+        for step in [Step::Return(0), Step::Drain(1), Step::Run, Step::Return(1)] {
+            world.step(step);
+        }
+        world
+    }
+
     fn incarnation(&self, target: usize) -> Incarnation {
         Incarnation {
             id: TARGETS[target].parse().unwrap(),
@@ -228,11 +245,14 @@
         match step {
             Step::Run => self.run(RUN_TIME),
             Step::RunLong => self.run(LONG_RUN_TIME),
+            Step::Write => self.run_until_written(),
             Step::Drain(target) => self.register(target, true),
             Step::Return(target) => self.register(target, false),
             Step::Restart(target) => {
-                self.targets[target] = Target {
-                    start_ms: self.targets[target].start_ms + 1,
+                let restarted = &mut self.targets[target];
+                *restarted = Target {
+                    start_ms: restarted.start_ms + 1,
+                    accepted: std::mem::take(&mut restarted.accepted),
                     ..Target::default()
                 };
                 // The leader learns it with the list of targets.
@@ -250,7 +270,7 @@
         self.timeline += 1;
         let ranges = [self.copy.ranges.clone(), memory.ranges].concat();
         self.stored = Assignment::merge(ranges);
-        self.stored.renumber(self.min_epoch());
+        self.stored.recover(self.min_epoch());
         self.is_current = false;
         // A leader that may itself lack ranges knows no more than the store.
         let is_uncertain = !is_complete || self.is_uncertain();
@@ -297,6 +317,14 @@
         }
     }
 
+    fn run_until_written(&mut self) {
+        let written = self.stored.clone();
+        let end = self.now + RUN_TIME;
+        while self.now < end && self.stored == written && self.violation.is_none() {
+            self.run(TICK);
+        }
+    }
+
     fn read_list(&mut self) {
         self.is_current = true;
         for target in 0..TARGETS.len() {
@@ -371,6 +399,7 @@
                     .retain(|held| held.until > now && !overlaps(held));
                 target.held.push(grant(now + hold.scale(102, 100)));
                 target.seen.push(grant(now));
+                target.accepted.push(grant(now));
                 Response::Done(None)
             }
         }
@@ -384,8 +413,8 @@
         if held.any(|held| held.until > self.now) {
             self.violation = Some(format!("two owners: {order:?}"));
         }
-        let mut seen = other.held.iter().filter(overlaps);
-        if seen.any(|held| held.epoch >= order.fence) {
+        let mut accepted = other.accepted.iter().filter(overlaps);
+        if accepted.any(|accepted| accepted.epoch >= order.fence) {
             self.violation = Some(format!("lower epoch: {order:?}"));
         }
     }
@@ -399,8 +428,8 @@
 }
 
 /// Returns the first violation, and the number of states searched.
-fn search(rule: Rule) -> (Option<State>, usize) {
-    let start = State::new(World::new(rule), Vec::new());
+fn search(start: World) -> (Option<State>, usize) {
+    let start = State::new(start, Vec::new());
     let mut count = 0;
     let mut reached = bfs_reach(start, State::successors);
     let found = reached.find(|state| {
@@ -411,6 +440,7 @@
 }
 
 struct Case {
+    start: fn(Rule) -> World,
     rule: Rule,
     violated: bool,
 }
@@ -421,24 +451,33 @@
 fn no_schedule_of_restores_gives_a_key_two_owners() {
     let cases = [
         Case {
+            start: World::new,
             rule: Rule::None,
             violated: false,
         },
         Case {
+            start: World::new,
             rule: Rule::Epochs,
             violated: true,
         },
         Case {
+            start: World::new,
             rule: Rule::Confirmation,
             violated: true,
         },
         Case {
+            start: World::new,
             rule: Rule::List,
             violated: true,
         },
+        Case {
+            start: World::with_replaced_move,
+            rule: Rule::None,
+            violated: false,
+        },
     ];
     for case in cases {
-        let (found, count) = search(case.rule);
+        let (found, count) = search((case.start)(case.rule));
         println!("{:?}: {count} states", case.rule);
         let text = found.as_ref().map(State::to_string);
         assert_eq!(found.is_some(), case.violated, "{:?}: {text:?}", case.rule);
