Renew no keys whose move is being written

Callers could see two targets work on a key (OWNER).

A balancing or filling move shortens a range and leaves it its epoch, so the leader went on renewing the whole range while the change was being written. That renewal was outstanding when the keys were released: the moved part has an epoch of its own, under which no order is outstanding. Trace: plan shortens a (epoch 1, keys 0 to 21844); the write takes 2 s; a grant of 0 to 21844 by epoch 1 is sent to a; the write is confirmed and a releases the moved part; if a restarts under its id and the grant reaches the new run, a takes the moved keys by epoch 1 after another target had them.

Of a range that the draft shortens, only the keys that stay are renewed now. No key waits longer: those that move got no renewal before either, once written.

keys_whose_move_is_being_written_are_not_renewed fails on the code before (the order covers keys 0 to 21844). It also checks that the keys that stay are renewed during the write.

--- a/crates/router/src/leader/partition.rs
+++ b/crates/router/src/leader/partition.rs
@@ -186,18 +186,28 @@
             !self.is_unresponsive(target) && !self.ended.contains(target)
         });
         let draft = self.draft.as_ref();
-        let kept = draft.map(|draft| draft.ranges.iter().map(|range| range.epoch).collect());
-        let kept: Option<BTreeSet<u64>> = kept;
+        let kept = draft.map(|draft| {
+            let ranges = draft.ranges.iter();
+            ranges.map(|range| (range.epoch, (range.first, range.last)))
+        });
+        let kept: Option<BTreeMap<u64, (Key, Key)>> = kept.map(Iterator::collect);
         let is_due = |range: &&Range| {
             let due = self.due.get(&range.epoch);
-            // A range that the draft replaces gets no order. The draft does not list an owner that
-            // is granted the range only now as a previous one, so the next owner would be granted
-            // the keys without its release.
-            let is_kept = kept.as_ref().is_none_or(|kept| kept.contains(&range.epoch));
             let is_in_flight = self.in_flight.contains(&range.epoch);
-            is_kept && !is_in_flight && due.is_none_or(|due| *due <= tick.now)
+            !is_in_flight && due.is_none_or(|due| *due <= tick.now)
+        };
+        // A range that the draft replaces gets no order. The draft does not list an owner that is
+        // granted the range only now as a previous one, so the next owner would be granted the keys
+        // without its release. Of a range that gets shorter, the keys that move are not renewed: the
+        // grant could arrive after their release.
+        let keep = |mut range: Range| {
+            if let Some(kept) = &kept {
+                (range.first, range.last) = *kept.get(&range.epoch)?;
+            }
+            Some(range)
         };
-        let mut due: Vec<Range> = self.durable.ranges.iter().filter(is_due).cloned().collect();
+        let due = self.durable.ranges.iter().filter(is_due).cloned();
+        let mut due: Vec<Range> = due.filter_map(keep).collect();
         due.sort_by_key(|range| self.due.get(&range.epoch).copied());
         let rate = BASE_ORDERS_PER_S + ORDERS_PER_RANGE * self.durable.ranges.len() as f64;
         for range in due {
--- a/crates/router/tests/returning.rs
+++ b/crates/router/tests/returning.rs
@@ -123,6 +123,49 @@
     assert!(sim.tick().iter().any(is_write));
 }
 
+/// Guards against a renewal of keys that are being moved away: it is under way when their owner releases
+/// them, and may reach the owner's next run, which knows of no release.
+#[test]
+fn keys_whose_move_is_being_written_are_not_renewed() {
+    let mut sim = Simulation::new(&["a", "b", "c"]);
+    sim.run(Span::from_secs(3));
+    sim.register(registration("d", 1));
+    let mut moving = None;
+    while moving.is_none() {
+        sim.now = sim.now + Span::from_millis(50);
+        for action in sim.tick() {
+            match action {
+                Action::Write(changes) => moving = Some(changes),
+                Action::Send(order) => {
+                    let response = sim.carry_out(&order);
+                    sim.leader.record_response(sim.now, &order, response);
+                }
+                _ => {}
+            }
+        }
+    }
+    let moving: Vec<Range> = moving.into_iter().flatten().flat_map(|(_, r)| r).collect();
+    let (moved, kept): (Vec<&Range>, _) = moving.iter().partition(|range| !range.is_held());
+    assert!(!moved.is_empty() && !kept.is_empty(), "{moving:?}");
+    // The write takes longer than the time until the next renewal.
+    sim.now = sim.now + Span::from_secs(2);
+    let mut renewed = Vec::new();
+    for action in sim.tick() {
+        if let Action::Send(order) = action {
+            let is_moving =
+                |range: &&&Range| range.first <= order.last && order.first <= range.last;
+            assert!(
+                !moved.iter().any(|range| is_moving(&range)),
+                "{order:?} moves"
+            );
+            renewed.push(order.range_epoch);
+        }
+    }
+    for range in kept {
+        assert!(renewed.contains(&range.epoch), "{range:?} is not renewed");
+    }
+}
+
 /// A target's state in a run with drawn events.
 #[derive(Clone, Copy)]
 struct Member {
