Let the wait for a lease pass through a leader that ends early

Callers could see two targets hold the same keys (OWNER).

Cause: a new leader reads one lease from the store, that of the leader before it. If that one had released its lease, or was an earlier process of the same host, the new leader counted only grants that were sent until now. But the leader before that one may be cut off from the store and still have its lease: what is known of the end of one leader was counted for another. The own interface's contracts have the rule (`inherited-wait`, docs/specification.md).

Trace of the test, before: a lease is acquired at 0 s by a host that is cut off from the store from then on; another host takes the lease, releases it, and takes it again at about 1.5 s. At 2.9 s the first host, whose lease lasts until 3 s, renews the grants of a target that the others do not reach, for the 10 s that a leader grants whose lease can't be renewed. At 12.67 s the keys are granted to another target, while the first one holds them until 13.1 s. The windows are narrow: the second leader has to end within about 2 s.

A release now tells whether the lease before it may have lasted, and a host takes no lease of an earlier process of its own for released. In these cases the next leader waits 3 s longer before it takes the grants of a target that answers nobody for expired. Nothing else waits: targets that answer are asked to release. A release record of an earlier version lacks the field and counts as before.

release_of_a_lease_does_not_end_the_one_before_it fails on the code before (two owners after 12.67 s) and passes now. The tests of restore.rs and messages.rs pass.

--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -38,6 +38,9 @@
     pub(crate) host: String,
     /// Whether the holder has released the lease and no longer sends grants and releases.
     pub(crate) is_over: bool,
+    /// Whether the lease before this one may have lasted when the holder released this one.
+    #[serde(default)]
+    pub(crate) is_earlier_valid: bool,
     /// Timeline of the store in which the holder acquired the lease.
     #[serde(default)]
     pub(crate) timeline: Timeline,
@@ -98,6 +101,8 @@
     is_over: Cell<bool>,
     /// When the last grant of an earlier leader has expired.
     earlier_grants_until: Instant,
+    /// When the lease of an earlier leader that did not release it has expired.
+    earlier_lease_until: Instant,
 }
 
 impl Lease {
@@ -111,6 +116,7 @@
             number: latest_number(shared, earlier.as_ref(), timeline) + 1,
             host,
             is_over: false,
+            is_earlier_valid: false,
             timeline,
             is_uncertain: false,
         };
@@ -121,9 +127,12 @@
         else {
             bail!("another host took the lease");
         };
+        let earlier_lease_until = earlier_lease_until(earlier, &term, renewed_at);
+        let max_hold = shared.settings.borrow().bounds.max_hold;
         Ok(Rc::new(Self {
             shared: shared.clone(),
-            earlier_grants_until: earlier_grants_until(shared, earlier, &term, renewed_at),
+            earlier_grants_until: leader::expiry(earlier_lease_until, max_hold),
+            earlier_lease_until,
             term,
             topic_end: Cell::new(topic_end),
             renewed_at: Cell::new(renewed_at),
@@ -213,10 +222,11 @@
     }
 
     /// Records in the store that this host sends no more grants and releases, so that the next
-    /// leader need not wait for the lease to expire.
+    /// leader need not wait for the lease to expire. It waits if the lease before this one may last.
     pub(crate) async fn release(&self, store: &mut Store) -> Result<()> {
         let term = Term {
             is_over: true,
+            is_earlier_valid: self.shared.now() < self.earlier_lease_until,
             ..self.term.clone()
         };
         let topic = self.shared.protocol.topics.terms;
@@ -233,21 +243,14 @@
     stored.map_or(0, |term| term.number).max(known)
 }
 
-/// Returns when the last grant of an earlier leader has expired.
-fn earlier_grants_until(
-    shared: &Shared,
-    earlier: Option<Term>,
-    term: &Term,
-    now: Instant,
-) -> Instant {
-    let max_hold = shared.settings.borrow().bounds.max_hold;
+/// Returns when the lease of an earlier leader that did not release it has expired.
+fn earlier_lease_until(earlier: Option<Term>, term: &Term, now: Instant) -> Instant {
     // A lease that was acquired before the store was restored may be missing from the store.
     let known = earlier.filter(|earlier| earlier.timeline == term.timeline);
     match known {
-        // The holder sends nothing more: it released the lease, or it was an earlier process of
-        // this host, which has ended. Only its last grants have to expire.
-        Some(known) if known.is_over || known.host == term.host => leader::expiry(now, max_hold),
-        _ => leader::expiry(now + LEASE_TTL.scale(100 + DRIFT_PERCENT, 100), max_hold),
+        Some(known) if known.is_over && !known.is_earlier_valid => now,
+        // Also if it was this host: the leader before that one may still have its lease.
+        _ => now + LEASE_TTL.scale(100 + DRIFT_PERCENT, 100),
     }
 }
 
