Take an append's answer only if it follows from the append

The store's answers name no call, and the leader renews its lease on one connection. A copy of the answer to the renewal before counted as the answer to the next one, so a lease counted as renewed that another host had taken, and grants could leave later than the next leader counts on (OWNER).

A conditional append that is done ends at its condition plus the number of its records, and one in conflict found another end. Any other answer is that to another call: the outcome is unknown, as without an answer.

copy_of_an_appends_response_is_not_taken_for_the_next_one fails without the check ("200 {"Offset":5,"EndOffset":7}"). The tests of copies, late_write, lease, odd_entries, ownership and restore pass. Appends without a condition (registration of a host, quarantined requests) are not checked.

--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -179,7 +179,7 @@
     /// Appends all records or none; with `at`, only if the topic ends at that offset.
     pub append: fn(topic: &str, at: Option<Offset>, records: &[Draft]) -> Call,
     /// Decodes the outcome of an append.
-    pub decode_append: fn(&Reply) -> anyhow::Result<Append>,
+    pub decode_append: fn(&Reply, at: Option<Offset>, count: usize) -> anyhow::Result<Append>,
     /// Joins the group of hosts or renews the membership.
     pub join: fn(&Topics, &Member<'_>) -> Call,
     /// Decodes the membership.
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -86,7 +86,7 @@
         let log = self.shared.protocol.log;
         let call = (log.append)(topic, at, records);
         let reply = self.call(&call, RESPONSE_TIMEOUT).await?;
-        (log.decode_append)(&reply)
+        (log.decode_append)(&reply, at, records.len())
     }
 
     /// Joins the group of hosts or renews the membership.
