--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -38,6 +38,9 @@
     pub(crate) host: String,
     /// Whether the holder has released the lease and no longer sends grants and releases.
     pub(crate) is_over: bool,
+    /// Whether the lease before this one may have lasted when the holder released this one.
+    #[serde(default)]
+    pub(crate) is_earlier_valid: bool,
     /// Timeline of the store in which the holder acquired the lease.
     #[serde(default)]
     pub(crate) timeline: Timeline,
@@ -113,6 +116,7 @@
             number: latest_number(shared, earlier.as_ref(), timeline) + 1,
             host,
             is_over: false,
+            is_earlier_valid: false,
             timeline,
             is_uncertain: false,
         };
@@ -217,15 +221,12 @@
         }
     }
 
-    /// Records in the store that no earlier leader sends grants and releases any more, so that the next
-    /// leader need not wait for the lease to expire. Does nothing while the leader before this one may
-    /// still have its lease.
+    /// Records in the store that this host sends no more grants and releases, so that the next
+    /// leader need not wait for the lease to expire. It waits if the lease before this one may last.
     pub(crate) async fn release(&self, store: &mut Store) -> Result<()> {
-        if self.shared.now() < self.earlier_lease_until {
-            return Ok(());
-        }
         let term = Term {
             is_over: true,
+            is_earlier_valid: self.shared.now() < self.earlier_lease_until,
             ..self.term.clone()
         };
         let topic = self.shared.protocol.topics.terms;
@@ -247,7 +248,7 @@
     // A lease that was acquired before the store was restored may be missing from the store.
     let known = earlier.filter(|earlier| earlier.timeline == term.timeline);
     match known {
-        Some(known) if known.is_over => now,
+        Some(known) if known.is_over && !known.is_earlier_valid => now,
         // Also if it was this host: the leader before that one may still have its lease.
         _ => now + LEASE_TTL.scale(100 + DRIFT_PERCENT, 100),
     }
