Send releases on open connections, and know their answers by the token

Callers of keys that were moving got 503 after 2 s ("no target has room") for as long as the leader's link to their earlier owner refused new connections. A release needs proof of whose answer it gets, and since it asked for a connection of its own if the target names no order in its answers. Where that was refused, the release counted as unreached and was repeated every 311 ms without end: the owner's other grants were renewed on open connections, so its last possible grant never ended.

Found by host_without_links_to_targets_serves_its_callers, which fails now and then: only if a move falls into the time of its check.

RefusesNew of ["lookup", "order"]: host 0: Load { sent: 15, served: 13, failures: ["lookup sent after 430ms got 503 ... no target has room after 2s", "lookup sent after 2s got 503 ... no target has room after 2s"] }

Both keys lay in 11149..=21844, which moved from lookup-0 0.2 s into the check; its release was refused from then until the test ended, 14 times in 4.1 s.

A release now uses an open connection if there is one. Only answers to releases bear a handover token, and a copy repeats the token of its original. So an answer with a token that has not come on the connection before is the release's own; any other unnamed answer on a used connection counts as none, as before, and the release is repeated on a new connection.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -105,6 +105,17 @@
         }
     }
 
+    /// Tells whether the connection of the last call is kept.
+    pub(crate) fn has_connection(&self) -> bool {
+        self.connection.is_some()
+    }
+
+    /// Drops the connection if the peer has closed it or sent bytes on it. Tells whether it is left.
+    pub(crate) fn keeps_connection(&mut self) -> bool {
+        self.connection = self.connection.take().filter(Connection::is_idle);
+        self.connection.is_some()
+    }
+
     /// Sends a call and waits for the response.
     pub async fn call(&mut self, call: &Call, limit: Duration) -> Result<Reply, Error> {
         self.call_if(call, limit, || true).await
--- a/crates/entry/src/leadership.rs
+++ b/crates/entry/src/leadership.rs
@@ -32,9 +32,9 @@
     time::{sleep, timeout},
 };
 
+use self::order::OrderClient;
 use crate::{
     apply::{self, HOST_PREFIX, QUARANTINE_PREFIX, SERVICE_PREFIX},
-    call::Client,
     candidacy::Candidacy,
     follow::{self, Topic},
     journal::AUDIT,
@@ -86,8 +86,8 @@
     topic_end: Cell<Offset>,
     /// Whether the claim in the store states that ranges may be missing.
     is_uncertain: Cell<bool>,
-    /// Clients that no order uses.
-    clients: RefCell<BTreeMap<Incarnation, Vec<Client>>>,
+    /// Clients with a connection that no order uses.
+    clients: RefCell<BTreeMap<Incarnation, Vec<OrderClient>>>,
     /// Targets whose answers name the order that they answer.
     naming: RefCell<BTreeSet<Incarnation>>,
     is_writing_quarantine: Cell<bool>,
--- a/crates/entry/src/leadership/order.rs
+++ b/crates/entry/src/leadership/order.rs
@@ -1,6 +1,6 @@
 //! Grants and releases of keys that the leader sends to targets, and their answers.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use ragwortrill_core::time::{Instant, Span};
 use ragwortrill_router::leader::{Operation, Order, Response};
@@ -26,6 +26,16 @@
 const MAX_RELEASE_AGE: Span = Span::from_millis(2_500);
 /// Largest body of a target's answer to a grant or release.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
+/// Number of handover tokens that are remembered for a connection; it is not used any more then.
+const MAX_TOKENS: usize = 64;
+
+/// A client for orders to a target.
+pub(super) struct OrderClient {
+    client: Client,
+    /// Handover tokens that came on the client's connection. A late copy of an answer to a release
+    /// repeats one of them.
+    tokens: BTreeSet<String>,
+}
 
 impl Leadership {
     /// Sends an order that was planned at a time, unless it must not leave any more, and records the
@@ -92,7 +102,7 @@
     }
 
     async fn call(&self, order: &Order, planned_at: Instant) -> Response {
-        let mut client = self.take_client(order);
+        let (mut order_client, is_kept) = self.take_client(order);
         let limit = match order.operation {
             Operation::Grant { .. } => GRANT_TIMEOUT,
             Operation::Release => RELEASE_TIMEOUT,
@@ -100,16 +110,24 @@
         let id = self.shared.random.borrow_mut().random();
         let call = (self.shared.protocol.encode_order)(order, id);
         let is_valid = || self.may_send(order, planned_at);
+        let tokens = &order_client.tokens;
         let subject = |reply: &Reply| match (self.shared.protocol.order_subject)(reply, id) {
             Subject::Unnamed if !order.is_decisive => Subject::Own,
+            Subject::Unnamed if self.has_new_token(order, reply, tokens) => Subject::Own,
             Subject::Own => {
                 self.naming.borrow_mut().insert(order.target.clone());
                 Subject::Own
             }
             subject => subject,
         };
+        let client = &mut order_client.client;
         let outcome = client.call_named(&call, limit, is_valid, subject).await;
-        self.return_client(order, client);
+        if let Ok(reply) = &outcome {
+            order_client
+                .tokens
+                .extend((self.shared.protocol.handover_token)(reply));
+        }
+        self.return_client(order, order_client, is_kept);
         match &outcome {
             Ok(_) | Err(Error::Expired | Error::Unattributed) => {}
             Err(error) => self.check_link(order, error).await,
@@ -117,26 +135,47 @@
         self.interpret(order, outcome)
     }
 
-    /// Returns a client for an order. If the target does not name orders in its answers, a decisive order
-    /// must not use a connection that another order has used: a late copy of an answer could not be told
-    /// from its own.
-    fn take_client(&self, order: &Order) -> Client {
-        let may_share = !order.is_decisive || self.naming.borrow().contains(&order.target);
+    /// Tells whether an answer that names no order is that to a release: answers to grants bear no
+    /// handover token, and late copies of answers to earlier releases repeat theirs.
+    fn has_new_token(&self, order: &Order, reply: &Reply, tokens: &BTreeSet<String>) -> bool {
+        let token = (self.shared.protocol.handover_token)(reply);
+        let is_new = token.is_some_and(|token| !tokens.contains(&token));
+        order.operation == Operation::Release && is_new
+    }
+
+    /// Returns a client for an order, and whether it has the connection of earlier orders.
+    ///
+    /// If the target does not name orders in its answers, a grant whose answer is decisive must not use
+    /// a connection that another order has used: a late copy of an answer could not be told from its
+    /// own. A release may, by its handover token, and has to if the link refuses new connections.
+    fn take_client(&self, order: &Order) -> (OrderClient, bool) {
+        let may_share = !order.is_decisive
+            || order.operation == Operation::Release
+            || self.naming.borrow().contains(&order.target);
         let mut clients = self.clients.borrow_mut();
         let idle = clients.entry(order.target.clone()).or_default();
-        idle.pop_if(|_| may_share).unwrap_or_else(|| {
-            let address = (self.shared.protocol.dial)(order.address());
-            Client::new(address, MAX_ANSWER_BYTES)
-        })
+        while let Some(mut client) = idle.pop_if(|_| may_share) {
+            if client.client.keeps_connection() {
+                return (client, true);
+            }
+        }
+        let address = (self.shared.protocol.dial)(order.address());
+        let client = OrderClient {
+            client: Client::new(address, MAX_ANSWER_BYTES),
+            tokens: BTreeSet::new(),
+        };
+        (client, false)
     }
 
     /// Keeps the client of an order that has ended for others. Orders that need connections of their own
     /// must not add up to more and more idle ones.
-    fn return_client(&self, order: &Order, client: Client) {
-        let is_shared = !order.is_decisive || self.naming.borrow().contains(&order.target);
+    fn return_client(&self, order: &Order, client: OrderClient, is_kept: bool) {
+        let is_shared =
+            is_kept || !order.is_decisive || self.naming.borrow().contains(&order.target);
+        let is_usable = client.client.has_connection() && client.tokens.len() < MAX_TOKENS;
         let mut clients = self.clients.borrow_mut();
         let idle = clients.entry(order.target.clone()).or_default();
-        if is_shared || idle.is_empty() {
+        if is_usable && (is_shared || idle.is_empty()) {
             idle.push(client);
         }
     }
