Give each request to the log service a connection of its own

A copy of an earlier read counted as a proof that the log has nothing newer, so a holder that was replaced meanwhile could extend its lease and act beside the new holder. A copy of an append's answer counted as the receipt of another append, so a change of an operator could be confirmed that was not written.

Cause: the client kept its connections, and answers name no request. Each request now asks for its connection to be closed, as control calls to targets do, so no answer to another request can be due on it.

An answer that names its read would allow kept connections, as for requests to targets. Log services do not name it today, so a connection for each request is needed for them in any case. A daemon has one read and one append under way at a time: at rest these are four reads a second, and under load the longer round trip lets each of them collect more records.

--- a/crates/platform/src/log/client.rs
+++ b/crates/platform/src/log/client.rs
@@ -9,7 +9,9 @@
 };
 use crate::http::{Content, Http, Response, Reuse};
 
-/// Client of the log service.
+/// Client of the log service. Each request has its own connection, so that a late copy of the response
+/// to an earlier one can't be taken for its response: a copy of a read would count as a proof that the
+/// log has nothing newer, one of an append as the receipt of entries that are not written.
 #[derive(Clone)]
 pub struct Client(Http);
 
@@ -18,7 +20,7 @@
     ///
     /// `timeout` bounds each request; the wait time of a read is added to it.
     pub async fn new(address: SocketAddr, timeout: Span) -> Self {
-        Self(Http::new(address, timeout, MAX_RESPONSE_BYTES, Reuse::Keep).await)
+        Self(Http::new(address, timeout, MAX_RESPONSE_BYTES, Reuse::Never).await)
     }
 
     /// Appends a batch: all of its entries or none.
