Take a submitted move for decided by its contract, not by the owners of its shares

A move marks its contract as changed at its own offset whether it is applied or refused, and is refused if the contract has changed since the offset that it names. So it is decided exactly if the contract has changed after that offset, which the node now keeps beside the move's id. Changes of standbys are judged in the same way already (`Ownership::restore`).

--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -5,9 +5,11 @@
 use crate::{
     action::Action,
     balance::{Availability, Move, Planner, Settings, Target, View},
+    contract::Contract,
     key::Digest,
     name,
     node::Node,
+    number::Offset,
     record::{self, Record, Share},
     request::Refusal,
     table::Service,
@@ -25,8 +27,25 @@
     pub(crate) service: name::Service,
     /// Each moving share with its new owner.
     pub(crate) shares: Vec<(Share, name::Target)>,
-    /// Identifier of the submitted [`Record::Move`], if it is submitted.
-    pub(crate) submitted: Option<record::Id>,
+    /// The submitted [`Record::Move`], if it is submitted.
+    pub(crate) submitted: Option<Submission>,
+}
+
+/// A [`Record::Move`] that this process has submitted and not read yet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Submission {
+    /// Identifier of the entry.
+    id: record::Id,
+    /// Offset that this process had applied, as the record names it.
+    after: Offset,
+}
+
+impl Submission {
+    /// Returns whether a contract shows that the record is decided. The record marks its contract as
+    /// changed whether it is applied or refused, and is refused if the contract has changed before.
+    pub(crate) fn is_decided(&self, contract: &Contract) -> bool {
+        contract.changed > self.after
+    }
 }
 
 impl Handover {
@@ -295,19 +314,20 @@
         let service = handover.service.clone();
         let shares = handover.shares.clone();
         let id = self.next_entry();
+        let after = self.ledger.offset();
         let record = Record::Move {
             service,
             from: target.clone(),
             epoch,
             shares,
-            after: self.ledger.offset(),
+            after,
         };
         if let Some(handover) = self
             .target_states
             .get_mut(target)
             .and_then(|d| d.handover.as_mut())
         {
-            handover.submitted = Some(id);
+            handover.submitted = Some(Submission { id, after });
         }
         self.append_as(
             id,
@@ -372,7 +392,8 @@
         from: &name::Target,
     ) {
         if let Some(state) = self.target_states.get_mut(from) {
-            state.handover.take_if(|h| h.submitted == Some(id));
+            let is_read = |handover: &Handover| handover.submitted.is_some_and(|s| s.id == id);
+            state.handover.take_if(|handover| is_read(handover));
             for (share, _) in shares {
                 if let Share::Slice(slice) = share {
                     state.slice_busy_us.remove(slice);
--- a/crates/core/src/ledger/assignment.rs
+++ b/crates/core/src/ledger/assignment.rs
@@ -28,15 +28,6 @@
         self.slices.get(slice.0 as usize)
     }
 
-    /// Returns whether a target owns a share.
-    pub(crate) fn owns(&self, target: &name::Target, share: Share) -> bool {
-        match share {
-            Share::Key(key) => self.owner(key) == Some(target),
-            Share::Merge(key) => self.keys.get(&key) == Some(target),
-            Share::Slice(slice) => self.slices.get(slice.0 as usize) == Some(target),
-        }
-    }
-
     /// Moves a share from its owner. Returns false if another target owns it.
     pub(super) fn move_share(
         &mut self,
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     action::Action,
+    handover::Handover,
     ledger::Ledger,
     node::{Node, Phase},
     number::Offset,
@@ -91,18 +92,16 @@
         }
     }
 
-    /// Removes submitted moves that the new ledger shows as done.
+    /// Removes submitted moves that the new ledger shows as decided.
     fn drop_handovers(&mut self) {
-        let assignments = self.ledger.assignments();
+        let contracts = self.ledger.contracts();
         for (target, state) in &mut self.target_states {
-            let owns = |share| {
-                let mut assignments = assignments.values();
-                assignments.any(|assignment| assignment.owns(target, share))
+            let contract = contracts.get(target);
+            let is_decided = |handover: &Handover| {
+                let decided = handover.submitted.zip(contract);
+                decided.is_some_and(|(submitted, contract)| submitted.is_decided(contract))
             };
-            state.handover.take_if(|handover| {
-                let mut shares = handover.shares.iter();
-                handover.submitted.is_some() && !shares.any(|(share, _)| owns(*share))
-            });
+            state.handover.take_if(|handover| is_decided(handover));
         }
     }
 }
