Name in a grant the run of the target whose clock it names

If the target restarted in between, its next run counted that time on its own clock. It may show less, so the grant could last longer there than its holder counts on, and the keys move meanwhile.

Cause: the grant named a clock, but not the run to which the clock belongs. It names both now, by the start identifier of the same load report, and a target refuses a grant that names another run (412). The holder's next probe shows the new run, which gets a grant at once, as after any restart. Grants of earlier releases name no run and count as before.

The harness of the latter checks each grant in its file; its targets' clocks show the time, and less after a restart.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -155,12 +155,14 @@
             if row.checks_epoch
                 && active
                 && let Some(lease_end) = lease_end
+                && let Some(start_id) = state.start_id()
                 && let Some(ttl) = state.take_due_grant(now, lease_end, times)
             {
                 let grant = Grant {
                     epoch: state.epoch,
                     ttl,
                     from_ms: state.clock_ms(),
+                    start_id,
                 };
                 actions.push(Action::Grant {
                     target,
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -275,4 +275,6 @@
     pub ttl: Span,
     /// Time on the target's own clock in its latest answer to a probe, in milliseconds.
     pub from_ms: u64,
+    /// Start identifier of the target in the same answer.
+    pub start_id: u64,
 }
--- a/crates/core/tests/grants.rs
+++ b/crates/core/tests/grants.rs
@@ -58,8 +58,12 @@
     silent: BTreeSet<name::Target>,
     /// Start identifiers of the targets, 1 if none is stated.
     runs: BTreeMap<name::Target, u64>,
+    /// Answers to probes: the target, its start identifier and its clock.
+    answers: BTreeSet<(name::Target, u64, u64)>,
     /// Latest grant to each target: when it was sent and how long it lasts.
     grants: BTreeMap<name::Target, (Instant, Span)>,
+    /// Start identifier in the latest grant to each target.
+    granted: BTreeMap<name::Target, u64>,
     /// When the first move away from each target was submitted.
     moved: BTreeMap<name::Target, Instant>,
 }
@@ -79,7 +83,9 @@
             has_log: true,
             silent: BTreeSet::new(),
             runs: BTreeMap::new(),
+            answers: BTreeSet::new(),
             grants: BTreeMap::new(),
+            granted: BTreeMap::new(),
             moved: BTreeMap::new(),
         };
         let table = table_file::parse(TABLE).expect("the table is valid");
@@ -110,11 +116,17 @@
     fn probe(&mut self, target: &name::Target) -> Vec<Action> {
         let answer = match self.silent.contains(target) {
             true => Probe::Silent,
-            false => Probe::Answered {
-                start_id: self.runs.get(target).copied().unwrap_or(1),
-                load: 0,
-                clock_ms: 1,
-            },
+            false => {
+                let start_id = self.runs.get(target).copied().unwrap_or(1);
+                // The clock of a later run shows less.
+                let clock_ms = Span(self.now.0).as_millis() / start_id;
+                self.answers.insert((target.clone(), start_id, clock_ms));
+                Probe::Answered {
+                    start_id,
+                    load: 0,
+                    clock_ms,
+                }
+            }
         };
         let target = target.clone();
         self.handle(Event::Probed { target, answer })
@@ -131,7 +143,10 @@
                     Action::Probe { target, .. } => next.extend(self.probe(&target)),
                     Action::Grant { target, grant, .. } => {
                         self.check_lease(&target, grant.ttl);
+                        let named = (target.clone(), grant.start_id, grant.from_ms);
+                        assert!(self.answers.contains(&named), "no probe showed {named:?}");
                         self.grants.insert(target.clone(), (self.now, grant.ttl));
+                        self.granted.insert(target.clone(), grant.start_id);
                         let epoch = grant.epoch;
                         let accepted = true;
                         next.extend(self.handle(Event::Granted {
@@ -211,6 +226,20 @@
     assert!(!harness.grants.is_empty(), "no grant was sent");
 }
 
+/// Guards against a grant that names the clock of a run without the run, or one beside the clock of the
+/// other: a target that has restarted could not refuse it.
+#[test]
+fn grants_name_the_run_whose_clock_they_name() {
+    let mut harness = Harness::new();
+    let first = target("first");
+    harness.pass(Span::from_secs(3));
+    for run in [2, 3] {
+        harness.runs.insert(first.clone(), run);
+        harness.pass(Span::from_secs(1));
+        assert_eq!(harness.granted.get(&first), Some(&run));
+    }
+}
+
 /// Guards against keys that move to another target while the grant of an earlier holder still lets
 /// their target serve: the next holder counted only grants of its own.
 #[test]
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -80,6 +80,7 @@
         epoch: grant_message.epoch,
         ttl_ms: grant_message.ttl.as_millis(),
         from_ms: grant_message.from_ms,
+        start_id: Some(grant_message.start_id),
     };
     let result = client.grant(grant).await;
     if let Err(error) = &result {
--- a/crates/platform/src/target.rs
+++ b/crates/platform/src/target.rs
@@ -47,6 +47,9 @@
 /// Reason why a control request to a target failed.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
+    /// The grant names the clock of an earlier run of the target.
+    #[error("the target has restarted since the load report that the grant names; probe it again")]
+    EarlierRun,
     /// The target has seen a higher epoch, so another process owns it now.
     #[error(
         "the target has seen epoch {highest}, above the granted {granted}; \
--- a/crates/platform/src/target/client.rs
+++ b/crates/platform/src/target/client.rs
@@ -37,6 +37,7 @@
                     highest: stale.highest,
                 })
             }
+            StatusCode::PRECONDITION_FAILED => Err(Error::EarlierRun),
             _ => Err(self.0.unexpected_status(&response).into()),
         }
     }
--- a/crates/platform/src/target/message.rs
+++ b/crates/platform/src/target/message.rs
@@ -12,8 +12,13 @@
     /// load reports.
     ///
     /// With it, a grant that waited in a buffer while the target was frozen ends at the same time
-    /// as one that was received at once.
+    /// as one that was received at once. A start that lies after the target's clock counts as now.
     pub from_ms: u64,
+    /// Run of the target whose clock the grant names: the `start_id` of the same load report. Another
+    /// run refuses the grant (412), since its clock may show less. Holders of earlier releases name
+    /// none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub start_id: Option<u64>,
 }
 
 /// Response to a grant with an epoch that is too low.
@@ -30,9 +35,11 @@
     pub running: u32,
     /// Number of requests that wait for a slot.
     pub waiting: u32,
-    /// Random number that the target chooses at each cold start, by which a restart is detected.
+    /// Random number that the target chooses at each cold start, by which a restart is detected. It
+    /// never lags, since a grant names it.
     pub start_id: u64,
-    /// The target's monotonic clock, in milliseconds. It keeps running while the target is frozen.
+    /// The target's monotonic clock, in milliseconds. It keeps running while the target is frozen,
+    /// and never lags.
     pub clock_ms: u64,
 }
 
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -320,6 +320,7 @@
             epoch: Epoch(5),
             ttl_ms: 1_500,
             from_ms: 0,
+            start_id: None,
         };
         let stale = serve_once(response("409 Conflict", b"{\"highest\": 9}"));
         let client = target::Client::new(stale, LONG_TIMEOUT).await;
--- a/crates/platform/tests/copies.rs
+++ b/crates/platform/tests/copies.rs
@@ -138,6 +138,7 @@
                 epoch: Epoch(1),
                 ttl_ms: 1,
                 from_ms: 1,
+                start_id: None,
             };
             let refusal = Error::StaleEpoch {
                 granted: Epoch(1),
--- a/crates/platform/tests/endless.rs
+++ b/crates/platform/tests/endless.rs
@@ -151,6 +151,7 @@
                 epoch: Epoch(1),
                 ttl_ms: 1_000,
                 from_ms: 0,
+                start_id: None,
             };
             target.grant(grant).await.map_err(drop)
         }
--- a/crates/standin/src/target/control.rs
+++ b/crates/standin/src/target/control.rs
@@ -43,6 +43,12 @@
         Ok(grant) => grant,
         Err(error) => return reply::text(StatusCode::BAD_REQUEST, error),
     };
+    if grant.start_id.is_some_and(|named| named != state.start_id) {
+        return reply::text(
+            StatusCode::PRECONDITION_FAILED,
+            "the grant names the clock of another run",
+        );
+    }
     let stale = state.receive_epoch(grant.epoch);
     state.counts.stale_grants += u64::from(stale);
     if grant.epoch < state.highest_epoch {
--- a/crates/standin/src/target/state.rs
+++ b/crates/standin/src/target/state.rs
@@ -61,6 +61,7 @@
     pub(crate) fn start_cold(&mut self) {
         self.crashed = false;
         self.grant = None;
+        self.clock_start = Instant::now();
         self.become_cold();
         if !self.settings.persists_epoch {
             self.highest_epoch = Epoch(0);
@@ -203,9 +204,13 @@
             ReportMode::Fixed(load) => load,
             ReportMode::Lagging(lag) => self.history.at(now, lag).unwrap_or(self.load()),
         };
-        // The clock is current in every mode: grants count from it.
+        // The run and its clock are current in every mode: grants name them.
+        let Load {
+            start_id, clock_ms, ..
+        } = self.load();
         Load {
-            clock_ms: self.load().clock_ms,
+            start_id,
+            clock_ms,
             ..load
         }
     }
--- a/crates/standin/src/world/perform.rs
+++ b/crates/standin/src/world/perform.rs
@@ -186,7 +186,7 @@
     fn accept_grant(&mut self, target_index: usize, grant: Grant) -> bool {
         let now = self.now;
         let target = &mut self.targets[target_index];
-        let accepted = grant.epoch >= target.epoch;
+        let accepted = grant.epoch >= target.epoch && grant.start_id == target.start_id;
         if accepted {
             target.epoch = grant.epoch;
             target.highest_epoch_ever = target.highest_epoch_ever.max(grant.epoch);
--- a/crates/standin/tests/failure.rs
+++ b/crates/standin/tests/failure.rs
@@ -7,7 +7,7 @@
 use ragwortrill_core::{number::Epoch, time::Span};
 use ragwortrill_platform::{
     headers,
-    target::{Client, EPOCH_HEADER, Grant, REFUSED_HEADER, REQUEST_HEADER},
+    target::{Client, EPOCH_HEADER, Error, Grant, REFUSED_HEADER, REQUEST_HEADER},
 };
 use ragwortrill_standin::target::{Server, Settings};
 
@@ -136,6 +136,7 @@
             epoch: Epoch(epoch),
             ttl_ms: ttl.as_millis(),
             from_ms: 0,
+            start_id: None,
         };
         client.grant(grant(5, ONE_HOUR)).await.unwrap();
         client.grant(grant(5, Span::ZERO)).await.unwrap();
@@ -177,6 +178,7 @@
                 epoch: Epoch(5),
                 ttl_ms: ttl.as_millis(),
                 from_ms: 0,
+                start_id: None,
             };
             let sent = rt::spawn(async move { client.grant(grant).await });
             let short_client = Client::new(server.address(), SHORT_TIMEOUT).await;
@@ -285,6 +287,7 @@
                 epoch: Epoch(epoch),
                 ttl_ms: ONE_HOUR.as_millis(),
                 from_ms: 0,
+                start_id: None,
             };
             let client = Client::new(server.address(), LONG_TIMEOUT).await;
             client.grant(grant(5)).await.unwrap();
@@ -308,6 +311,58 @@
     }
 }
 
+/// Guards against a grant that is late and reaches the next run of its target, whose clock may show less
+/// than the start that the grant names: it would last longer than its holder counts on.
+#[test]
+fn grants_that_name_an_earlier_run_are_refused() {
+    struct Case {
+        name: &'static str,
+        /// Which of the start identifiers before and after the restart the grant names.
+        named: fn(u64, u64) -> Option<u64>,
+        accepted: Result<(), Error>,
+        status: u16,
+    }
+    let cases = [
+        Case {
+            name: "earlier run",
+            named: |earlier, _| Some(earlier),
+            accepted: Err(Error::EarlierRun),
+            status: 409,
+        },
+        Case {
+            name: "current run",
+            named: |_, current| Some(current),
+            accepted: Ok(()),
+            status: 200,
+        },
+        Case {
+            name: "holder of an earlier release",
+            named: |_, _| None,
+            accepted: Ok(()),
+            status: 200,
+        },
+    ];
+    for case in cases {
+        run(async move {
+            let mut server = start(Settings::default());
+            let client = Client::new(server.address(), LONG_TIMEOUT).await;
+            let earlier = client.load().await.unwrap();
+            server.restart().unwrap();
+            let grant = Grant {
+                epoch: Epoch(5),
+                ttl_ms: ONE_HOUR.as_millis(),
+                from_ms: earlier.clock_ms,
+                start_id: (case.named)(earlier.start_id, server.start_id()),
+            };
+            assert_eq!(client.grant(grant).await, case.accepted, "{}", case.name);
+            let caller = Caller::new(server.address()).await;
+            let headers = [(EPOCH_HEADER, "5")];
+            let answer = caller.send("GET", "/", &headers, b"").await.unwrap();
+            assert_eq!(answer.status, case.status, "{}", case.name);
+        });
+    }
+}
+
 /// Guards against a request with the fatal key that does not crash its target.
 #[test]
 fn fatal_requests() {
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -37,6 +37,7 @@
         epoch: Epoch(epoch),
         ttl_ms: ttl.as_millis(),
         from_ms: u64::MAX / 2_000,
+        start_id: None,
     }
 }
 
