Let keys move on from a target that the leader alone can't reach

Callers are refused for keys of a target that drains, is evacuated or leaves, for as long as the leader has lost its link to that target and other hosts reach it.

Cause: the answer of an order that the leader's own link kept from its target (`Unreached`) does not count against the target, so the target never became unresponsive, and only an unresponsive one counted as cleared once its last possible grant had expired. Trace: a drains; its keys move to b and c and wait for the release of a; each release ends as Unreached; 20 s later, 15 s after the last grant of a has expired, both ranges still wait.

The expiry of the last possible grant is evidence for a target that the last order did not reach, as it is for one that does not answer. A target that answers is asked to release as before.

keys_of_a_draining_target_move_although_the_leaders_link_to_it_is_lost fails on the code before. The tests returning, leader, merge, plan and protocol (which draws Unreached) of the router pass.

Not covered: a release that goes to a later run at another address which the leader can't reach.

--- a/crates/router/src/leader/partition.rs
+++ b/crates/router/src/leader/partition.rs
@@ -82,6 +82,8 @@
     grants_end: BTreeMap<Incarnation, Instant>,
     /// Consecutive orders that got no response, by target.
     unanswered: BTreeMap<Incarnation, u32>,
+    /// Targets that the last order did not reach, since this host has lost its link to them.
+    unreached: BTreeSet<Incarnation>,
     /// Whether no serving target responds, so that those that do not are tried again.
     retries_unresponsive: bool,
     /// Targets that have ended: another target responded at their address.
@@ -303,7 +305,8 @@
         let end = self.grants_end.get(target).copied().unwrap_or_default();
         // A responsive target is always sent a release: that is faster than waiting for its grant
         // to expire, and returns a handover token.
-        let has_expired = self.is_unresponsive(target) && tick.now >= end.max(earlier_grants_end);
+        let is_silent = self.is_unresponsive(target) || self.unreached.contains(target);
+        let has_expired = is_silent && tick.now >= end.max(earlier_grants_end);
         has_expired.then_some(Evidence::Expired)
     }
 
@@ -503,6 +506,11 @@
 
     pub(super) fn record_response(&mut self, now: Instant, order: &Order, response: Response) {
         self.in_flight.remove(&order.range_epoch);
+        match &response {
+            Response::Unreached => _ = self.unreached.insert(order.target.clone()),
+            Response::Unsent => {}
+            _ => _ = self.unreached.remove(&order.target),
+        }
         match &response {
             Response::Silent => *self.unanswered.entry(order.target.clone()).or_default() += 1,
             Response::Unattributed | Response::Unreached | Response::Unsent => {}
--- a/crates/router/tests/returning.rs
+++ b/crates/router/tests/returning.rs
@@ -101,6 +101,22 @@
     assert_eq!(first, [10, 19, 20]);
 }
 
+/// Guards against keys without an owner for as long as the leader alone has lost its link to a target that
+/// drains: the release can't reach it, and its grants have expired.
+#[test]
+fn keys_of_a_draining_target_move_although_the_leaders_link_to_it_is_lost() {
+    let mut sim = Simulation::new(&["a", "b", "c"]);
+    sim.run(Span::from_secs(3));
+    sim.fate = Box::new(|order| match order.target.id.as_str() {
+        "a" => Fate::Unreached,
+        _ => Fate::Answered,
+    });
+    sim.drain("a");
+    sim.run(Span::from_secs(20));
+    assert!(sim.is_settled(), "{:?}", sim.durable);
+    assert_eq!(sim.owners(), ["b", "c"]);
+}
+
 /// Guards against a renewal that reaches an owner which has released the keys and restarted meanwhile.
 #[test]
 fn keys_with_an_outstanding_renewal_do_not_move() {
--- a/crates/router/tests/simulation/mod.rs
+++ b/crates/router/tests/simulation/mod.rs
@@ -56,6 +56,8 @@
     Answered,
     /// It gets no response and is not carried out.
     Lost,
+    /// It does not arrive, and the host knows that its own link is lost.
+    Unreached,
     /// It gets no response and is carried out after a time.
     Late(Span),
 }
@@ -238,6 +240,7 @@
         match (self.fate)(order) {
             Fate::Answered => self.execute(order, self.now),
             Fate::Lost => Response::Silent,
+            Fate::Unreached => Response::Unreached,
             Fate::Late(delay) => {
                 let due = self.now + delay;
                 self.late.push((self.now, due, order.clone()));
