Go on forwarding to a helping host that refused a single request

Callers of a host that had lost its links got 503 ("the links to the targets are lost, and no other host can help") in bursts of about 200 ms, although the one host that could help reached all targets and served.

A refusal by a helping host paused it for 200 ms. But most refusals concern one request: its key is moving, or its owner has no room.

A host that refused a request now comes after all that refused none for 200 ms and is still used. Only one such host is offered a request, so that offers do not add to the load of hosts without room. If it refuses too, others are searched, as before. A host that can't be reached is left out as before.

--- a/crates/entry/src/hop.rs
+++ b/crates/entry/src/hop.rs
@@ -4,7 +4,7 @@
 //! The other host handles a forwarded request like one of a caller, and never forwards it again. It
 //! sends it only to the service to which this host routed it.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use ragwortrill_core::time::{Instant, Span};
 use ragwortrill_router::{registration::Incarnation, retry::Outcome};
@@ -30,18 +30,25 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which a host counts as a helper after it reached a target.
 const HELPER_TTL: Span = Span::from_millis(3_000);
-/// Time for which no request is forwarded to a host that refused one or could not be reached.
+/// Time for which no request is forwarded to a host that could not be reached, and for which one that
+/// refused a request comes after others.
 const BACKOFF: Span = Span::from_millis(200);
 /// Hosts that a request is offered to until one does not refuse it.
 const MAX_OFFERS: usize = 3;
+/// The same for hosts that refused a request a short time ago. Offers to hosts that have no room for any
+/// request must not add to their load.
+const MAX_REFUSING_OFFERS: usize = 1;
 
 /// A host that reaches targets to which this host has lost its links.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Helper {
     /// When it reached a target last.
     reached_at: Instant,
-    /// Until when it gets no requests.
+    /// Until when it gets no requests, since it could not be reached.
     paused_until: Instant,
+    /// Until when others are preferred, since it refused a request. The refusal may concern that request
+    /// alone, such as one whose key has no owner.
+    avoided_until: Instant,
     /// Requests of this host that it handles.
     in_flight: u32,
 }
@@ -78,9 +85,18 @@
     serving.peek().is_some() && serving.all(|target| is_lost(&target.registration.incarnation))
 }
 
-/// Returns the hosts that a request may be forwarded to, the best first: those of the own data
-/// centre, and among them those that handle the fewest requests of this host.
-fn candidates(shared: &Shared) -> Vec<(String, SocketAddr)> {
+/// A host that a request may be forwarded to.
+struct Candidate {
+    host: String,
+    address: SocketAddr,
+    /// Whether it refused a request a short time ago.
+    is_avoided: bool,
+}
+
+/// Returns the hosts that a request may be forwarded to, the best first: those that refused none a
+/// short time ago, among them those of the own data centre, and then those that handle the fewest
+/// requests of this host.
+fn candidates(shared: &Shared) -> Vec<Candidate> {
     let now = shared.now();
     let helpers = shared.helpers.borrow();
     let hosts = shared.hosts.borrow();
@@ -95,15 +111,26 @@
             if !host.compares_routes && !is_settled {
                 return None;
             }
+            let is_avoided = now < helper.avoided_until;
             let is_remote = host.data_centre.as_ref() != Some(&own);
-            let rank = (is_remote, helper.in_flight);
-            Some((rank, name.clone(), host.forwards?))
+            let rank = (is_avoided, is_remote, helper.in_flight);
+            let candidate = Candidate {
+                host: name.clone(),
+                address: host.forwards?,
+                is_avoided,
+            };
+            Some((rank, candidate))
         })
         .collect();
     usable.shuffle(&mut *shared.random.borrow_mut());
-    usable.sort_by_key(|(rank, ..)| *rank);
-    let hosts = usable.into_iter().map(|(_, name, address)| (name, address));
-    hosts.collect()
+    usable.sort_by_key(|(rank, _)| *rank);
+    let mut refusing = 0;
+    let candidates = usable.into_iter().map(|(_, candidate)| candidate);
+    let offered = candidates.filter(|candidate| {
+        refusing += usize::from(candidate.is_avoided);
+        !candidate.is_avoided || refusing <= MAX_REFUSING_OFFERS
+    });
+    offered.take(MAX_OFFERS).collect()
 }
 
 /// Returns whether the configuration of this host must be in force at all others. Before, a host that
@@ -145,22 +172,34 @@
 
 /// Sends a request through another host. An outcome other than `Unknown` without a reply states that
 /// the request has not run.
+///
+/// If no host is known but one that refused a request a short time ago, and it refuses this one too,
+/// others are searched.
 pub(crate) async fn send(shared: &Rc<Shared>, job: &Job) -> Attempt {
     let mut last = Attempt::failed(Outcome::NotSent, "no host reaches the target".to_owned());
+    let mut offered = BTreeSet::new();
     let mut hosts = candidates(shared);
-    if hosts.is_empty() {
+    let mut may_search = hosts.iter().all(|candidate| candidate.is_avoided);
+    loop {
+        for Candidate { host, address, .. } in hosts {
+            let attempt = offer(shared, job, &host, address).await;
+            let is_refused = matches!(attempt.outcome, Outcome::NotSent | Outcome::NotRun);
+            last = attempt;
+            if !is_refused || job.is_abandoned(shared.now()) {
+                return last;
+            }
+            offered.insert(host);
+        }
+        if !std::mem::take(&mut may_search) {
+            return last;
+        }
         survey::refresh_helpers(shared).await;
         hosts = candidates(shared);
+        hosts.retain(|candidate| {
+            let may_serve = offered.is_empty() || !candidate.is_avoided;
+            may_serve && !offered.contains(&candidate.host)
+        });
     }
-    for (host, address) in hosts.into_iter().take(MAX_OFFERS) {
-        let attempt = offer(shared, job, &host, address).await;
-        let is_refused = matches!(attempt.outcome, Outcome::NotSent | Outcome::NotRun);
-        last = attempt;
-        if !is_refused || job.is_abandoned(shared.now()) {
-            break;
-        }
-    }
-    last
 }
 
 async fn offer(shared: &Rc<Shared>, job: &Job, host: &str, address: SocketAddr) -> Attempt {
@@ -234,7 +273,7 @@
     match outcome {
         // It takes requests of other routes.
         Outcome::NotRun if status == ROUTED_OTHERWISE => {}
-        Outcome::NotRun => in_flight.update(|helper| helper.paused_until = now + BACKOFF),
+        Outcome::NotRun => in_flight.update(|helper| helper.avoided_until = now + BACKOFF),
         Outcome::Unknown => {}
         _ => in_flight.update(|helper| helper.reached_at = now),
     }
