Send no grant later than the plan counts on

Cause: the plan counts on a grant that arrives 850 ms after it was planned at the latest, for a target that answers nobody. A grant could be written at an age of 700 ms, after a late start and a connect of up to 400 ms, and its connection is reset only 400 ms after that. So a retransmitted grant could arrive after 1,100 ms.

A grant is now sent up to an age of 400 ms; later ones are planned again. The sum is checked when the program is built: with the former age it is not built ("a grant may arrive later than the plan counts on").

--- a/crates/entry/src/leadership/order.rs
+++ b/crates/entry/src/leadership/order.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use ragwortrill_core::time::{Instant, Span};
-use ragwortrill_router::leader::{Operation, Order, Response};
+use ragwortrill_router::leader::{MAX_GRANT_DELAY, Operation, Order, Response};
 use rand::RngExt;
 
 use super::Leadership;
@@ -19,9 +19,12 @@
 /// Timeout of a release request. The target answers only once its running work on the keys has
 /// ended.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Age from which a planned grant is not sent any more. The plan counts on the end of a grant that
-/// arrives 850 ms after it was planned at the latest.
-const MAX_GRANT_AGE: Span = Span::from_millis(700);
+/// Age from which a planned grant is not sent any more. Its connection is reset `GRANT_TIMEOUT` later.
+const MAX_GRANT_AGE: Span = Span::from_millis(400);
+const _: () = assert!(
+    MAX_GRANT_AGE.as_millis() + GRANT_TIMEOUT.as_millis() as u64 <= MAX_GRANT_DELAY.as_millis(),
+    "a grant may arrive later than the plan counts on"
+);
 /// Age from which a planned release is not sent any more.
 const MAX_RELEASE_AGE: Span = Span::from_millis(2_500);
 /// Largest body of a target's answer to a grant or release.
--- a/crates/router/src/leader.rs
+++ b/crates/router/src/leader.rs
@@ -25,9 +25,9 @@
 
 /// Maximum drift of a target's clock, in percent.
 const CLOCK_DRIFT_PERCENT: u64 = 2;
-/// Maximum time until a grant arrives at its target: 400 ms to connect, 400 ms until the connection
-/// is reset, and a margin.
-const MAX_GRANT_DELAY: Span = Span::from_millis(850);
+/// Maximum time from the plan of a grant until it arrives at its target: 400 ms until it is sent, 400 ms
+/// until its connection is reset, and a margin.
+pub const MAX_GRANT_DELAY: Span = Span::from_millis(850);
 
 /// What an order requires its target to do with the keys.
 #[derive(Clone, Debug, Eq, PartialEq)]
