KNOWN-RED 61 and 62: late renewals reach the next run of a target

The extended model check found that two targets get a key (TwoOwners) if a renewal takes up to 400 ms to arrive and its target answers the release of keys and restarts under its id meanwhile: its next run has forgotten the release.

61: while a change that shortens a range is being written, the leader goes on renewing the whole range, since the range keeps its epoch (`Partition::issue_orders`).

62: a renewal of an earlier leader does the same after the next one has moved the keys. Found by a directed schedule of 4 events; the check gives a claim no time, and no measurement shows how long it takes on hosts.

--- a/crates/router/tests/protocol/main.rs
+++ b/crates/router/tests/protocol/main.rs
@@ -206,3 +206,26 @@
         (Event::Restart(0), 1_000),
     ]);
 }
+
+/// Guards against a renewal of a range that its owner's next run gets after a part of it has moved.
+#[test]
+fn renewal_of_a_range_does_not_give_back_a_part_that_moved() {
+    play_at_each_time(&[
+        (Event::Drain(2), 3_000),
+        (Event::Orders(0, Fate::DelayedGrants), 0),
+        (Event::Writes(Write::AnswerLost), 0),
+        (Event::Serve(2), 800),
+        (Event::Restart(0), 1_000),
+    ]);
+}
+
+/// Guards against a renewal of an earlier leader that its target's next run gets after the keys have moved.
+#[test]
+fn renewal_of_an_earlier_leader_does_not_give_back_keys_that_moved() {
+    play_at_each_time(&[
+        (Event::Orders(0, Fate::DelayedGrants), 0),
+        (Event::Drain(0), 0),
+        (Event::NewLeader, 300),
+        (Event::Restart(0), 1_000),
+    ]);
+}
