Record answers that a caller gets in the instant of its call

The caller now reaches the holder itself, which answers at once; the recorder took only answers of the step that had passed, and missed that one.

It now records each answer that it has not recorded before.

--- a/crates/router/tests/returning.rs
+++ b/crates/router/tests/returning.rs
@@ -54,7 +54,7 @@
     assert_eq!(sim.owners(), ["c"]);
 }
 
-/// Guards against a late grant that is carried out since only an earlier one was released (OWNER).
+/// Guards against a late grant that is carried out since only an earlier one was released.
 #[test]
 fn release_of_an_earlier_grant_does_not_clear_the_later_one() {
     let mut sim = return_to_a();
--- a/crates/standin/tests/recorder/mod.rs
+++ b/crates/standin/tests/recorder/mod.rs
@@ -31,7 +31,8 @@
     frames: Rc<RefCell<Frames>>,
     text: String,
     records: usize,
-    answers: usize,
+    /// Time of the latest recorded answer to each call.
+    answered: BTreeMap<usize, Instant>,
 }
 
 impl Recorder {
@@ -51,7 +52,7 @@
             frames,
             text,
             records,
-            answers: 0,
+            answered: BTreeMap::new(),
         }
     }
 
@@ -109,7 +110,7 @@
         let calls = self.world.calls().iter().enumerate();
         let mut answers: Vec<_> = calls
             .filter_map(|(number, call)| Some((call.answer?, number, call)))
-            .filter(|((at, _), _, _)| at.0 + STEP.0 > self.world.now().0)
+            .filter(|((at, _), number, _)| self.answered.get(number) != Some(at))
             .collect();
         answers.sort_by_key(|((at, _), number, _)| (*at, *number));
         for ((at, answer), number, call) in answers {
@@ -119,7 +120,7 @@
                 self.text,
                 "{now} caller: {service} {number}, attempt {attempt}: {answer:?}, runs {runs}"
             );
-            self.answers += 1;
+            self.answered.insert(number, at);
         }
     }
 }
